Serve a request end to end through real processes

Cause: there was nothing to run. Change: one daemon in two roles over one reducer; configuration, routing, plan limits, retry budget, cold-server ramp, claims on the log for non-idempotent requests; QUIC between entries and agents; stand-ins for the log, the VM list, engines and a plain service.

--- /dev/null
+++ b/src/bin/alderbayctl.rs
@@ -0,0 +1,3 @@
+//! The operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,32 @@
+//! The reducer: every input of a process is an event, every output an effect.
+//!
+//! [`reduce`] reads no clock, does no input or output and draws random numbers only from a seeded
+//! generator in its state, so that a recorded run of events gives the same effects again. Entries
+//! and agents share it; they differ in the events they see. This module dispatches; the submodules
+//! decide, each over its own part of the state.
+
+mod capacity;
+mod claims;
+mod effect;
+mod event;
+mod limits;
+mod membership;
+mod queue;
+mod requests;
+mod retry;
+mod routing;
+mod state;
+
+pub use capacity::{CapacityRamp, RampSettings};
+pub use claims::{
+    ClaimOwner, ClaimRecord, ClaimTable, KeyDecision, KnownAnswer, MAX_KEY_AGE, StoredAnswer,
+};
+pub use effect::{Effect, Refusal, RefusalCode, RunOutcome};
+pub use event::{AttemptOutcome, Event, RequestFacts, TimedEvent, WorkFacts, WorkId, WorkOutcome};
+pub use limits::{LimitError, PlanLimits, PlanShare, TokenBucket};
+pub use membership::{MemberTable, PeerFacts, VmRecord};
+pub use queue::{QueueSettings, WorkQueue};
+pub use requests::{AttemptSettings, RequestTable};
+pub use retry::RetryBudget;
+pub use routing::{RouteChoice, ServerView, choose_home, choose_server};
+pub use state::{BALANCER_LAG, CoreSettings, ProcessState, reduce};
--- /dev/null
+++ b/src/core/limits.rs
@@ -0,0 +1,168 @@
+//! What each client account may use at this entry.
+//!
+//! A plan's grant counts over the whole fleet. Each entry gives out its share of it: see
+//! [`PlanShare`].
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Refusal, RefusalCode};
+use crate::{
+    config::PlanRecord,
+    units::{ClientAccount, Moment, TokenCount},
+};
+
+/// Seconds of its rate that a bucket can save up.
+const BURST_SECONDS: f64 = 1.0;
+
+/// The part of each grant that this entry may give out.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlanShare(pub f64);
+
+impl Default for PlanShare {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+/// Why the account may not make the request now.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum LimitError {
+    /// Over its requests or tokens a second.
+    #[error("over the plan's rate; {wait_seconds:.3} s to wait")]
+    Rate {
+        /// Until the bucket allows one request.
+        wait_seconds: f64,
+    },
+    /// Over its requests in progress.
+    #[error("over the plan's concurrency of {limit} at this entry")]
+    Concurrency {
+        /// Requests in progress that this entry allows.
+        limit: u32,
+    },
+}
+
+impl From<LimitError> for Refusal {
+    fn from(error: LimitError) -> Self {
+        match error {
+            LimitError::Rate { wait_seconds } => {
+                let wait = std::time::Duration::try_from_secs_f64(wait_seconds).unwrap_or_default();
+                Refusal::not_run(RefusalCode::RateLimited).retry_after(wait)
+            }
+            LimitError::Concurrency { .. } => Refusal::not_run(RefusalCode::ConcurrencyLimited)
+                .retry_after(std::time::Duration::from_secs(1)),
+        }
+    }
+}
+
+/// A token bucket that may go below zero, for costs known only afterwards.
+///
+/// ```
+/// use alderbay::core::TokenBucket;
+/// use alderbay::units::Moment;
+/// let mut bucket = TokenBucket::full(2.0, Moment(0));
+/// bucket.take(2.0);
+/// assert!(bucket.wait_seconds(2.0, Moment(0)) > 0.0);
+/// assert_eq!(bucket.wait_seconds(2.0, Moment(1_000_000)), 0.0);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TokenBucket {
+    level: f64,
+    filled_at: Moment,
+}
+
+impl TokenBucket {
+    /// A bucket with all that `rate` a second lets it save up.
+    pub fn full(rate: f64, now: Moment) -> Self {
+        Self { level: capacity(rate), filled_at: now }
+    }
+
+    /// Seconds until the bucket holds one whole unit; zero where it does now.
+    pub fn wait_seconds(&mut self, rate: f64, now: Moment) -> f64 {
+        let gained = now.since(self.filled_at).as_secs_f64() * rate;
+        self.level = (self.level + gained).min(capacity(rate));
+        self.filled_at = now;
+        if self.level >= 1.0 {
+            return 0.0;
+        }
+        if rate > 0.0 { (1.0 - self.level) / rate } else { f64::MAX }
+    }
+
+    /// Takes `cost` units, below zero if need be.
+    pub fn take(&mut self, cost: f64) {
+        self.level -= cost;
+    }
+}
+
+fn capacity(rate: f64) -> f64 {
+    (rate * BURST_SECONDS).max(1.0)
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct AccountUse {
+    requests: TokenBucket,
+    tokens: TokenBucket,
+    in_progress: u32,
+}
+
+/// Use of all accounts at this entry.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlanLimits {
+    accounts: HashMap<ClientAccount, AccountUse>,
+}
+
+impl PlanLimits {
+    /// Takes one request from the account's share, or says why it may not be made.
+    ///
+    /// # Errors
+    ///
+    /// The account is over its share of requests or tokens a second or of requests in progress.
+    pub fn admit(
+        &mut self,
+        account: &ClientAccount,
+        plan: &PlanRecord,
+        share: PlanShare,
+        now: Moment,
+    ) -> Result<(), LimitError> {
+        let requests_rate = plan.requests_per_second.per_second() * share.0;
+        let tokens_rate = plan.tokens_per_second.per_second() * share.0;
+        let usage = self.accounts.entry(account.clone()).or_insert_with(|| AccountUse {
+            requests: TokenBucket::full(requests_rate, now),
+            tokens: TokenBucket::full(tokens_rate, now),
+            in_progress: 0,
+        });
+        let limit = concurrency_share(plan, share);
+        if usage.in_progress >= limit {
+            return Err(LimitError::Concurrency { limit });
+        }
+        let requests_wait = usage.requests.wait_seconds(requests_rate, now);
+        let tokens_wait = usage.tokens.wait_seconds(tokens_rate, now);
+        let wait_seconds = requests_wait.max(tokens_wait);
+        if wait_seconds > 0.0 {
+            return Err(LimitError::Rate { wait_seconds });
+        }
+        usage.requests.take(1.0);
+        usage.in_progress += 1;
+        Ok(())
+    }
+
+    /// Ends one request and charges the tokens generated for it.
+    pub fn release(&mut self, account: &ClientAccount, tokens: TokenCount) {
+        if let Some(usage) = self.accounts.get_mut(account) {
+            usage.in_progress = usage.in_progress.saturating_sub(1);
+            usage.tokens.take(tokens.0 as f64);
+        }
+    }
+
+    /// Requests in progress of the account.
+    pub fn in_progress(&self, account: &ClientAccount) -> u32 {
+        self.accounts.get(account).map_or(0, |it| it.in_progress)
+    }
+}
+
+fn concurrency_share(plan: &PlanRecord, share: PlanShare) -> u32 {
+    let limit = (f64::from(plan.concurrency.0) * share.0).ceil();
+    // The float lies between zero and the 32-bit limit it came from.
+    limit as u32
+}
--- /dev/null
+++ b/src/core/membership.rs
@@ -0,0 +1,176 @@
+//! Which processes there are: the platform's lagging VM list joined with what this process sees
+//! itself.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::Effect;
+use crate::{
+    config::{ConfigLedger, ServiceState},
+    units::{FailureDomain, ServiceName, VmId},
+    wire::{AgentReport, PeerHello, PeerRole},
+};
+
+/// One row of the VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmRecord {
+    /// The VM.
+    pub vm: VmId,
+    /// Role of the alderbay process on it.
+    pub role: PeerRole,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Where the process listens for peers.
+    pub address: SocketAddr,
+    /// Where it answers operators.
+    pub admin: SocketAddr,
+    /// Out where the platform says that the VM is leaving.
+    #[serde(default)]
+    pub state: ServiceState,
+}
+
+/// What this process knows of one connected peer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerFacts {
+    /// What the peer said of itself.
+    pub hello: PeerHello,
+    /// Its latest report; none before the first.
+    pub report: Option<AgentReport>,
+    /// Requests of this entry at the peer.
+    pub outstanding: u32,
+    /// The same, when the latest report came.
+    pub outstanding_at_report: u32,
+}
+
+impl PeerFacts {
+    /// Requests the peer is thought to have: what it reported, corrected by what this entry did
+    /// since.
+    pub fn load(&self) -> u32 {
+        let reported = self.report.map_or(0, |it| it.running + it.waiting);
+        let estimate = i64::from(reported) + i64::from(self.outstanding)
+            - i64::from(self.outstanding_at_report);
+        u32::try_from(estimate.max(i64::from(self.outstanding))).unwrap_or(u32::MAX)
+    }
+}
+
+/// All VMs listed and all peers connected.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MemberTable {
+    listed: BTreeMap<VmId, VmRecord>,
+    peers: BTreeMap<VmId, PeerFacts>,
+    wanted: BTreeSet<VmId>,
+}
+
+impl MemberTable {
+    /// Listed VMs.
+    pub fn listed(&self) -> impl Iterator<Item = &VmRecord> {
+        self.listed.values()
+    }
+
+    /// Connected peers.
+    pub fn peers(&self) -> impl Iterator<Item = (&VmId, &PeerFacts)> {
+        self.peers.iter()
+    }
+
+    /// One connected peer.
+    pub fn peer(&self, vm: &VmId) -> Option<&PeerFacts> {
+        self.peers.get(vm)
+    }
+
+    /// Entries that give out shares of the plans, this one included.
+    pub fn count_entries(&self, ledger: &ConfigLedger) -> usize {
+        let counts = |it: &&VmRecord| {
+            it.role == PeerRole::Entry
+                && it.state == ServiceState::In
+                && ledger.vm_state(&it.vm, &it.failure_domain) == ServiceState::In
+        };
+        self.listed.values().filter(counts).count().max(1)
+    }
+
+    /// Takes over a new VM list and says which agents to connect to or let go. An empty list is
+    /// taken for a fault of the platform and changes nothing.
+    pub fn read_list(&mut self, list: Vec<VmRecord>) -> Vec<Effect> {
+        if list.is_empty() {
+            return Vec::new();
+        }
+        let old = std::mem::take(&mut self.listed);
+        self.listed = list.into_iter().map(|it| (it.vm.clone(), it)).collect();
+        let mut effects = Vec::new();
+        for record in self.listed.values().filter(|it| it.role == PeerRole::Agent) {
+            let moved = old.get(&record.vm).is_none_or(|it| it.address != record.address);
+            if moved || !self.wanted.contains(&record.vm) {
+                self.wanted.insert(record.vm.clone());
+                effects.push(Effect::Connect { vm: record.vm.clone(), address: record.address });
+            }
+        }
+        effects.extend(self.let_go());
+        effects
+    }
+
+    /// Lets go of peers that are off the list, once nothing of this entry is in progress there.
+    fn let_go(&mut self) -> Vec<Effect> {
+        let idle = |vm: &VmId| self.peers.get(vm).is_none_or(|it| it.outstanding == 0);
+        let gone: Vec<VmId> = self
+            .wanted
+            .iter()
+            .filter(|vm| !self.listed.contains_key(*vm) && idle(vm))
+            .cloned()
+            .collect();
+        for vm in &gone {
+            self.wanted.remove(vm);
+        }
+        gone.into_iter().map(Effect::Disconnect).collect()
+    }
+
+    /// Adds a peer, in place of an earlier life of it.
+    pub fn connect(&mut self, hello: PeerHello) {
+        let facts = PeerFacts { report: None, outstanding: 0, outstanding_at_report: 0, hello };
+        self.peers.insert(facts.hello.vm.clone(), facts);
+    }
+
+    /// Removes a peer.
+    pub fn disconnect(&mut self, vm: &VmId) {
+        self.peers.remove(vm);
+    }
+
+    /// Takes over a report.
+    pub fn report(&mut self, vm: &VmId, report: AgentReport) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.report = Some(report);
+            peer.outstanding_at_report = peer.outstanding;
+        }
+    }
+
+    /// Counts a request sent to a peer.
+    pub fn begin(&mut self, vm: &VmId) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.outstanding += 1;
+        }
+    }
+
+    /// Counts a request ended at a peer.
+    pub fn end(&mut self, vm: &VmId) -> Vec<Effect> {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.outstanding = peer.outstanding.saturating_sub(1);
+        }
+        self.let_go()
+    }
+
+    /// Agents that serve `service` and may be given new work.
+    pub fn servers<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        ledger: &'a ConfigLedger,
+    ) -> impl Iterator<Item = (&'a VmId, &'a PeerFacts)> + 'a {
+        self.peers.iter().filter(move |(vm, peer)| {
+            peer.hello.services.contains(service)
+                && peer.report.is_some_and(|it| it.state == ServiceState::In)
+                && self.listed.get(*vm).is_some_and(|it| it.state == ServiceState::In)
+                && ledger.vm_state(vm, &peer.hello.failure_domain) == ServiceState::In
+        })
+    }
+}
--- /dev/null
+++ b/src/core/state.rs
@@ -0,0 +1,260 @@
+//! The whole state of a process and the dispatch of events to its parts.
+
+mod agent;
+mod entry;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::{
+    AttemptSettings, CapacityRamp, ClaimOwner, ClaimTable, Effect, Event, MemberTable, PlanLimits,
+    PlanShare, QueueSettings, RampSettings, RequestTable, RetryBudget, TimedEvent, WorkFacts,
+    WorkId, WorkQueue,
+};
+use crate::{
+    config::{ConfigLedger, ServiceState},
+    units::{ConfigVersion, FailureDomain, IncarnationId, Moment, ServiceName, VmId},
+    wire::{AgentReport, PeerRole},
+};
+
+/// Time for which an entry that stops or was taken out still takes what the platform's balancer
+/// sends it.
+pub const BALANCER_LAG: Duration = Duration::from_secs(2);
+
+/// What a process knows of itself from its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CoreSettings {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its role.
+    pub role: PeerRole,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// This life of it.
+    pub incarnation: IncarnationId,
+    /// What its backend server serves; empty for entries.
+    pub services: Vec<ServiceName>,
+    /// Bounds on attempts.
+    pub attempts: AttemptSettings,
+    /// The backend server's capacity.
+    pub ramp: RampSettings,
+    /// Bounds of the queue.
+    pub queue: QueueSettings,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// Everything a process knows.
+#[derive(Clone, Debug)]
+pub struct ProcessState {
+    pub(super) settings: CoreSettings,
+    pub(super) ledger: ConfigLedger,
+    pub(super) members: MemberTable,
+    pub(super) limits: PlanLimits,
+    pub(super) share: PlanShare,
+    pub(super) requests: RequestTable,
+    pub(super) budget: RetryBudget,
+    pub(super) ramp: CapacityRamp,
+    pub(super) queue: WorkQueue,
+    pub(super) claims: ClaimTable,
+    /// Keyed work that waits for a claim or for a run in progress.
+    pub(super) keyed: BTreeMap<WorkId, WorkFacts>,
+    pub(super) reported: Option<AgentReport>,
+    pub(super) armed: Option<Moment>,
+    pub(super) out_since: Option<Moment>,
+    pub(super) stopping: bool,
+    pub(super) rng: SmallRng,
+}
+
+impl ProcessState {
+    /// The state at start: nothing known, the backend server taken for cold.
+    pub fn new(settings: CoreSettings) -> Self {
+        let owner = ClaimOwner { vm: settings.vm.clone(), incarnation: settings.incarnation };
+        Self {
+            ledger: ConfigLedger::default(),
+            members: MemberTable::default(),
+            limits: PlanLimits::default(),
+            share: PlanShare::default(),
+            requests: RequestTable::default(),
+            budget: RetryBudget::default(),
+            ramp: CapacityRamp::new(settings.ramp),
+            queue: WorkQueue::default(),
+            claims: ClaimTable::new(owner),
+            keyed: BTreeMap::new(),
+            reported: None,
+            armed: None,
+            out_since: None,
+            stopping: false,
+            rng: SmallRng::seed_from_u64(settings.seed),
+            settings,
+        }
+    }
+
+    /// The configuration in force here.
+    pub fn ledger(&self) -> &ConfigLedger {
+        &self.ledger
+    }
+
+    /// What is known of other processes.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Requests in progress of callers.
+    pub fn requests(&self) -> &RequestTable {
+        &self.requests
+    }
+
+    /// What this agent can take now.
+    pub fn report(&self) -> AgentReport {
+        AgentReport {
+            limit: self.ramp.limit(),
+            running: u32::try_from(self.queue.running()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(self.queue.waiting()).unwrap_or(u32::MAX),
+            state: self.service_state(),
+        }
+    }
+
+    /// Whether this process takes new work, by the configuration and by its own stop.
+    pub fn service_state(&self) -> ServiceState {
+        if self.stopping {
+            return ServiceState::Out;
+        }
+        self.ledger.vm_state(&self.settings.vm, &self.settings.failure_domain)
+    }
+
+    /// Whether an entry should be sent callers: it knows a configuration and takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.ledger.version() > ConfigVersion(0) && self.service_state() == ServiceState::In
+    }
+
+    /// Whether a stop was asked for.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Whether nothing is in progress or waiting.
+    pub fn is_idle(&self) -> bool {
+        self.requests.is_empty()
+            && self.queue.running() == 0
+            && self.queue.waiting() == 0
+            && self.keyed.is_empty()
+    }
+}
+
+/// Reduces one event: brings the state up to date and says what is to be done.
+pub fn reduce(state: &mut ProcessState, timed: TimedEvent) -> Vec<Effect> {
+    let now = timed.at;
+    let mut effects = dispatch(state, timed.event, now);
+    match state.settings.role {
+        PeerRole::Entry => {}
+        PeerRole::Agent => effects.extend(agent::settle(state, now)),
+    }
+    if state.stopping && state.is_idle() {
+        effects.push(Effect::StopReady);
+    }
+    effects
+}
+
+fn dispatch(state: &mut ProcessState, event: Event, now: Moment) -> Vec<Effect> {
+    match event {
+        Event::ConfigRead { offset, text } => {
+            let before = state.ledger.version();
+            let verdict = state.ledger.reduce_text(offset, &text);
+            let mut effects: Vec<Effect> = verdict.into_iter().map(Effect::EditJudged).collect();
+            effects.extend(after_config(state, before, now));
+            effects
+        }
+        Event::SnapshotReceived(snapshot) => {
+            let before = state.ledger.version();
+            // A snapshot that fails its checks changes nothing; the log or another peer will bring
+            // the state.
+            let _ = state.ledger.restore(*snapshot);
+            after_config(state, before, now)
+        }
+        Event::VmListRead(list) => {
+            let effects = state.members.read_list(list);
+            refresh_share(state);
+            match state.settings.role {
+                PeerRole::Entry => effects,
+                PeerRole::Agent => Vec::new(),
+            }
+        }
+        Event::PeerConnected(hello) => {
+            state.members.connect(hello);
+            Vec::new()
+        }
+        Event::PeerLost(vm) => {
+            state.members.disconnect(&vm);
+            Vec::new()
+        }
+        Event::PeerConfig { vm, version, digest } => compare_config(state, vm, version, digest),
+        Event::PeerReport { vm, report } => {
+            state.members.report(&vm, report);
+            Vec::new()
+        }
+        Event::RequestArrived(facts) => entry::request_arrived(state, facts, now),
+        Event::AttemptEnded { request_id, vm, outcome } => {
+            entry::attempt_ended(state, &request_id, &vm, &outcome, now)
+        }
+        Event::RequestEnded { request_id, tokens } => {
+            entry::request_ended(state, &request_id, tokens)
+        }
+        Event::WorkArrived(facts) => agent::work_arrived(state, facts, now),
+        Event::WorkAbandoned(work) => agent::work_abandoned(state, work),
+        Event::WorkProgressed { work: _, tokens, elapsed } => {
+            state.ramp.record_progress(tokens, elapsed);
+            Vec::new()
+        }
+        Event::WorkEnded { work, outcome } => agent::work_ended(state, work, outcome, now),
+        Event::ClaimRead { offset: _, record } => agent::claim_read(state, &record, now),
+        Event::ClaimsReplayed => {
+            state.claims.set_replayed();
+            Vec::new()
+        }
+        Event::ClaimsFailed(keys) => agent::claims_failed(state, &keys),
+        Event::StopAsked => {
+            state.stopping = true;
+            state.out_since.get_or_insert(now);
+            Vec::new()
+        }
+        Event::TimerFired => {
+            state.armed = None;
+            Vec::new()
+        }
+    }
+}
+
+fn after_config(state: &mut ProcessState, before: ConfigVersion, now: Moment) -> Vec<Effect> {
+    if state.ledger.version() == before {
+        return Vec::new();
+    }
+    match state.service_state() {
+        ServiceState::In => state.out_since = None,
+        ServiceState::Out => {
+            state.out_since.get_or_insert(now);
+        }
+    }
+    refresh_share(state);
+    vec![Effect::ConfigInForce(state.ledger.version())]
+}
+
+fn refresh_share(state: &mut ProcessState) {
+    state.share = PlanShare(1.0 / state.members.count_entries(&state.ledger) as f64);
+}
+
+fn compare_config(
+    state: &ProcessState,
+    vm: VmId,
+    version: ConfigVersion,
+    digest: crate::units::ConfigDigest,
+) -> Vec<Effect> {
+    if version > state.ledger.version() {
+        return vec![Effect::FetchConfig(vm)];
+    }
+    if version == state.ledger.version() && digest != state.ledger.digest() {
+        return vec![Effect::ConfigDiverged { vm, version }];
+    }
+    Vec::new()
+}
--- /dev/null
+++ b/src/daemon/admin.rs
@@ -0,0 +1,67 @@
+//! What every process answers to operators and to the platform's balancer.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use volo_http::{
+    request::Request,
+    response::Response,
+    server::{
+        Router,
+        route::{any, get},
+    },
+};
+
+use super::{ProcessShell, ProcessStatus};
+use crate::{
+    core::ProcessState,
+    http::{json_answer, text_answer},
+    units::RequestId,
+};
+
+/// Path in front of a request's id.
+const EXPLAIN_PATH: &str = "/explain/";
+
+/// The routes for operators.
+pub(super) fn router(shell: Arc<ProcessShell>) -> Router {
+    let status = shell.clone();
+    let config = shell.clone();
+    let explain = shell.clone();
+    health_routes(shell)
+        .route(
+            "/status",
+            get(move || async move { json_answer(StatusCode::OK, &ProcessStatus::of(&status)) }),
+        )
+        .route(
+            "/config",
+            get(move || async move {
+                json_answer(StatusCode::OK, &config.read(|it| it.ledger().snapshot()))
+            }),
+        )
+        .route(
+            "/explain/{id}",
+            any(move |request: Request| async move { explained(&explain, &request) }),
+        )
+}
+
+/// `/health` says that the process runs; `/ready` whether it should be sent callers.
+pub fn health_routes(shell: Arc<ProcessShell>) -> Router {
+    Router::new()
+        .route("/health", get(|| async { text_answer(StatusCode::OK, "ok\n") }))
+        .route("/ready", get(move || async move { readiness(&shell) }))
+}
+
+fn readiness(shell: &ProcessShell) -> Response {
+    match shell.read(ProcessState::is_ready) {
+        true => text_answer(StatusCode::OK, "ready\n"),
+        false => text_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
+fn explained(shell: &ProcessShell, request: &Request) -> Response {
+    let id = request.uri().path().strip_prefix(EXPLAIN_PATH).unwrap_or_default();
+    match id.parse::<RequestId>().ok().and_then(|id| shell.explained(&id)) {
+        Some(explained) => json_answer(StatusCode::OK, &explained),
+        None => text_answer(StatusCode::NOT_FOUND, "no such request is remembered here\n"),
+    }
+}
--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,91 @@
+//! Bodies of requests, read within bounds, and bodies of answers, relayed as they come.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body, Frame};
+use http_body_util::BodyExt;
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+use crate::units::ByteCount;
+
+/// Parts of an answer that may wait for the caller.
+const RELAY_DEPTH: usize = 32;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is over the bound.
+    #[error("the body is over {0} bytes")]
+    TooLarge(ByteCount),
+    /// It did not arrive in time.
+    #[error("the body did not arrive within {0:?}")]
+    Timeout(Duration),
+    /// It broke off.
+    #[error("the body broke off")]
+    Broken,
+}
+
+/// Reads a whole body of at most `bound` bytes within `timeout`.
+///
+/// # Errors
+///
+/// The body is too large, too slow, or breaks off.
+pub async fn read_body<B>(body: B, bound: ByteCount, timeout: Duration) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let read = collect(body, bound);
+    tokio::time::timeout(timeout, read).await.map_err(|_| BodyError::Timeout(timeout))?
+}
+
+async fn collect<B>(mut body: B, bound: ByteCount) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    if body.size_hint().lower() > bound.0 {
+        return Err(BodyError::TooLarge(bound));
+    }
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
+        if (whole.len() + data.len()) as u64 > bound.0 {
+            return Err(BodyError::TooLarge(bound));
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
+/// Sending side of a relayed body.
+pub type RelaySender = mpsc::Sender<Bytes>;
+
+/// Receiving side of a relayed body. It ends when the sender is dropped.
+#[derive(Debug)]
+pub struct RelayBody {
+    parts: mpsc::Receiver<Bytes>,
+}
+
+/// A body fed by a sender that waits while the caller takes nothing.
+pub fn relay_body() -> (RelaySender, RelayBody) {
+    let (sender, parts) = mpsc::channel(RELAY_DEPTH);
+    (sender, RelayBody { parts })
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.parts.poll_recv(cx).map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
--- /dev/null
+++ b/src/http/listener.rs
@@ -0,0 +1,146 @@
+//! Accepting HTTP connections within bounds.
+//!
+//! The routes are `volo-http`'s; the accept loop is our own over `hyper`, because `volo-http`'s
+//! server has no bound on connections, none on the time of a request's head, and cuts off streams
+//! at most 30 s after a signal.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{HeaderValue, header::CONNECTION};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use motore::service::Service;
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+};
+use volo::net::Address;
+use volo_http::{body::Body, context::ServerContext, response::Response, server::Router};
+
+use crate::options::HttpLimits;
+
+/// Pause after an accept error, such as a full descriptor table.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a listener could not be opened.
+#[derive(Debug, Error)]
+#[error("binding {address}: {source}")]
+pub struct ListenerError {
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// What a listener does with connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ListenerPhase {
+    /// Keeps them for further requests.
+    Open,
+    /// Answers requests and then closes each connection, so that callers go elsewhere.
+    Closing,
+    /// Accepts none; those with a request in progress end with it.
+    Closed,
+}
+
+/// An open listener.
+#[derive(Debug)]
+pub struct HttpListener {
+    listener: TcpListener,
+    limits: HttpLimits,
+    permits: Arc<Semaphore>,
+}
+
+impl HttpListener {
+    /// Binds the address.
+    ///
+    /// # Errors
+    ///
+    /// The address is taken or not this machine's.
+    pub async fn bind(address: SocketAddr, limits: HttpLimits) -> Result<Self, ListenerError> {
+        let listener =
+            TcpListener::bind(address).await.map_err(|source| ListenerError { address, source })?;
+        let permits = Arc::new(Semaphore::new(limits.max_connections as usize));
+        Ok(Self { listener, limits, permits })
+    }
+
+    /// Serves until the phase is [`ListenerPhase::Closed`] and the last connection has ended.
+    pub async fn serve(self, router: Router, mut phase: watch::Receiver<ListenerPhase>) {
+        let router = Arc::new(router);
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.accept() => accepted,
+                _ = phase.wait_for(|it| *it == ListenerPhase::Closed) => break,
+            };
+            let Some((stream, peer, permit)) = accepted else { continue };
+            let connection =
+                serve_connection(stream, peer, self.limits, router.clone(), phase.clone());
+            tokio::spawn(async move {
+                connection.await;
+                drop(permit);
+            });
+        }
+        // All permits are back once every connection has ended.
+        let _ = self.permits.acquire_many(self.limits.max_connections).await;
+    }
+
+    async fn accept(&self) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+        let permit = self.permits.clone().acquire_owned().await.ok()?;
+        match self.listener.accept().await {
+            Ok((stream, peer)) => Some((stream, peer, permit)),
+            Err(error) => {
+                log::warn!(error:% = error; "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                None
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: HttpLimits,
+    router: Arc<Router>,
+    mut phase: watch::Receiver<ListenerPhase>,
+) {
+    // Small parts of streams must not wait for larger ones.
+    let _ = stream.set_nodelay(true);
+    let answering = phase.clone();
+    let service =
+        service_fn(move |request| answer(router.clone(), peer, request, answering.clone()));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .max_headers(limits.max_headers as usize)
+        .max_buf_size(usize::try_from(limits.max_head_bytes.0).unwrap_or(usize::MAX))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        _ = phase.wait_for(|it| *it == ListenerPhase::Closed) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(peer:% = peer, error:% = error; "connection ended");
+    }
+}
+
+async fn answer(
+    router: Arc<Router>,
+    peer: SocketAddr,
+    request: http::Request<Incoming>,
+    phase: watch::Receiver<ListenerPhase>,
+) -> Result<Response, Infallible> {
+    let mut context = ServerContext::new(Address::from(peer));
+    let mut response = router.call(&mut context, request.map(Body::from_incoming)).await?;
+    if *phase.borrow() != ListenerPhase::Open {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,75 @@
+//! The platform's services, read and written over HTTP; the rest of the process sees plain
+//! structures.
+
+mod log_service;
+mod vm_list;
+
+pub use log_service::{LogClient, LogPage, LogRecord};
+pub use vm_list::VmListClient;
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// Time for one exchange with the platform, long polls aside.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Streams that the system keeps on the log service.
+pub mod streams {
+    use crate::units::ServiceName;
+
+    /// Edits and snapshots of the configuration.
+    pub const CONFIG: &str = "alderbay-config";
+    /// What the system did by itself.
+    pub const AUDIT: &str = "alderbay-audit";
+
+    /// Claims on the keys of one service.
+    ///
+    /// ```
+    /// let service = "ledger".parse()?;
+    /// assert_eq!(alderbay::platform::streams::claims(&service), "alderbay-claims-ledger");
+    /// # Ok::<(), alderbay::units::IdError>(())
+    /// ```
+    pub fn claims(service: &ServiceName) -> String {
+        format!("alderbay-claims-{service}")
+    }
+}
+
+/// Why the platform gave no answer that can be used.
+#[derive(Debug, Error)]
+pub enum PlatformError {
+    /// The exchange failed; a write may have taken effect.
+    #[error("exchange with the platform: {0}")]
+    Exchange(#[from] volo_http::error::ClientError),
+    /// The body broke off; a write may have taken effect.
+    #[error("body of the platform's answer: {0}")]
+    Body(volo_http::body::BodyConvertError),
+    /// The platform did not answer in time; a write may have taken effect.
+    #[error("the platform did not answer within {0:?}")]
+    Timeout(Duration),
+    /// The platform answered with an error.
+    #[error("the platform answered {0}")]
+    Status(u16),
+    /// The answer is not of the published shape.
+    #[error("answer of the platform: {0}")]
+    Shape(#[from] serde_json::Error),
+    /// The HTTP client could not be built.
+    #[error("HTTP client: {0}")]
+    Client(volo_http::error::ClientError),
+}
+
+/// Sends a request and reads the whole answer.
+async fn exchange(
+    request: volo_http::client::RequestBuilder<volo_http::client::Client>,
+    timeout: Duration,
+) -> Result<(u16, bytes::Bytes), PlatformError> {
+    use volo_http::body::BodyConversion;
+
+    let answer = async {
+        let response = request.send().await?;
+        let status = response.status().as_u16();
+        let body = response.into_body().into_bytes().await.map_err(PlatformError::Body)?;
+        Ok((status, body))
+    };
+    tokio::time::timeout(timeout, answer).await.map_err(|_| PlatformError::Timeout(timeout))?
+}
--- /dev/null
+++ b/src/units/quantities.rs
@@ -0,0 +1,159 @@
+//! Numeric newtypes: offsets, sizes, rates, limits and moments.
+
+use std::{fmt, num::ParseIntError, str::FromStr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Why a text is not a quantity.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum QuantityError {
+    /// The text is not a whole number.
+    #[error("not a whole number: {0}")]
+    NotWhole(#[from] ParseIntError),
+    /// The text is not a number.
+    #[error("not a number: {0}")]
+    NotNumber(#[from] std::num::ParseFloatError),
+    /// Rates are finite and not negative.
+    #[error("a rate is finite and not negative, not {0}")]
+    BadRate(f64),
+}
+
+macro_rules! whole_numbers {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        ///
+        /// ```
+        #[doc = concat!("use alderbay::units::", stringify!($name), ";")]
+        #[doc = concat!("let value: ", stringify!($name), " = \"7\".parse()?;")]
+        #[doc = concat!("assert_eq!(value, ", stringify!($name), "(7));")]
+        /// assert_eq!(value.to_string(), "7");
+        /// # Ok::<(), alderbay::units::QuantityError>(())
+        /// ```
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = QuantityError;
+
+            fn from_str(text: &str) -> Result<Self, QuantityError> {
+                Ok(Self(text.parse()?))
+            }
+        }
+    )*};
+}
+
+whole_numbers! {
+    /// A position in a stream of the log service.
+    LogOffset(u64);
+    /// How many records of the configuration stream have been reduced; never goes down.
+    ConfigVersion(u64);
+    /// An order-independent checksum over the entries of a configuration.
+    ConfigDigest(u64);
+    /// A size in bytes.
+    ByteCount(u64);
+    /// A number of tokens.
+    TokenCount(u64);
+    /// How many requests may be in progress at once.
+    ConcurrencyLimit(u32);
+    /// Urgency; larger is more urgent.
+    PriorityLevel(u8);
+    /// One life of a process, drawn at random when it starts.
+    IncarnationId(u64);
+    /// Microseconds of the runtime's clock since the process started.
+    Moment(u64);
+}
+
+impl Moment {
+    /// The moment `delay` later.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use alderbay::units::Moment;
+    /// assert_eq!(Moment(5).after(Duration::from_micros(2)), Moment(7));
+    /// ```
+    pub fn after(self, delay: Duration) -> Self {
+        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+
+    /// Time from `earlier` to this moment, zero if it lies ahead.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use alderbay::units::Moment;
+    /// assert_eq!(Moment(7).since(Moment(5)), Duration::from_micros(2));
+    /// assert_eq!(Moment(5).since(Moment(7)), Duration::ZERO);
+    /// ```
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+macro_rules! rates {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        ///
+        /// ```
+        #[doc = concat!("use alderbay::units::", stringify!($name), ";")]
+        #[doc = concat!("let rate: ", stringify!($name), " = \"2.5\".parse()?;")]
+        /// assert_eq!(rate.to_string(), "2.5");
+        #[doc = concat!("assert!(\"-1\".parse::<", stringify!($name), ">().is_err());")]
+        /// # Ok::<(), alderbay::units::QuantityError>(())
+        /// ```
+        #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(try_from = "f64", into = "f64")]
+        pub struct $name(f64);
+
+        impl $name {
+            /// Events a second.
+            pub fn per_second(self) -> f64 {
+                self.0
+            }
+        }
+
+        impl TryFrom<f64> for $name {
+            type Error = QuantityError;
+
+            fn try_from(value: f64) -> Result<Self, QuantityError> {
+                if value.is_finite() && value >= 0.0 { Ok(Self(value)) } else { Err(QuantityError::BadRate(value)) }
+            }
+        }
+
+        impl From<$name> for f64 {
+            fn from(rate: $name) -> f64 {
+                rate.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = QuantityError;
+
+            fn from_str(text: &str) -> Result<Self, QuantityError> {
+                text.parse::<f64>()?.try_into()
+            }
+        }
+    )*};
+}
+
+rates! {
+    /// Requests a second.
+    RequestRate;
+    /// Tokens generated a second.
+    TokenRate;
+}
--- /dev/null
+++ b/tests/suite.rs
@@ -0,0 +1,5 @@
+//! Integration tests: real processes, stand-ins around them, one file a feature.
+
+mod support;
+
+mod whole_path;
