Add the operators' tool, the local fleet, and tests of drains, stops, races and bad input

Cause: the fleet could only be driven by a test; two kinds of bad input got no stated answer: a body over the bound lost its 413 to a connection reset (the caller was still sending), and a head of 40 kB passed the bound of 32 kB, because the connection's buffer is only checked while a head is incomplete. Change: `alderbayctl` (lists, domain, vm, status, audit, explain); `examples/local_fleet.rs`; an audit stream; a refused body is read and dropped within bounds before its answer; heads are measured. Ruled out: answering at once and half-closing, which hyper does not offer for HTTP/1. Result: oversize body 413 and oversize head 431 (before: no answer, 405).

--- a/src/config.rs
+++ b/src/config.rs
@@ -10,6 +10,7 @@
 
 pub use catalog::{
     AccountRecord, ConfigEntry, EntryKey, EntryValue, KeyError, KeyHash, PlanRecord, ServiceState,
+    StateError,
 };
 pub use edits::{ConfigChange, ConfigEdit, ConfigRecord, EditError};
 pub use ledger::{ConfigLedger, ConfigSnapshot, EditVerdict, SnapshotError};
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -144,6 +144,32 @@
     Out,
 }
 
+/// The text is neither `in` nor `out`.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{0:?} is neither 'in' nor 'out'")]
+pub struct StateError(SmolStr);
+
+impl fmt::Display for ServiceState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::In => "in",
+            Self::Out => "out",
+        })
+    }
+}
+
+impl FromStr for ServiceState {
+    type Err = StateError;
+
+    fn from_str(text: &str) -> Result<Self, StateError> {
+        match text {
+            "in" => Ok(Self::In),
+            "out" => Ok(Self::Out),
+            _ => Err(StateError(text.into())),
+        }
+    }
+}
+
 /// The value of an entry; its kind must match the kind of the key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/config/ledger.rs
+++ b/src/config/ledger.rs
@@ -10,6 +10,7 @@
     ConfigChange, ConfigEdit, ConfigEntry, ConfigRecord, EditError, EntryKey, EntryValue,
     ServiceState,
 };
+use crate::platform::LogPage;
 use crate::units::{
     ClientAccount, ConfigDigest, ConfigVersion, EditId, FailureDomain, LogOffset, OperatorName,
     PlanId, VmId,
@@ -89,6 +90,8 @@
     verdicts: VecDeque<EditVerdict>,
     /// Version right after the latest snapshot in the stream.
     snapshot_at: ConfigVersion,
+    /// Offset to read next.
+    next_read: LogOffset,
 }
 
 impl ConfigLedger {
@@ -107,6 +110,11 @@
         self.snapshot_at
     }
 
+    /// Offset at which to read on; ahead of the version while a snapshot is looked for.
+    pub fn next_read(&self) -> LogOffset {
+        LogOffset(self.next_read.0.max(self.version.0))
+    }
+
     /// All entries.
     pub fn entries(&self) -> &BTreeMap<EntryKey, ConfigEntry> {
         &self.entries
@@ -158,6 +166,26 @@
         }
     }
 
+    /// Reduces a page of the stream.
+    ///
+    /// Where records that are needed have expired, reading goes on from the oldest kept one until a
+    /// snapshot restores the state, and then turns back to the records right after that state.
+    pub fn reduce_page(&mut self, page: LogPage) -> Vec<EditVerdict> {
+        let mut verdicts = Vec::new();
+        self.next_read = LogOffset(self.next_read().0.max(page.first.0));
+        for record in page.records {
+            let before = self.version;
+            self.next_read = LogOffset(record.offset.0 + 1);
+            verdicts.extend(self.reduce_text(record.offset, &record.text));
+            let is_restored = self.version > before && self.version.0 < self.next_read.0;
+            if is_restored && self.version.0 >= page.first.0 {
+                self.next_read = LogOffset(self.version.0);
+                break;
+            }
+        }
+        verdicts
+    }
+
     /// Reduces the record at `offset`. Records below the version are passed over, and so is one
     /// past a gap: the caller reads on from [`ConfigLedger::version`] or takes a snapshot.
     ///
--- a/src/core.rs
+++ b/src/core.rs
@@ -21,7 +21,7 @@
 pub use claims::{
     ClaimOwner, ClaimRecord, ClaimTable, KeyDecision, KnownAnswer, MAX_KEY_AGE, StoredAnswer,
 };
-pub use effect::{Effect, Refusal, RefusalCode, RunOutcome};
+pub use effect::{AuditFact, Effect, Refusal, RefusalCode, RunOutcome};
 pub use event::{AttemptOutcome, Event, RequestFacts, TimedEvent, WorkFacts, WorkId, WorkOutcome};
 pub use limits::{LimitError, PlanLimits, PlanShare, TokenBucket};
 pub use membership::{MemberTable, PeerFacts, VmRecord};
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -29,13 +29,8 @@
     ConfigInForce(ConfigVersion),
     /// An edit was judged.
     EditJudged(EditVerdict),
-    /// Two processes hold different states of one version; no process repairs this by itself.
-    ConfigDiverged {
-        /// The peer that disagrees.
-        vm: VmId,
-        /// The version.
-        version: ConfigVersion,
-    },
+    /// Record in the audit trail what the process did by itself.
+    Audit(AuditFact),
     /// Send the request to this server.
     Attempt {
         /// The request.
@@ -85,6 +80,47 @@
     StopReady,
 }
 
+/// What a process did by itself, for the audit trail.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AuditFact {
+    /// It takes new work no more, by the configuration.
+    WentOut {
+        /// Version that took it out.
+        version: ConfigVersion,
+    },
+    /// It takes new work again.
+    CameIn {
+        /// Version that took it in.
+        version: ConfigVersion,
+    },
+    /// Its backend server restarted or slowed down, and is given little until it is warm again.
+    ServerCold,
+    /// A peer holds another state of a version.
+    ConfigDiverged {
+        /// The peer.
+        vm: VmId,
+        /// The version.
+        version: ConfigVersion,
+    },
+    /// It was asked to stop.
+    Stopping,
+}
+
+impl fmt::Display for AuditFact {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::WentOut { version } => write!(f, "takes no new work since version {version}"),
+            Self::CameIn { version } => write!(f, "takes new work since version {version}"),
+            Self::ServerCold => f.write_str("its backend server is cold again"),
+            Self::ConfigDiverged { vm, version } => {
+                write!(f, "{vm} holds another state of version {version}")
+            }
+            Self::Stopping => f.write_str("was asked to stop"),
+        }
+    }
+}
+
 /// Whether a request ran, as far as is known. The three are never confused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -1,12 +1,13 @@
 //! Events: everything a process learns.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use super::{ClaimRecord, StoredAnswer, VmRecord};
 use crate::{
     config::{ConfigSnapshot, KeyHash},
+    platform::LogPage,
     units::{
         ClientAccount, ConfigDigest, ConfigVersion, LogOffset, Moment, PriorityLevel, RequestId,
         ServiceName, TokenCount, VmId,
@@ -30,13 +31,8 @@
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
-    /// The configuration stream holds this text at this offset.
-    ConfigRead {
-        /// Position in the stream.
-        offset: LogOffset,
-        /// The record as published.
-        text: String,
-    },
+    /// A page of the configuration stream was read.
+    ConfigRead(LogPage),
     /// A peer sent its whole configuration.
     SnapshotReceived(Box<ConfigSnapshot>),
     /// The VM list was read.
@@ -154,6 +150,21 @@
     Answered,
 }
 
+impl fmt::Display for AttemptOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(reason) => write!(f, "refused, not run: {reason}"),
+            Self::NeverSent => f.write_str("not sent: no connection"),
+            Self::ClaimedBy(vm) => write!(f, "the key is claimed by {vm}"),
+            Self::ClaimLost => f.write_str("the key's claim is of a server that restarted"),
+            Self::AnswerGone => f.write_str("ran earlier; the answer is no longer kept"),
+            Self::LostUnanswered => f.write_str("lost before the answer"),
+            Self::LostMidAnswer => f.write_str("the answer broke off"),
+            Self::Answered => f.write_str("answered"),
+        }
+    }
+}
+
 /// What the reducer needs to know of work at an agent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkFacts {
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -8,9 +8,9 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
-    AttemptSettings, CapacityRamp, ClaimOwner, ClaimTable, Effect, Event, MemberTable, PlanLimits,
-    PlanShare, QueueSettings, RampSettings, RequestTable, RetryBudget, TimedEvent, WorkFacts,
-    WorkId, WorkQueue,
+    AttemptSettings, AuditFact, CapacityRamp, ClaimOwner, ClaimTable, Effect, Event, MemberTable,
+    PlanLimits, PlanShare, QueueSettings, RampSettings, RequestTable, RetryBudget, TimedEvent,
+    WorkFacts, WorkId, WorkQueue,
 };
 use crate::{
     config::{ConfigLedger, ServiceState},
@@ -159,10 +159,10 @@
 
 fn dispatch(state: &mut ProcessState, event: Event, now: Moment) -> Vec<Effect> {
     match event {
-        Event::ConfigRead { offset, text } => {
+        Event::ConfigRead(page) => {
             let before = state.ledger.version();
-            let verdict = state.ledger.reduce_text(offset, &text);
-            let mut effects: Vec<Effect> = verdict.into_iter().map(Effect::EditJudged).collect();
+            let verdicts = state.ledger.reduce_page(page);
+            let mut effects: Vec<Effect> = verdicts.into_iter().map(Effect::EditJudged).collect();
             effects.extend(after_config(state, before, now));
             effects
         }
@@ -204,8 +204,12 @@
         Event::WorkArrived(facts) => agent::work_arrived(state, facts, now),
         Event::WorkAbandoned(work) => agent::work_abandoned(state, work),
         Event::WorkProgressed { work: _, tokens, elapsed } => {
+            let was_warm = state.ramp.is_warm();
             state.ramp.record_progress(tokens, elapsed);
-            Vec::new()
+            match was_warm && !state.ramp.is_warm() {
+                true => vec![Effect::Audit(AuditFact::ServerCold)],
+                false => Vec::new(),
+            }
         }
         Event::WorkEnded { work, outcome } => agent::work_ended(state, work, outcome, now),
         Event::ClaimRead { offset: _, record } => agent::claim_read(state, &record, now),
@@ -217,7 +221,7 @@
         Event::StopAsked => {
             state.stopping = true;
             state.out_since.get_or_insert(now);
-            Vec::new()
+            vec![Effect::Audit(AuditFact::Stopping)]
         }
         Event::TimerFired => {
             state.armed = None;
@@ -230,14 +234,21 @@
     if state.ledger.version() == before {
         return Vec::new();
     }
-    match state.service_state() {
-        ServiceState::In => state.out_since = None,
-        ServiceState::Out => {
-            state.out_since.get_or_insert(now);
+    refresh_share(state);
+    let version = state.ledger.version();
+    let mut effects = vec![Effect::ConfigInForce(version)];
+    match (state.service_state(), state.out_since) {
+        (ServiceState::Out, None) => {
+            state.out_since = Some(now);
+            effects.push(Effect::Audit(AuditFact::WentOut { version }));
+        }
+        (ServiceState::In, Some(_)) => {
+            state.out_since = None;
+            effects.push(Effect::Audit(AuditFact::CameIn { version }));
         }
+        (ServiceState::Out, Some(_)) | (ServiceState::In, None) => {}
     }
-    refresh_share(state);
-    vec![Effect::ConfigInForce(state.ledger.version())]
+    effects
 }
 
 fn refresh_share(state: &mut ProcessState) {
@@ -254,7 +265,7 @@
         return vec![Effect::FetchConfig(vm)];
     }
     if version == state.ledger.version() && digest != state.ledger.digest() {
-        return vec![Effect::ConfigDiverged { vm, version }];
+        return vec![Effect::Audit(AuditFact::ConfigDiverged { vm, version })];
     }
     Vec::new()
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 //! platform.
 
 mod admin;
+mod audit_trail;
 mod clock;
 mod config_follower;
 mod control_stream;
@@ -10,6 +11,7 @@
 mod vm_follower;
 
 pub use admin::health_routes;
+pub use audit_trail::AuditRecord;
 pub use clock::ProcessClock;
 pub use control_stream::{ControlError, exchange_hellos, run_control};
 pub use shell::{
@@ -44,6 +46,7 @@
     tokio::spawn(listener.serve(admin::router(shell.clone()), phases));
     tokio::spawn(config_follower::follow(shell.clone()));
     tokio::spawn(vm_follower::follow(shell.clone()));
+    tokio::spawn(audit_trail::publish(shell.clone(), inbox.audit));
     tokio::spawn(shell::run_timer(shell.clone()));
     let cut_off = match &settings.role {
         RoleSettings::Entry(entry) => crate::entry::run(shell, inbox.peers, entry).await?,
--- a/src/daemon/config_follower.rs
+++ b/src/daemon/config_follower.rs
@@ -29,18 +29,23 @@
 /// Reads the stream for ever.
 pub(super) async fn follow(shell: Arc<ProcessShell>) {
     tokio::spawn(republish(shell.clone()));
-    let mut scan = LogOffset(0);
     loop {
-        scan.0 = scan.0.max(version_of(&shell).0);
-        match shell.log.read(streams::CONFIG, scan, POLL_WAIT).await {
-            Ok(page) => scan = take_page(&shell, scan, page),
+        let next = shell.read(|it| it.ledger().next_read());
+        match shell.log.read(streams::CONFIG, next, POLL_WAIT).await {
+            Ok(page) => take_page(&shell, next, page),
             Err(error) => pause(&shell, &error).await,
         }
     }
 }
 
-fn version_of(shell: &ProcessShell) -> ConfigVersion {
-    shell.read(|it| it.ledger().version())
+fn take_page(shell: &ProcessShell, asked: LogOffset, page: LogPage) {
+    if page.next < asked {
+        log::error!(
+            next:% = page.next, ours:% = asked;
+            "the configuration stream is shorter than what was read of it"
+        );
+    }
+    shell.dispatch(Event::ConfigRead(page));
 }
 
 async fn pause(shell: &ProcessShell, error: &PlatformError) {
@@ -50,28 +55,6 @@
     tokio::time::sleep(pause).await;
 }
 
-/// Reduces a page and gives the offset to read next.
-///
-/// Where records this process needs have expired, it reads on from the oldest kept one until a
-/// snapshot restores it, and then turns back to the records right after that snapshot's state.
-fn take_page(shell: &Arc<ProcessShell>, scan: LogOffset, page: LogPage) -> LogOffset {
-    if page.next < scan {
-        log::error!(next:% = page.next, ours:% = scan; "the configuration stream is shorter than what was read of it");
-    }
-    let mut next = scan.max(page.first);
-    for record in page.records {
-        let before = version_of(shell);
-        next = LogOffset(record.offset.0 + 1);
-        shell.dispatch(Event::ConfigRead { offset: record.offset, text: record.text });
-        let version = version_of(shell);
-        let restored_older = version > before && version.0 < next.0;
-        if restored_older && version.0 >= page.first.0 {
-            return LogOffset(version.0);
-        }
-    }
-    next
-}
-
 /// Publishes a snapshot whenever the last one in the stream is many records or a long time old.
 async fn republish(shell: Arc<ProcessShell>) {
     let mut config = shell.watch_config();
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -23,7 +23,8 @@
 use crate::{
     config::EditVerdict,
     core::{
-        CoreSettings, Effect, Event, KnownAnswer, ProcessState, Refusal, TimedEvent, WorkId, reduce,
+        AuditFact, CoreSettings, Effect, Event, KnownAnswer, ProcessState, Refusal, TimedEvent,
+        WorkId, reduce,
     },
     http::ListenerError,
     options::{RoleSettings, Settings, SettingsError},
@@ -111,6 +112,7 @@
     history: Mutex<RequestHistory>,
     peers: mpsc::UnboundedSender<PeerCommand>,
     claims: mpsc::UnboundedSender<Vec<RunKey>>,
+    audit: mpsc::UnboundedSender<AuditFact>,
     config: watch::Sender<(ConfigVersion, ConfigDigest)>,
     report: watch::Sender<AgentReport>,
     timer: watch::Sender<Option<Moment>>,
@@ -135,6 +137,8 @@
     pub peers: mpsc::UnboundedReceiver<PeerCommand>,
     /// Keys to claim.
     pub claims: mpsc::UnboundedReceiver<Vec<RunKey>>,
+    /// Facts for the audit trail.
+    pub audit: mpsc::UnboundedReceiver<AuditFact>,
 }
 
 impl ProcessShell {
@@ -151,6 +155,7 @@
         let state = ProcessState::new(core_settings(settings, incarnation));
         let (peers, peer_commands) = mpsc::unbounded_channel();
         let (claims, claim_requests) = mpsc::unbounded_channel();
+        let (audit, facts) = mpsc::unbounded_channel();
         let report = state.report();
         let shell = Self {
             state: Mutex::new(state),
@@ -161,6 +166,7 @@
             history: Mutex::default(),
             peers,
             claims,
+            audit,
             config: watch::Sender::new((ConfigVersion(0), ConfigDigest(0))),
             report: watch::Sender::new(report),
             timer: watch::Sender::new(None),
@@ -172,7 +178,7 @@
             log: LogClient::new(settings.platform.log_service)?,
             vms: VmListClient::new(settings.platform.vm_list)?,
         };
-        Ok((shell, ShellInbox { peers: peer_commands, claims: claim_requests }))
+        Ok((shell, ShellInbox { peers: peer_commands, claims: claim_requests, audit: facts }))
     }
 
     /// Reduces an event and passes its effects on.
@@ -203,9 +209,10 @@
                 self.config.send_replace((version, state.ledger().digest()));
             }
             Effect::EditJudged(verdict) => log_verdict(&verdict),
-            Effect::ConfigDiverged { vm, version } => {
-                self.metrics.count("config.diverged");
-                log::error!(peer:% = vm, version:% = version; "a peer holds another state of this version");
+            Effect::Audit(fact) => {
+                log::info!(fact:% = fact; "audit");
+                // The receiver lives as long as the process.
+                let _ = self.audit.send(fact);
             }
             Effect::Attempt { request_id, vm, priority } => {
                 self.note_attempt(&request_id, &vm);
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -18,7 +18,9 @@
     config::KeyHash,
     core::{MAX_KEY_AGE, Refusal, RefusalCode, RequestFacts},
     daemon::{ProcessShell, health_routes},
-    http::{BodyError, DEADLINE_MS, IDEMPOTENCY_KEY, REQUEST_ID, error_answer, read_body},
+    http::{
+        BodyError, DEADLINE_MS, IDEMPOTENCY_KEY, REQUEST_ID, discard_body, error_answer, read_body,
+    },
     options::{EntrySettings, RoleSettings},
     units::{ClientAccount, PriorityLevel, RequestId, ServiceName},
     wire::{HeaderPair, RunKey, RunMode, WorkKind, WorkOrder},
@@ -104,40 +106,50 @@
     text.parse().unwrap_or_else(|_| unreachable!("a UUID is an identifier"))
 }
 
+/// What the head of a request says.
+struct RequestHead {
+    account: ClientAccount,
+    key_hash: KeyHash,
+    time_left: Duration,
+    target: Target,
+}
+
 async fn parse(
     shell: &ProcessShell,
     path: CallerPath,
     request_id: RequestId,
     request: Request,
 ) -> Result<CallerRequest, Refusal> {
-    let (parts, body) = request.into_parts();
-    let (account, key_hash) = credentials(&parts.headers)?;
-    let time_left = time_left(shell, &parts.headers)?;
-    let target = target(path, &parts)?;
+    let (parts, mut body) = request.into_parts();
+    let head = match parse_head(shell, path, &parts) {
+        Ok(head) => head,
+        Err(refusal) => {
+            discard_body(&mut body).await;
+            return Err(refusal);
+        }
+    };
     let limits = &shell.settings.http;
-    let body =
-        read_body(body, limits.max_body_bytes, Duration::from_millis(limits.body_timeout_ms))
-            .await
-            .map_err(body_refusal)?;
-    let (service, kind) = match target {
+    let body_timeout = Duration::from_millis(limits.body_timeout_ms);
+    let body = read_body(body, limits.max_body_bytes, body_timeout).await.map_err(body_refusal)?;
+    let (service, kind) = match head.target {
         Target::Draft => draft(&body)?,
         Target::Service(service) => (service, WorkKind::ServiceCall),
     };
-    let mode = run_mode(kind, &parts, &account)?;
+    let mode = run_mode(kind, &parts, &head.account)?;
     let facts = RequestFacts {
         request_id: request_id.clone(),
-        account: account.clone(),
-        key_hash,
+        account: head.account.clone(),
+        key_hash: head.key_hash,
         service: service.clone(),
-        deadline: shell.clock.now().after(time_left),
+        deadline: shell.clock.now().after(head.time_left),
         mode: mode.clone(),
     };
     let order = WorkOrder {
         request_id,
-        account,
+        account: head.account,
         service,
         priority: PriorityLevel::default(),
-        time_left,
+        time_left: head.time_left,
         mode,
         kind,
         resume_after: 0,
@@ -149,6 +161,17 @@
     Ok(CallerRequest { facts, order })
 }
 
+fn parse_head(
+    shell: &ProcessShell,
+    path: CallerPath,
+    parts: &Parts,
+) -> Result<RequestHead, Refusal> {
+    let (account, key_hash) = credentials(&parts.headers)?;
+    let time_left = time_left(shell, &parts.headers)?;
+    let target = target(path, parts)?;
+    Ok(RequestHead { account, key_hash, time_left, target })
+}
+
 fn credentials(headers: &HeaderMap) -> Result<(ClientAccount, KeyHash), Refusal> {
     let value = headers.get(AUTHORIZATION).and_then(|it| it.to_str().ok());
     let token = value
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 mod listener;
 
 pub use answers::{ErrorBody, error_answer, error_event, json_answer, text_answer};
-pub use body::{BodyError, RelayBody, RelaySender, read_body, relay_body};
+pub use body::{BodyError, RelayBody, RelaySender, discard_body, read_body, relay_body};
 pub use listener::{HttpListener, ListenerError, ListenerPhase};
 
 /// Name of the header that carries a request's id both ways.
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -15,6 +15,10 @@
 
 use crate::units::ByteCount;
 
+/// Bytes that are read and dropped of a body that is refused.
+const MAX_DISCARDED: ByteCount = ByteCount(16 << 20);
+/// Time for which a refused body is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Parts of an answer that may wait for the caller.
 const RELAY_DEPTH: usize = 32;
 
@@ -37,15 +41,24 @@
 /// # Errors
 ///
 /// The body is too large, too slow, or breaks off.
-pub async fn read_body<B>(body: B, bound: ByteCount, timeout: Duration) -> Result<Bytes, BodyError>
+pub async fn read_body<B>(
+    mut body: B,
+    bound: ByteCount,
+    timeout: Duration,
+) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let read = collect(body, bound);
-    tokio::time::timeout(timeout, read).await.map_err(|_| BodyError::Timeout(timeout))?
+    let read = collect(&mut body, bound);
+    let read =
+        tokio::time::timeout(timeout, read).await.map_err(|_| BodyError::Timeout(timeout))?;
+    if let Err(BodyError::TooLarge(_)) = read {
+        discard_body(&mut body).await;
+    }
+    read
 }
 
-async fn collect<B>(mut body: B, bound: ByteCount) -> Result<Bytes, BodyError>
+async fn collect<B>(body: &mut B, bound: ByteCount) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -63,6 +76,25 @@
     Ok(whole.freeze())
 }
 
+/// Reads and drops what is left of a body of which nothing is wanted, within bounds. A caller that
+/// is still sending when its connection closes would lose the answer.
+pub async fn discard_body<B>(body: &mut B)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let discard = async {
+        let mut discarded = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+            if discarded as u64 > MAX_DISCARDED.0 {
+                return;
+            }
+        }
+    };
+    // A slower or longer body loses its answer, as its sender is far outside the bounds.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
+}
+
 /// Sending side of a relayed body.
 pub type RelaySender = mpsc::Sender<Bytes>;
 
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -6,7 +6,7 @@
 
 use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{HeaderValue, header::CONNECTION};
+use http::{HeaderValue, StatusCode, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use motore::service::Service;
@@ -18,7 +18,8 @@
 use volo::net::Address;
 use volo_http::{body::Body, context::ServerContext, response::Response, server::Router};
 
-use crate::options::HttpLimits;
+use super::text_answer;
+use crate::{options::HttpLimits, units::ByteCount};
 
 /// Pause after an accept error, such as a full descriptor table.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -106,8 +107,9 @@
     // Small parts of streams must not wait for larger ones.
     let _ = stream.set_nodelay(true);
     let answering = phase.clone();
-    let service =
-        service_fn(move |request| answer(router.clone(), peer, request, answering.clone()));
+    let service = service_fn(move |request| {
+        answer(router.clone(), peer, request, limits.max_head_bytes, answering.clone())
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
@@ -135,12 +137,27 @@
     router: Arc<Router>,
     peer: SocketAddr,
     request: http::Request<Incoming>,
+    max_head: ByteCount,
     phase: watch::Receiver<ListenerPhase>,
 ) -> Result<Response, Infallible> {
     let mut context = ServerContext::new(Address::from(peer));
-    let mut response = router.call(&mut context, request.map(Body::from_incoming)).await?;
+    let mut response = if head_bytes(&request) > max_head.0 {
+        text_answer(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the request's head is too large\n",
+        )
+    } else {
+        router.call(&mut context, request.map(Body::from_incoming)).await?
+    };
     if *phase.borrow() != ListenerPhase::Open {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
 }
+
+/// Bytes of names and values in a head. The connection's buffer bounds it only roughly.
+fn head_bytes(request: &http::Request<Incoming>) -> u64 {
+    let headers = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len());
+    let target = request.uri().path_and_query().map_or(0, |it| it.as_str().len());
+    (headers.sum::<usize>() + target) as u64
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,4 +17,4 @@
 pub mod daemon; // what both roles share at run time
 pub mod entry; // the role in front of callers
 pub mod agent; // the role beside a backend server
-// pub mod operator; // the commands of alderbayctl
+pub mod operator; // the commands of alderbayctl
--- /dev/null
+++ b/src/operator/lists.rs
@@ -0,0 +1,196 @@
+//! The operators' two lists as a file: shown, checked, compared, published.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::{ListCommand, OperatorError, fleet::FleetClient, publish, render::Output};
+use crate::{
+    config::{
+        AccountRecord, ConfigChange, ConfigLedger, EntryKey, EntryValue, KeyHash, PlanRecord,
+    },
+    units::{ClientAccount, ConfigVersion, PlanId},
+};
+
+/// Why a file of lists is refused.
+#[derive(Debug, Error)]
+pub enum ListFileError {
+    /// The file cannot be read.
+    #[error("{}: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The text is not JSON of the right shape.
+    #[error("{}: at {field}: {source}", path.display())]
+    BadField {
+        /// The file.
+        path: PathBuf,
+        /// Path of the field.
+        field: String,
+        /// What is wrong.
+        source: serde_json::Error,
+    },
+}
+
+/// Both lists.
+///
+/// ```
+/// use alderbay::operator::ListFile;
+/// let lists: ListFile = serde_json::from_str(r#"{"plans": {}, "accounts": {}}"#)?;
+/// assert!(lists.plans.is_empty());
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListFile {
+    /// What each plan may use.
+    pub plans: BTreeMap<PlanId, PlanRecord>,
+    /// The customers' accounts with their plans.
+    pub accounts: BTreeMap<ClientAccount, AccountRecord>,
+}
+
+impl ListFile {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// The file is unreadable or holds a bad field; the error names it.
+    pub fn read(path: &Path) -> Result<Self, ListFileError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ListFileError::Unreadable { path: path.to_owned(), source })?;
+        let mut decoder = serde_json::Deserializer::from_str(&text);
+        serde_path_to_error::deserialize(&mut decoder).map_err(|error| ListFileError::BadField {
+            path: path.to_owned(),
+            field: error.path().to_string(),
+            source: error.into_inner(),
+        })
+    }
+
+    /// The lists in force.
+    pub fn of_ledger(ledger: &ConfigLedger) -> Self {
+        let mut lists = Self::default();
+        for (key, entry) in ledger.entries() {
+            match (key, &entry.value) {
+                (EntryKey::Plan(id), EntryValue::Plan(plan)) => {
+                    lists.plans.insert(id.clone(), plan.clone());
+                }
+                (EntryKey::Account(id), EntryValue::Account(account)) => {
+                    lists.accounts.insert(id.clone(), account.clone());
+                }
+                (
+                    EntryKey::Account(_)
+                    | EntryKey::Plan(_)
+                    | EntryKey::Domain(_)
+                    | EntryKey::Vm(_),
+                    EntryValue::Account(_) | EntryValue::Plan(_) | EntryValue::State(_),
+                ) => {}
+            }
+        }
+        lists
+    }
+
+    /// The changes that turn the lists in force into these. What is taken out of service is no part
+    /// of the lists and stays as it is.
+    pub fn changes_from(&self, ledger: &ConfigLedger) -> Vec<ConfigChange> {
+        let wanted = self.entries();
+        let is_listed = |key: &EntryKey| matches!(key, EntryKey::Plan(_) | EntryKey::Account(_));
+        let removed = ledger
+            .entries()
+            .iter()
+            .filter(|(key, _)| is_listed(key) && !wanted.contains_key(*key))
+            .map(|(key, entry)| ConfigChange {
+                key: key.clone(),
+                replaces: entry.revision,
+                value: None,
+            });
+        let changed = wanted.iter().filter_map(|(key, value)| {
+            let current = ledger.entries().get(key);
+            if current.is_some_and(|it| it.value == *value) {
+                return None;
+            }
+            let replaces = current.map_or(ConfigVersion(0), |it| it.revision);
+            Some(ConfigChange { key: key.clone(), replaces, value: Some(value.clone()) })
+        });
+        removed.chain(changed).collect()
+    }
+
+    fn entries(&self) -> BTreeMap<EntryKey, EntryValue> {
+        let plans = self
+            .plans
+            .iter()
+            .map(|(id, plan)| (EntryKey::Plan(id.clone()), EntryValue::Plan(plan.clone())));
+        let accounts = self.accounts.iter().map(|(id, account)| {
+            (EntryKey::Account(id.clone()), EntryValue::Account(account.clone()))
+        });
+        plans.chain(accounts).collect()
+    }
+}
+
+pub(super) async fn run(
+    client: &FleetClient,
+    output: Output,
+    command: ListCommand,
+) -> Result<(), OperatorError> {
+    match command {
+        ListCommand::Show => {
+            let ledger = client.ledger().await?;
+            output.show_json(&ListFile::of_ledger(&ledger))
+        }
+        ListCommand::Check { file } => {
+            let ledger = client.ledger().await?;
+            let changes = ListFile::read(&file)?.changes_from(&ledger);
+            show_diff(output, &ledger, &changes)?;
+            publish::check(&ledger, changes)
+        }
+        ListCommand::Publish { yes, options, file } => {
+            let ledger = client.ledger().await?;
+            let changes = ListFile::read(&file)?.changes_from(&ledger);
+            show_diff(output, &ledger, &changes)?;
+            if changes.is_empty() {
+                return Ok(());
+            }
+            publish::check(&ledger, changes.clone())?;
+            if !yes && !publish::confirm()? {
+                return Err(OperatorError::NotConfirmed);
+            }
+            publish::publish(client, output, changes, &options).await
+        }
+    }
+}
+
+fn show_diff(
+    output: Output,
+    ledger: &ConfigLedger,
+    changes: &[ConfigChange],
+) -> Result<(), OperatorError> {
+    if changes.is_empty() {
+        return output.say("no change");
+    }
+    for change in changes {
+        let old = ledger.entries().get(&change.key).map(|it| &it.value);
+        output.say(&change.key.to_string())?;
+        if let Some(old) = old {
+            output.say(&format!("  - {}", serde_json::to_string(old)?))?;
+        }
+        if let Some(new) = &change.value {
+            output.say(&format!("  + {}", serde_json::to_string(new)?))?;
+        }
+    }
+    Ok(())
+}
+
+pub(super) fn show_secret_hash() -> Result<(), OperatorError> {
+    let mut secret = String::new();
+    io::stdin().read_line(&mut secret)?;
+    let hash = KeyHash::of_secret(secret.trim_end_matches(['\r', '\n']));
+    println!("{}", serde_json::to_value(hash)?.as_str().unwrap_or_default());
+    Ok(())
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -58,6 +58,23 @@
     Client(volo_http::error::ClientError),
 }
 
+/// Gets a JSON document of a process or of the platform.
+///
+/// # Errors
+///
+/// There is no answer in time, or none of the right shape.
+pub async fn get_json<T: serde::de::DeserializeOwned>(
+    client: &volo_http::client::Client,
+    uri: String,
+    timeout: Duration,
+) -> Result<T, PlatformError> {
+    let (status, body) = exchange(client.get(uri), timeout).await?;
+    if status != http::StatusCode::OK.as_u16() {
+        return Err(PlatformError::Status(status));
+    }
+    Ok(serde_json::from_slice(&body)?)
+}
+
 /// Sends a request and reads the whole answer.
 async fn exchange(
     request: volo_http::client::RequestBuilder<volo_http::client::Client>,
--- a/src/platform/log_service.rs
+++ b/src/platform/log_service.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use volo_http::client::Client;
 
-use super::{EXCHANGE_TIMEOUT, PlatformError, exchange};
+use super::{EXCHANGE_TIMEOUT, PlatformError, exchange, get_json};
 use crate::units::LogOffset;
 
 /// Records of one stream.
@@ -89,10 +89,6 @@
             "http://{}/v1/streams/{stream}/records?from={from}&wait_ms={wait_ms}",
             self.address
         );
-        let (status, body) = exchange(self.client.get(uri), EXCHANGE_TIMEOUT + wait).await?;
-        if status != 200 {
-            return Err(PlatformError::Status(status));
-        }
-        Ok(serde_json::from_slice(&body)?)
+        get_json(&self.client, uri, EXCHANGE_TIMEOUT + wait).await
     }
 }
--- a/src/platform/vm_list.rs
+++ b/src/platform/vm_list.rs
@@ -4,7 +4,7 @@
 
 use volo_http::client::Client;
 
-use super::{EXCHANGE_TIMEOUT, PlatformError, exchange};
+use super::{EXCHANGE_TIMEOUT, PlatformError, get_json};
 use crate::core::VmRecord;
 
 /// Client of the VM list.
@@ -32,10 +32,6 @@
     /// The service is unreachable, slow, or answers with an error.
     pub async fn read(&self) -> Result<Vec<VmRecord>, PlatformError> {
         let uri = format!("http://{}/v1/vms", self.address);
-        let (status, body) = exchange(self.client.get(uri), EXCHANGE_TIMEOUT).await?;
-        if status != 200 {
-            return Err(PlatformError::Status(status));
-        }
-        Ok(serde_json::from_slice(&body)?)
+        get_json(&self.client, uri, EXCHANGE_TIMEOUT).await
     }
 }
--- /dev/null
+++ b/tests/config_race.rs
@@ -0,0 +1,101 @@
+//! Configuration: racing edits, expiry, outages.
+
+use std::time::Duration;
+
+use alderbay::{
+    config::{ConfigChange, ConfigRecord, EntryValue, ServiceState},
+    platform::streams,
+    units::ConfigVersion,
+};
+use googletest::prelude::*;
+
+use crate::{
+    launcher,
+    support::{
+        callers::wait_until,
+        fleet::{Fleet, FleetPlan, SOON, edit_of},
+    },
+};
+
+/// Time within which an accepted edit is in force everywhere.
+const FORCE_BOUND: Duration = Duration::from_secs(5);
+
+async fn digests(fleet: &Fleet) -> Vec<(ConfigVersion, u64)> {
+    let mut all = Vec::new();
+    for process in fleet.running() {
+        let status = process.status().await.unwrap();
+        all.push((status.version, status.digest.0));
+    }
+    all
+}
+
+fn assert_all_same(all: &[(ConfigVersion, u64)]) {
+    expect_that!(all, each(eq(&all[0])));
+}
+
+#[gtest]
+#[tokio::test]
+async fn racing_edits_end_same() {
+    let fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    // Four operators replace the same revision of the same entry; the log's order decides.
+    for n in 0..4 {
+        let state = if n % 2 == 0 { ServiceState::Out } else { ServiceState::In };
+        let change = ConfigChange {
+            key: "vm/engine-south-a-0".parse().unwrap(),
+            replaces: ConfigVersion(0),
+            value: Some(EntryValue::State(state)),
+        };
+        let edit = ConfigRecord::Edit(edit_of(&format!("operator-{n}"), vec![change]));
+        fleet.log.push(streams::CONFIG, serde_json::to_string(&edit).unwrap());
+    }
+    let took = fleet.wait_version(ConfigVersion(6)).await;
+    expect_that!(took, lt(FORCE_BOUND));
+    assert_all_same(&digests(&fleet).await);
+    let agent = fleet.process(&"engine-south-a-0".parse().unwrap());
+    expect_that!(agent.status().await.unwrap().state, eq(ServiceState::Out));
+    expect_that!(
+        agent.log_text(),
+        contains_substring("replaces revision 0, but revision 3 is in force")
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn starts_from_snapshot() {
+    let mut fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    // The 200th record makes the processes publish a snapshot.
+    for n in 0..200 {
+        let state = if n % 2 == 0 { ServiceState::Out } else { ServiceState::In };
+        fleet.set_state("vm/no-such-vm", state);
+    }
+    let log = fleet.log.clone();
+    let is_published = wait_until(SOON, || async {
+        log.records(streams::CONFIG).iter().any(|it| it.contains(r#""kind":"snapshot""#))
+    })
+    .await;
+    expect_that!(is_published, eq(true));
+    fleet.wait_version(ConfigVersion(203)).await;
+    fleet.log.expire(streams::CONFIG, 150);
+    let vm = fleet.entries[0].vm.clone();
+    fleet.restart(&vm);
+    let version = fleet.set_state("vm/no-such-vm", ServiceState::Out);
+    fleet.wait_version(version).await;
+    assert_all_same(&digests(&fleet).await);
+}
+
+#[gtest]
+#[tokio::test]
+async fn starts_in_outage() {
+    let mut fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    let version = fleet.set_state("vm/no-such-vm", ServiceState::Out);
+    fleet.wait_version(version).await;
+    fleet.log.set_down(true);
+    let vm = fleet.entries[0].vm.clone();
+    fleet.restart(&vm);
+    fleet.wait_version(version).await;
+    assert_all_same(&digests(&fleet).await);
+    fleet.log.set_down(false);
+    let version = fleet.set_state("vm/no-such-vm", ServiceState::In);
+    fleet.wait_version(version).await;
+    assert_all_same(&digests(&fleet).await);
+}
--- /dev/null
+++ b/tests/graceful_stop.rs
@@ -0,0 +1,50 @@
+//! A planned stop cuts off no request.
+
+use googletest::prelude::*;
+
+use crate::{
+    launcher,
+    support::{
+        callers::Caller,
+        fleet::{Fleet, FleetPlan},
+        load::SteadyLoad,
+    },
+};
+
+#[gtest]
+#[tokio::test]
+async fn agent_stops_under_load() {
+    let mut fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    let entries: Vec<_> = fleet.entries.iter().map(|it| it.listen).collect();
+    let load = SteadyLoad::start(&Caller::new("dues"), &entries, 4, 60);
+    load.wait_whole(20).await;
+    let agent = fleet.process_mut(&"engine-south-a-0".parse().unwrap());
+    agent.signal("TERM");
+    expect_that!(agent.wait_exit().await, some(eq(0)), "{}", agent.log_text());
+    load.wait_whole(20).await;
+    let tally = load.stop().await;
+    expect_that!(tally.total(), eq(tally.whole), "{tally:?}");
+}
+
+#[gtest]
+#[tokio::test]
+async fn entry_stops_under_load() {
+    let mut fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    let leaving = fleet.entries[0].listen;
+    let load = SteadyLoad::start(&Caller::new("dues"), &[leaving], 6, 600);
+    load.wait_whole(2).await;
+    fleet.entries[0].signal("TERM");
+    // Callers stop coming once the entry says that it is not ready; those it has must be served.
+    let admin = fleet.entries[0].admin;
+    let is_told = crate::support::callers::wait_until(crate::support::fleet::SOON, || async {
+        let ready = http::Request::get("/ready");
+        let answer = Caller::new("balancer").send(admin, ready, "").await;
+        answer.is_none_or(|it| it.status == 503)
+    })
+    .await;
+    expect_that!(is_told, eq(true));
+    let tally = load.stop().await;
+    expect_that!(tally.total(), eq(tally.whole), "{tally:?}");
+    let entry = &mut fleet.entries[0];
+    expect_that!(entry.wait_exit().await, some(eq(0)), "{}", entry.log_text());
+}
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -3,13 +3,25 @@
 
 #![allow(dead_code, missing_docs, clippy::unwrap_used, clippy::expect_used)]
 
+#[path = "support/callers.rs"]
 pub mod callers;
+#[path = "support/certificates.rs"]
 pub mod certificates;
+#[path = "support/engine.rs"]
 pub mod engine;
+#[path = "support/fleet.rs"]
 pub mod fleet;
-pub mod log_service;
+#[path = "support/ledger_service.rs"]
 pub mod ledger_service;
+#[path = "support/load.rs"]
+pub mod load;
+#[path = "support/log_service.rs"]
+pub mod log_service;
+#[path = "support/ports.rs"]
 pub mod ports;
+#[path = "support/proxy.rs"]
 pub mod proxy;
+#[path = "support/stand_in.rs"]
 pub mod stand_in;
+#[path = "support/vm_list.rs"]
 pub mod vm_list;
--- a/tests/support/callers.rs
+++ b/tests/support/callers.rs
@@ -40,20 +40,19 @@
         (body.error.code.to_string(), body.error.outcome.to_string())
     }
 
-    /// Texts of a stream's events, and whether it ended with its mark.
+    /// Texts of a stream's events, and whether it ended with its mark. An error event ends the text.
     pub fn stream(&self) -> (String, bool) {
         let text = self.text();
         let mut whole = String::new();
-        let mut is_done = false;
-        for data in text.split("\n\n").filter_map(|it| it.strip_prefix("data: ")) {
+        for event in text.split("\n\n") {
+            let Some(data) = event.strip_prefix("data: ") else { break };
             if data == "[DONE]" {
-                is_done = true;
-                continue;
+                return (whole, true);
             }
             let chunk: serde_json::Value = serde_json::from_str(data).unwrap();
             whole.push_str(chunk["choices"][0]["text"].as_str().unwrap());
         }
-        (whole, is_done)
+        (whole, false)
     }
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -3,16 +3,15 @@
 use googletest::prelude::*;
 use uuid::Uuid;
 
-use crate::support::{
-    callers::Caller,
-    engine::draft_text,
-    fleet::{Fleet, FleetPlan, LEDGER, Launcher, MODEL},
+use crate::{
+    launcher,
+    support::{
+        callers::Caller,
+        engine::draft_text,
+        fleet::{Fleet, FleetPlan, LEDGER, MODEL},
+    },
 };
 
-pub fn launcher() -> Launcher {
-    Launcher { program: env!("CARGO_BIN_EXE_alderbayd").into(), arguments: Vec::new() }
-}
-
 #[gtest]
 #[tokio::test]
 async fn draft_streams_whole() {
