Prove the promises under kills, cuts, pauses and outages

Cause: the promises were held by mechanisms that no test had tried to break. Measured: nine entries rushing one cold server, 0 requests begun over what it bears.

--- /dev/null
+++ b/tests/cold_server.rs
@@ -0,0 +1,84 @@
+//! A server that has just started is given no more than it can bear.
+
+use std::sync::atomic::Ordering;
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::{
+    launcher,
+    support::{
+        callers::{Caller, wait_until},
+        fleet::{Fleet, FleetPlan, SOON},
+        load::SteadyLoad,
+    },
+};
+
+fn one_server(entries_per_domain: usize) -> FleetPlan {
+    FleetPlan {
+        domains: vec!["south-a"],
+        entries_per_domain,
+        ledgers_per_domain: 0,
+        capacity: json!({
+            "cold_concurrency": 2, "warm_concurrency": 16, "warm_up_progress": 64, "slow_factor": 3.0
+        }),
+        ..FleetPlan::default()
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn nine_entries_rush_cold_server() {
+    let fleet = Fleet::start(one_server(9), launcher()).await;
+    let engine = fleet.engines.values().next().unwrap().clone();
+    let entries: Vec<_> = fleet.entries.iter().map(|it| it.listen).collect();
+    let load = SteadyLoad::start(&Caller::new("dues"), &entries, 6, 10);
+    load.wait_whole(100).await;
+    let tally = load.stop().await;
+    expect_that!(tally.wrong, is_empty());
+    expect_that!(engine.overloaded.load(Ordering::SeqCst), eq(0));
+    expect_that!(engine.most_running.load(Ordering::SeqCst), gt(2), "the ramp never rose");
+}
+
+#[gtest]
+#[tokio::test]
+async fn restarted_agent_begins_at_bottom() {
+    let mut fleet = Fleet::start(one_server(3), launcher()).await;
+    let engine = fleet.engines.values().next().unwrap().clone();
+    let entries: Vec<_> = fleet.entries.iter().map(|it| it.listen).collect();
+    let load = SteadyLoad::start(&Caller::new("dues"), &entries, 6, 10);
+    load.wait_whole(60).await;
+    let agent = fleet.agents[0].vm.clone();
+    fleet.process_mut(&agent).kill();
+    let is_idle = wait_until(SOON, || async { engine.running.load(Ordering::SeqCst) == 0 }).await;
+    expect_that!(is_idle, eq(true), "the engine goes on with work that nobody reads");
+    engine.chill();
+    engine.most_running.store(0, Ordering::SeqCst);
+    fleet.restart(&agent);
+    load.wait_whole(60).await;
+    load.stop().await;
+    expect_that!(engine.overloaded.load(Ordering::SeqCst), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn warm_server_turns_cold() {
+    let fleet = Fleet::start(one_server(3), launcher()).await;
+    let engine = fleet.engines.values().next().unwrap().clone();
+    let entries: Vec<_> = fleet.entries.iter().map(|it| it.listen).collect();
+    let load = SteadyLoad::start(&Caller::new("dues"), &entries, 6, 20);
+    load.wait_whole(100).await;
+    // It needs many tokens to become warm again, and is slow until then.
+    engine.token_ms.store(12, Ordering::SeqCst);
+    engine.chill();
+    let agent = &fleet.agents[0];
+    let went_back = wait_until(SOON, || async {
+        agent.log_text().contains("its backend server is cold again")
+    })
+    .await;
+    expect_that!(went_back, eq(true), "{}", agent.log_text());
+    engine.token_ms.store(2, Ordering::SeqCst);
+    load.wait_whole(60).await;
+    let tally = load.stop().await;
+    expect_that!(tally.wrong, is_empty());
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -5,10 +5,14 @@
 mod support;
 
 mod bad_input;
+mod cold_server;
 mod config_race;
+mod domain_cut;
 mod domain_drain;
 mod graceful_stop;
 mod operator_tool;
+mod run_once;
+mod whole_answer;
 mod whole_path;
 
 use support::fleet::Launcher;
