--- /dev/null
+++ b/src/experts.rs
@@ -0,0 +1,12 @@
+//! Expert placement over the ranks of a group, and the switch from one map to the next.
+//!
+//! A group runs in lock-step: each step takes as long as its most loaded rank. Experts of one layer
+//! are placed in the slots of the ranks; popular experts stand in several.
+
+mod balance;
+mod placement;
+mod popularity;
+
+pub use balance::{BalanceSettings, RebalancePlan, rebalance, repack};
+pub use placement::{ExpertId, ExpertMap, MapError, RankId, SlotMove};
+pub use popularity::{LoadEstimate, PopularityDay};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod options; // command-line arguments and settings, merged and validated
 pub mod config; // the operators' lists, reduced from the platform's log
 pub mod core; // the reducer: routing, limits, retries, membership, capacity
-// pub mod experts; // expert placement over the ranks of a group
+pub mod experts; // expert placement over the ranks of a group
 pub mod wire; // messages between entries and agents
 pub mod transport; // QUIC connections between entries and agents
 pub mod platform; // the log service and the VM list
