Agree on map switches among a group's members, explored exhaustively

Cause: nothing kept all ranks of a group on one map in each step. Change: `experts::switch`: hold at a step, settle when all hold, recover by asking all members; the ranks' own state outlives an agent. A test explores every interleaving, with each message deliverable for ever. Ballots now carry the life, and each is issued once. Ruled out: a leader for the fleet (no group can step without its own members, so their unanimity costs nothing more); fencing by the log (the switch must work while the log is down). Not wired into the agents yet.

--- a/src/experts.rs
+++ b/src/experts.rs
@@ -6,7 +6,12 @@
 mod balance;
 mod placement;
 mod popularity;
+mod switch;
 
 pub use balance::{BalanceSettings, RebalancePlan, rebalance, repack};
 pub use placement::{ExpertId, ExpertMap, MapError, RankId, SlotMove};
 pub use popularity::{LoadEstimate, PopularityDay};
+pub use switch::{
+    GroupRanks, HeldSwitch, MapNumber, StepNumber, SwitchAct, SwitchBallot, SwitchMember,
+    SwitchMessage, SwitchTrigger,
+};
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -10,6 +10,7 @@
 mod domain_cut;
 mod domain_drain;
 mod graceful_stop;
+mod map_switch;
 mod operator_tool;
 mod run_once;
 mod whole_answer;
