--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,207 @@
+//! Slopes behind docs/CAPACITY.md: processor time, memory and control traffic of idle processes as
+//! agents, entries and accounts grow, each varied alone. Writes plots to docs/.
+
+#[path = "../tests/support.rs"]
+mod support;
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use alderbay::{
+    config::{AccountRecord, EntryValue, KeyHash},
+    units::VmId,
+};
+use plotters::prelude::*;
+use support::{
+    fleet::{Fleet, FleetPlan, FleetProcess, Launcher},
+    usage::{cpu_nanoseconds, resident_bytes},
+};
+use tokio::time::sleep;
+
+const SIZES: [usize; 4] = [4, 8, 16, 32];
+const ACCOUNTS: [usize; 4] = [0, 700, 1_400, 2_800];
+const SETTLE: Duration = Duration::from_secs(4);
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// What one process uses while it carries no request.
+#[derive(Clone, Copy, Debug)]
+struct IdleUse {
+    size: f64,
+    core_share: f64,
+    resident_mb: f64,
+    control_kb_s: f64,
+}
+
+fn launcher() -> Launcher {
+    Launcher { program: env!("CARGO_BIN_EXE_alderbayd").into(), arguments: Vec::new() }
+}
+
+fn fleet_plan(entries: usize, agents: usize) -> FleetPlan {
+    FleetPlan {
+        domains: vec!["south-a"],
+        entries_per_domain: entries,
+        engines_per_domain: agents,
+        ledgers_per_domain: 0,
+        is_proxied: true,
+        ..FleetPlan::default()
+    }
+}
+
+/// Bytes that a process exchanged with its peers and with the log.
+fn control_bytes(fleet: &Fleet, process: &FleetProcess) -> u64 {
+    let touches = |(entry, agent): &(VmId, VmId)| *entry == process.vm || *agent == process.vm;
+    let links = fleet.links.iter().filter(|(pair, _)| touches(pair)).map(|(_, link)| link);
+    let proxies = links.chain(&process.log_proxy);
+    proxies.map(|it| it.faults.passed.load(Ordering::Relaxed)).sum()
+}
+
+async fn measure(fleet: &Fleet, process: &FleetProcess, size: usize) -> IdleUse {
+    sleep(SETTLE).await;
+    let before = (cpu_nanoseconds(process.pid()), control_bytes(fleet, process));
+    sleep(WINDOW).await;
+    let after = (cpu_nanoseconds(process.pid()), control_bytes(fleet, process));
+    IdleUse {
+        size: size as f64,
+        core_share: (after.0 - before.0) as f64 / WINDOW.as_nanos() as f64,
+        resident_mb: resident_bytes(process.pid()) as f64 / f64::from(1 << 20),
+        control_kb_s: (after.1 - before.1) as f64 / WINDOW.as_secs_f64() / 1e3,
+    }
+}
+
+/// Least-squares line: value at zero and slope.
+fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (mx, my) = (
+        points.iter().map(|it| it.0).sum::<f64>() / n,
+        points.iter().map(|it| it.1).sum::<f64>() / n,
+    );
+    let sxy: f64 = points.iter().map(|it| (it.0 - mx) * (it.1 - my)).sum();
+    let sxx: f64 = points.iter().map(|it| (it.0 - mx).powi(2)).sum();
+    let slope = sxy / sxx;
+    (my - slope * mx, slope)
+}
+
+type Column = (&'static str, fn(&IdleUse) -> f64);
+
+const COLUMNS: [Column; 3] = [
+    ("% of a core", |it| it.core_share * 100.0),
+    ("MB resident", |it| it.resident_mb),
+    ("control kB/s", |it| it.control_kb_s),
+];
+
+fn show(name: &str, file: &str, uses: &[IdleUse]) -> anyhow::Result<()> {
+    println!("\n{name}");
+    for it in uses {
+        println!(
+            "  {:>5}: {:.3}% of a core, {:.2} MB, {:.3} kB/s",
+            it.size,
+            it.core_share * 100.0,
+            it.resident_mb,
+            it.control_kb_s
+        );
+    }
+    let path = format!("docs/{file}.svg");
+    let area = SVGBackend::new(&path, (900, 300)).into_drawing_area();
+    area.fill(&WHITE)?;
+    for (part, (label, column)) in area.split_evenly((1, 3)).into_iter().zip(COLUMNS) {
+        let points: Vec<(f64, f64)> = uses.iter().map(|it| (it.size, column(it))).collect();
+        let (start, slope) = line(&points);
+        println!("  {label}: {start:.4} + {slope:.6} each");
+        plot(&part, &format!("{name}: {label}"), &points, (start, slope))?;
+    }
+    area.present()?;
+    Ok(())
+}
+
+fn plot(
+    area: &DrawingArea<SVGBackend<'_>, plotters::coord::Shift>,
+    caption: &str,
+    points: &[(f64, f64)],
+    (start, slope): (f64, f64),
+) -> anyhow::Result<()> {
+    let largest = points.iter().map(|it| it.0).fold(0.0, f64::max);
+    let highest = points.iter().map(|it| it.1).fold(0.0, f64::max).max(1e-6) * 1.2;
+    let mut chart = ChartBuilder::on(area)
+        .margin(8)
+        .caption(caption, ("sans-serif", 14))
+        .x_label_area_size(24)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..largest * 1.1, 0.0..highest)?;
+    chart.configure_mesh().disable_mesh().draw()?;
+    chart.draw_series(LineSeries::new([(0.0, start), (largest, start + slope * largest)], &RED))?;
+    chart.draw_series(points.iter().map(|it| Circle::new(*it, 4, BLUE.filled())))?;
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let mut uses = Vec::new();
+    for agents in SIZES {
+        let fleet = Fleet::start(fleet_plan(1, agents), launcher()).await;
+        uses.push(measure(&fleet, &fleet.entries[0], agents).await);
+    }
+    show("entry by agents kept", "capacity-entry-agents", &uses)?;
+
+    uses.clear();
+    for entries in SIZES {
+        let fleet = Fleet::start(fleet_plan(entries, 1), launcher()).await;
+        uses.push(measure(&fleet, &fleet.agents[0], entries).await);
+    }
+    show("agent by entries", "capacity-agent-entries", &uses)?;
+
+    uses.clear();
+    for accounts in ACCOUNTS {
+        let fleet = Fleet::start(fleet_plan(1, 1), launcher()).await;
+        if accounts > 0 {
+            publish_accounts(&fleet, accounts).await;
+        }
+        uses.push(measure(&fleet, &fleet.entries[0], accounts).await);
+    }
+    show("entry by accounts", "capacity-entry-accounts", &uses)?;
+    show_edits().await;
+    Ok(())
+}
+
+/// One edit for each hundred accounts.
+async fn publish_accounts(fleet: &Fleet, accounts: usize) {
+    for first in (0..accounts).step_by(100) {
+        let changes: Vec<(String, EntryValue)> = (first..first + 100)
+            .map(|n| {
+                let record = AccountRecord {
+                    plan: "gold".parse().unwrap_or_else(|_| unreachable!("a plain word is an id")),
+                    key_hashes: vec![KeyHash::of_secret(&format!("secret {n}"))],
+                };
+                (format!("account/many-{n}"), EntryValue::Account(record))
+            })
+            .collect();
+        let changes =
+            changes.iter().map(|(key, value)| (key.as_str(), Some(value.clone()))).collect();
+        let version = fleet.edit(changes);
+        fleet.wait_version(version).await;
+    }
+}
+
+/// Processor time of an entry for one edit, and time until it is in force on all processes.
+async fn show_edits() {
+    const EDITS: u32 = 100;
+    let fleet = Fleet::start(fleet_plan(4, 16), launcher()).await;
+    publish_accounts(&fleet, 2_800).await;
+    let entry = &fleet.entries[0];
+    let before = cpu_nanoseconds(entry.pid());
+    let mut waits = Vec::new();
+    for n in 0..EDITS {
+        let state = if n % 2 == 0 {
+            alderbay::config::ServiceState::Out
+        } else {
+            alderbay::config::ServiceState::In
+        };
+        let version = fleet.set_state("vm/no-such-vm", state);
+        waits.push(fleet.wait_version(version).await);
+    }
+    waits.sort();
+    let each = (cpu_nanoseconds(entry.pid()) - before) / u64::from(EDITS);
+    println!(
+        "\nedits with 2800 accounts: {} us of an entry each, status questions included",
+        each / 1_000
+    );
+    println!("in force on 20 processes: p50 {:?}, p99 {:?}", waits[49], waits[98]);
+}
--- a/src/core.rs
+++ b/src/core.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod effect;
 mod event;
+mod fanout;
 mod limits;
 mod membership;
 mod queue;
@@ -23,6 +24,7 @@
 };
 pub use effect::{AuditFact, Effect, Refusal, RefusalCode, RunOutcome};
 pub use event::{AttemptOutcome, Event, RequestFacts, TimedEvent, WorkFacts, WorkId, WorkOutcome};
+pub use fanout::{FanoutSettings, PlacedVm, assign_agents};
 pub use limits::{LimitError, PlanLimits, PlanShare, TokenBucket};
 pub use membership::{MemberTable, PeerFacts, VmRecord};
 pub use queue::{QueueSettings, WorkQueue};
--- /dev/null
+++ b/src/core/fanout.rs
@@ -0,0 +1,121 @@
+//! Which agents each entry keeps connections to: a bounded subset, the same for whoever computes it.
+//!
+//! Each entry walks the agents in the order of a hash of the pair and takes those that have room: an
+//! agent has room while it is kept by no more entries than a little over the mean. So loads differ
+//! little, and a change of either list moves few connections. Entries that see the same lists compute
+//! the same subsets. This is consistent hashing with bounded loads, applied to pairs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::units::{FailureDomain, VmId};
+
+/// Most entries that keep one agent, over the mean.
+const MAX_OVER_MEAN: f64 = 1.2;
+
+/// A VM with its failure domain.
+pub type PlacedVm<'a> = (&'a VmId, &'a FailureDomain);
+
+/// How many agents of one service an entry keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FanoutSettings {
+    /// Agents in the entry's own failure domain.
+    pub near: usize,
+    /// Agents in other failure domains.
+    pub far: usize,
+}
+
+impl Default for FanoutSettings {
+    fn default() -> Self {
+        Self { near: 3, far: 3 }
+    }
+}
+
+/// Computes the subsets of all entries for the agents of one service. With no more agents than an
+/// entry may keep, all entries keep all of them.
+///
+/// ```
+/// use alderbay::core::{FanoutSettings, assign_agents};
+/// let (entry, agent, domain) = ("e".parse()?, "a".parse()?, "d".parse()?);
+/// let subsets = assign_agents(&[(&entry, &domain)], &[(&agent, &domain)], FanoutSettings::default());
+/// assert_eq!(subsets[&entry], [&agent]);
+/// # Ok::<(), alderbay::units::IdError>(())
+/// ```
+pub fn assign_agents<'a>(
+    entries: &[PlacedVm<'a>],
+    agents: &[PlacedVm<'a>],
+    settings: FanoutSettings,
+) -> BTreeMap<&'a VmId, Vec<&'a VmId>> {
+    if agents.len() <= settings.near + settings.far {
+        let all: Vec<&VmId> = agents.iter().map(|it| it.0).collect();
+        return entries.iter().map(|it| (it.0, all.clone())).collect();
+    }
+    let mut subsets: BTreeMap<&VmId, Vec<&VmId>> =
+        entries.iter().map(|it| (it.0, Vec::new())).collect();
+    let mut taken = vec![0_usize; agents.len()];
+    let is_near = |entry: &PlacedVm<'a>, agent: &PlacedVm<'a>| entry.1 == agent.1;
+    let is_far = |entry: &PlacedVm<'a>, agent: &PlacedVm<'a>| entry.1 != agent.1;
+    for domain in agents.iter().map(|it| it.1).collect::<BTreeSet<_>>() {
+        let own = entries.iter().filter(|it| it.1 == domain).count();
+        let agents_there = agents.iter().filter(|it| it.1 == domain).count();
+        let room = room_for(own * settings.near, agents_there);
+        let inside: Vec<PlacedVm<'a>> =
+            entries.iter().copied().filter(|it| it.1 == domain).collect();
+        hand_out(&inside, agents, settings.near, room, &is_near, &mut taken, &mut subsets);
+    }
+    // An entry whose own domain has too few agents takes more of the others, for the same total.
+    let total = settings.near + settings.far;
+    let room = room_for(entries.len() * total, agents.len());
+    hand_out(entries, agents, total, room, &is_far, &mut taken, &mut subsets);
+    subsets
+}
+
+/// Entries that may keep one agent: a little over the mean, so that preferences count.
+fn room_for(links: usize, agents: usize) -> usize {
+    let mean = links as f64 / agents.max(1) as f64;
+    // Both lie far below the range of integers that a float holds exactly.
+    (mean.ceil() as usize).max((mean * MAX_OVER_MEAN) as usize)
+}
+
+/// Fills subsets up to `wanted` agents, in rounds of one agent for each entry.
+fn hand_out<'a>(
+    entries: &[PlacedVm<'a>],
+    agents: &[PlacedVm<'a>],
+    wanted: usize,
+    room: usize,
+    is_eligible: &dyn Fn(&PlacedVm<'a>, &PlacedVm<'a>) -> bool,
+    taken: &mut [usize],
+    subsets: &mut BTreeMap<&'a VmId, Vec<&'a VmId>>,
+) {
+    let orders: Vec<Vec<usize>> =
+        entries.iter().map(|it| preference(it, agents, is_eligible)).collect();
+    for _ in 0..wanted {
+        for (entry, order) in entries.iter().zip(&orders) {
+            let Some(subset) = subsets.get_mut(entry.0) else { continue };
+            if subset.len() >= wanted {
+                continue;
+            }
+            let free = || order.iter().filter(|it| !subset.contains(&agents[**it].0));
+            let preferred = free().find(|it| taken[**it] < room);
+            let Some(choice) = preferred.or_else(|| free().min_by_key(|it| taken[**it])) else {
+                continue;
+            };
+            taken[*choice] += 1;
+            subset.push(agents[*choice].0);
+        }
+    }
+}
+
+/// Eligible agents, by the hash of the pair.
+fn preference<'a>(
+    entry: &PlacedVm<'a>,
+    agents: &[PlacedVm<'a>],
+    is_eligible: &dyn Fn(&PlacedVm<'a>, &PlacedVm<'a>) -> bool,
+) -> Vec<usize> {
+    let seed = xxh3_64_with_seed(entry.0.as_str().as_bytes(), 0);
+    let mut order: Vec<usize> =
+        (0..agents.len()).filter(|it| is_eligible(entry, &agents[*it])).collect();
+    order.sort_by_key(|it| xxh3_64_with_seed(agents[*it].0.as_str().as_bytes(), seed));
+    order
+}
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Effect;
+use super::{Effect, FanoutSettings, PlacedVm, assign_agents};
 use crate::{
     config::{ConfigLedger, ServiceState},
     units::{FailureDomain, ServiceName, VmId},
@@ -28,6 +28,10 @@
     pub address: SocketAddr,
     /// Where it answers operators.
     pub admin: SocketAddr,
+    /// Models and services of a backend server, as far as the list says; an agent of which it says
+    /// nothing is kept by all entries.
+    #[serde(default)]
+    pub services: BTreeSet<ServiceName>,
     /// Out where the platform says that the VM is leaving.
     #[serde(default)]
     pub state: ServiceState,
@@ -62,6 +66,11 @@
 pub struct MemberTable {
     listed: BTreeMap<VmId, VmRecord>,
     peers: BTreeMap<VmId, PeerFacts>,
+    /// Agents that this entry keeps by the list.
+    subset: BTreeSet<VmId>,
+    /// Agents that it keeps because they hold a claim that was asked for.
+    pinned: BTreeSet<VmId>,
+    /// Agents to which connections were asked for.
     wanted: BTreeSet<VmId>,
 }
 
@@ -91,37 +100,71 @@
         self.listed.values().filter(counts).count().max(1)
     }
 
-    /// Takes over a new VM list and says which agents to connect to or let go. An empty list is
-    /// taken for a fault of the platform and changes nothing.
-    pub fn read_list(&mut self, list: Vec<VmRecord>) -> Vec<Effect> {
+    /// Takes over a new VM list and says which agents entry `own` connects to or lets go. An empty
+    /// list is taken for a fault of the platform and changes nothing.
+    pub fn read_list(&mut self, own: &VmId, list: Vec<VmRecord>) -> Vec<Effect> {
         if list.is_empty() {
             return Vec::new();
         }
         let old = std::mem::take(&mut self.listed);
         self.listed = list.into_iter().map(|it| (it.vm.clone(), it)).collect();
+        self.subset = self.subset_of(own);
         let mut effects = Vec::new();
-        for record in self.listed.values().filter(|it| it.role == PeerRole::Agent) {
-            let moved = old.get(&record.vm).is_none_or(|it| it.address != record.address);
-            if moved || !self.wanted.contains(&record.vm) {
-                self.wanted.insert(record.vm.clone());
-                effects.push(Effect::Connect { vm: record.vm.clone(), address: record.address });
+        for vm in &self.subset {
+            let Some(record) = self.listed.get(vm) else { continue };
+            let has_moved = old.get(vm).is_none_or(|it| it.address != record.address);
+            if has_moved || !self.wanted.contains(vm) {
+                self.wanted.insert(vm.clone());
+                effects.push(Effect::Connect { vm: vm.clone(), address: record.address });
             }
         }
         effects.extend(self.let_go());
         effects
     }
 
-    /// Lets go of peers that are off the list, once nothing of this entry is in progress there.
+    /// Agents that entry `own` keeps: of each service a bounded number.
+    fn subset_of(&self, own: &VmId) -> BTreeSet<VmId> {
+        let of_role = |role| self.listed.values().filter(move |it| it.role == role);
+        let entries: Vec<PlacedVm<'_>> =
+            of_role(PeerRole::Entry).map(|it| (&it.vm, &it.failure_domain)).collect();
+        let mut by_service: BTreeMap<&ServiceName, Vec<PlacedVm<'_>>> = BTreeMap::new();
+        let mut subset = BTreeSet::new();
+        for record in of_role(PeerRole::Agent) {
+            if record.services.is_empty() {
+                subset.insert(record.vm.clone());
+            }
+            for service in &record.services {
+                let agents = by_service.entry(service).or_default();
+                agents.push((&record.vm, &record.failure_domain));
+            }
+        }
+        for agents in by_service.values() {
+            let subsets = assign_agents(&entries, agents, FanoutSettings::default());
+            let Some(kept) = subsets.get(own) else { continue };
+            subset.extend(kept.iter().map(|it| (*it).clone()));
+        }
+        subset
+    }
+
+    /// Connects to a listed agent outside the subset, which stays until it is off the list.
+    pub fn want(&mut self, vm: &VmId) -> Option<Effect> {
+        let record = self.listed.get(vm)?;
+        self.pinned.insert(vm.clone());
+        let is_new = self.wanted.insert(vm.clone());
+        is_new.then(|| Effect::Connect { vm: vm.clone(), address: record.address })
+    }
+
+    /// Lets go of peers that are not to be kept any more, once nothing of this entry is in progress there.
     fn let_go(&mut self) -> Vec<Effect> {
-        let idle = |vm: &VmId| self.peers.get(vm).is_none_or(|it| it.outstanding == 0);
-        let gone: Vec<VmId> = self
-            .wanted
-            .iter()
-            .filter(|vm| !self.listed.contains_key(*vm) && idle(vm))
-            .cloned()
-            .collect();
+        let is_idle = |vm: &VmId| self.peers.get(vm).is_none_or(|it| it.outstanding == 0);
+        let is_kept = |vm: &VmId| {
+            self.listed.contains_key(vm) && (self.subset.contains(vm) || self.pinned.contains(vm))
+        };
+        let gone: Vec<VmId> =
+            self.wanted.iter().filter(|vm| !is_kept(vm) && is_idle(vm)).cloned().collect();
         for vm in &gone {
             self.wanted.remove(vm);
+            self.pinned.remove(vm);
         }
         gone.into_iter().map(Effect::Disconnect).collect()
     }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -174,7 +174,7 @@
             after_config(state, before, now)
         }
         Event::VmListRead(list) => {
-            let effects = state.members.read_list(list);
+            let effects = state.members.read_list(&state.settings.vm, list);
             refresh_share(state);
             match state.settings.role {
                 PeerRole::Entry => effects,
--- a/src/core/state/entry.rs
+++ b/src/core/state/entry.rs
@@ -150,8 +150,11 @@
             if state.members.peer(&holder).is_some() {
                 return attempt(state, request_id, holder);
             }
+            // The caller's next try finds the connection, where the holder still lives.
+            let connect = state.members.want(&holder);
             let refusal = Refusal::unknown(RefusalCode::OutcomeUnknown).retry_after(SERVER_RETRY);
-            vec![Effect::Refuse { request_id: request_id.clone(), refusal }]
+            let refuse = Effect::Refuse { request_id: request_id.clone(), refusal };
+            connect.into_iter().chain([refuse]).collect()
         }
         NextStep::Refuse(refusal) => {
             vec![Effect::Refuse { request_id: request_id.clone(), refusal }]
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -9,9 +9,12 @@
 mod config_race;
 mod domain_cut;
 mod domain_drain;
+mod fan_out;
 mod graceful_stop;
 mod map_switch;
+mod naive_router;
 mod operator_tool;
+mod reducer_replay;
 mod run_once;
 mod whole_answer;
 mod whole_path;
@@ -22,3 +25,15 @@
 fn launcher() -> Launcher {
     Launcher { program: env!("CARGO_BIN_EXE_alderbayd").into(), arguments: Vec::new() }
 }
+
+/// Property tests draw the same cases in every run.
+fn seeded(cases: u32) -> proptest::test_runner::Config {
+    const SEED: u64 = 4_121;
+    println!("seed {SEED}");
+    proptest::test_runner::Config {
+        cases,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
+        ..Default::default()
+    }
+}
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -25,3 +25,5 @@
 pub mod stand_in;
 #[path = "support/vm_list.rs"]
 pub mod vm_list;
+#[path = "support/usage.rs"]
+pub mod usage;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -86,7 +86,7 @@
     log: PathBuf,
     child: Option<Child>,
     _vm_list: StandIn,
-    _backend: Option<StandIn>,
+    backend: Option<StandIn>,
     /// In front of the log service, where the fleet is proxied.
     pub log_proxy: Option<Proxy>,
 }
@@ -330,6 +330,7 @@
             failure_domain: domain.parse().unwrap(),
             address: peers,
             admin,
+            services: Default::default(),
             state: ServiceState::In,
         };
         self.vm_list.vms.lock().unwrap().push(record);
@@ -342,7 +343,7 @@
             settings: path,
             child: None,
             _vm_list: vm_list,
-            _backend: backend,
+            backend,
             log_proxy,
         };
         match role {
@@ -386,6 +387,11 @@
         self.entries.iter_mut().chain(&mut self.agents).find(|it| it.vm == *vm).unwrap()
     }
 
+    /// Address of the backend server beside an agent.
+    pub fn backend_of(&self, vm: &VmId) -> SocketAddr {
+        self.process(vm).backend.as_ref().unwrap().address
+    }
+
     pub fn running(&self) -> impl Iterator<Item = &FleetProcess> {
         self.entries.iter().chain(&self.agents).filter(|it| it.child.is_some())
     }
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -6,7 +6,10 @@
 use std::{
     collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -35,6 +38,8 @@
 pub struct ProxyFaults {
     pub to_server: Mutex<LinkFaults>,
     pub to_client: Mutex<LinkFaults>,
+    /// Bytes that passed, both ways.
+    pub passed: AtomicU64,
 }
 
 impl ProxyFaults {
@@ -102,13 +107,14 @@
 ) {
     let mut buffer = vec![0; 16 << 10];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
-        let faults = side(&faults);
-        if faults.is_cut {
+        let side_faults = side(&faults);
+        if side_faults.is_cut {
             // A cut link swallows what was on its way; the connection learns of it by its own
             // time-outs.
             continue;
         }
-        tokio::time::sleep(faults.max_delay).await;
+        tokio::time::sleep(side_faults.max_delay).await;
+        faults.passed.fetch_add(length as u64, Ordering::Relaxed);
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
@@ -142,6 +148,7 @@
             }
         };
         let side = *faults.to_server.lock().unwrap();
+        faults.passed.fetch_add(length as u64, Ordering::Relaxed);
         forward(upstream, server, buffer[..length].to_vec(), side, &rng);
     }
 }
@@ -157,6 +164,7 @@
     loop {
         let Ok((length, _)) = upstream.recv_from(&mut buffer).await else { continue };
         let side = *faults.to_client.lock().unwrap();
+        faults.passed.fetch_add(length as u64, Ordering::Relaxed);
         forward(socket.clone(), client, buffer[..length].to_vec(), side, &rng);
     }
 }
