Run calls by ticket while the log is down; bound the memory of a connection

Cause: (1) while the log is down no keyed call could run. (2) An idle entry grew by 0.38 MB for each agent it keeps (slopes at 4, 8, 16, 32 agents): QUIC keeps state for each stream that a peer may open, and 4,096 were allowed; 66 agents would take the whole 32 MB. Change: an agent issues tickets that only it, in this life, may run; it needs no log for them. 256 streams on a connection, and an attempt that finds none free in half a second goes elsewhere. Tests of plan limits and of a rush by one account.

--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -9,6 +9,7 @@
     sync::mpsc,
     time::{Instant, timeout_at},
 };
+use uuid::Uuid;
 
 use super::{
     backend::{self, BackendCall, CallError},
@@ -20,7 +21,8 @@
     options::AgentSettings,
     units::{ByteCount, TokenCount},
     wire::{
-        FrameError, RefusalReason, RunMode, WorkKind, WorkOrder, WorkReply, read_frame, write_frame,
+        FrameError, RefusalReason, RunMode, RunTicket, WorkKind, WorkOrder, WorkReply, read_frame,
+        write_frame,
     },
 };
 
@@ -73,7 +75,13 @@
         if self.order.resume_after > 0 && !self.settings.resumes_streams {
             return self.refuse(RefusalReason::CannotResume).await;
         }
-        self.shell.dispatch(Event::WorkArrived(self.facts()));
+        let ticket = self.new_ticket();
+        self.shell.dispatch(match self.order.kind {
+            WorkKind::TicketIssue => Event::TicketAsked { work: self.work, ticket: ticket.clone() },
+            WorkKind::WholeDraft | WorkKind::StreamedDraft | WorkKind::ServiceCall => {
+                Event::WorkArrived(self.facts())
+            }
+        });
         let command = tokio::select! {
             command = commands.recv() => command,
             _ = self.send.stopped() => {
@@ -88,6 +96,7 @@
         };
         match command {
             Some(WorkCommand::Start) => self.hand_over().await,
+            Some(WorkCommand::IssueTicket) => self.send_ticket(&ticket).await,
             Some(WorkCommand::Refuse(reason)) => self.refuse(reason).await,
             Some(WorkCommand::PointTo(vm)) => {
                 write_frame(&mut self.send, &WorkReply::ClaimedBy(vm)).await
@@ -97,6 +106,19 @@
         }
     }
 
+    fn new_ticket(&self) -> RunTicket {
+        let vm = self.shell.settings.identity.vm.clone();
+        let account = self.order.account.clone();
+        RunTicket::new(vm, self.shell.incarnation, account, Uuid::new_v4())
+    }
+
+    async fn send_ticket(&mut self, ticket: &RunTicket) -> Result<(), FrameError> {
+        let body = serde_json::json!({ "ticket": ticket.to_string() }).to_string();
+        let headers = vec![("content-type".into(), Bytes::from_static(b"application/json"))];
+        let status = http::StatusCode::CREATED.as_u16();
+        self.send_whole(StoredAnswer { status, headers, body: body.into() }).await
+    }
+
     fn facts(&self) -> WorkFacts {
         WorkFacts {
             work: self.work,
@@ -153,7 +175,7 @@
     async fn hand_over(&mut self) -> Result<(), FrameError> {
         match &self.order.mode {
             RunMode::Idempotent => self.relay().await,
-            RunMode::Keyed(_) | RunMode::Single => self.run_to_end().await,
+            RunMode::Keyed(_) | RunMode::Ticketed(_) | RunMode::Single => self.run_to_end().await,
         }
     }
 
--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -16,7 +16,7 @@
 use super::WorkId;
 use crate::{
     units::{ByteCount, IncarnationId, Moment, VmId},
-    wire::{HeaderPair, RunKey},
+    wire::{HeaderPair, RunKey, RunTicket},
 };
 
 /// Bytes of answers kept for callers that ask again.
@@ -165,11 +165,16 @@
         if !self.replayed || is_full {
             return KeyDecision::NotReady;
         }
-        let Some(entry) = self.keys.get_mut(key) else {
+        if !self.keys.contains_key(key) {
             let entry = KeyEntry { state: KeyState::Claiming, waiters: VecDeque::from([work]) };
             self.keys.insert(key.clone(), entry);
             return KeyDecision::Claim;
-        };
+        }
+        self.arrive_known(key, work)
+    }
+
+    fn arrive_known(&mut self, key: &RunKey, work: WorkId) -> KeyDecision {
+        let Some(entry) = self.keys.get_mut(key) else { return KeyDecision::NotReady };
         match &entry.state {
             KeyState::Claiming => {
                 // A claim whose append failed was dropped with its waiters; ask again for the first
@@ -193,6 +198,29 @@
         }
     }
 
+    /// Issues a ticket; false where no further key can be remembered.
+    #[must_use]
+    pub fn issue(&mut self, ticket: &RunTicket, now: Moment) -> bool {
+        self.forget_old(now);
+        if self.keys.len() >= MAX_KEYS {
+            return false;
+        }
+        let entry = KeyEntry { state: KeyState::Owned, waiters: VecDeque::new() };
+        self.keys.insert(ticket.key.clone(), entry);
+        self.note_ended(ticket.key.clone(), now);
+        true
+    }
+
+    /// Decides on work that shows a ticket. One of an earlier life, or one that was forgotten, may
+    /// have run.
+    pub fn arrive_ticket(&mut self, ticket: &RunTicket, work: WorkId) -> KeyDecision {
+        let is_ours = ticket.vm == self.owner.vm && ticket.incarnation == self.owner.incarnation;
+        match is_ours && self.keys.contains_key(&ticket.key) {
+            true => self.arrive_known(&ticket.key, work),
+            false => KeyDecision::Replay(KnownAnswer::Unknown),
+        }
+    }
+
     /// Reduces one claim of the stream. Returns the work that may now be queued (claimed here), or
     /// all the work that must go elsewhere.
     pub fn read_claim(&mut self, key: &RunKey, owner: &ClaimOwner, now: Moment) -> ClaimEnd {
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -49,6 +49,8 @@
     },
     /// Hand the work to the backend server.
     StartWork(WorkId),
+    /// Hand out the ticket that the work asked for.
+    IssueTicket(WorkId),
     /// Answer the work with a refusal.
     RefuseWork {
         /// The work.
@@ -240,11 +242,11 @@
     UnknownService = "unknown_service", 404, "no plan names this model or service";
     UnknownPath = "unknown_path", 404, "there is nothing at this path";
     BadMethod = "bad_method", 405, "the path does not take this method";
-    BadBody = "bad_body", 400, "the body is not a JSON object with a text field 'model'";
+    BadBody = "bad_body", 400, "the body is not a JSON object with a text field 'model' (drafts) or 'service' (tickets)";
     BadDeadline = "bad_deadline", 400, "the deadline header is not a whole number of milliseconds above zero";
     BadRequestId = "bad_request_id", 400, "the request id is not an identifier";
     RepeatedRequestId = "repeated_request_id", 409, "a request of this id is in progress at this entry";
-    BadIdempotencyKey = "bad_idempotency_key", 400, "the idempotency key is not a version 7 UUID";
+    BadIdempotencyKey = "bad_idempotency_key", 400, "the idempotency key is neither a version 7 UUID nor a ticket";
     ExpiredIdempotencyKey = "expired_idempotency_key", 409, "the idempotency key is too old to say whether it ran";
     BodyTooLarge = "body_too_large", 413, "the body is over the bound";
     BodyTimeout = "body_timeout", 408, "the body did not arrive in time";
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -12,7 +12,7 @@
         ClientAccount, ConfigDigest, ConfigVersion, LogOffset, Moment, PriorityLevel, RequestId,
         ServiceName, TokenCount, VmId,
     },
-    wire::{AgentReport, PeerHello, RefusalReason, RunMode},
+    wire::{AgentReport, PeerHello, RefusalReason, RunMode, RunTicket},
 };
 
 /// An event with the moment at which the process learned of it.
@@ -77,6 +77,13 @@
     },
     /// An entry sent work to this agent.
     WorkArrived(WorkFacts),
+    /// An entry asked for a ticket, to be issued under this random key.
+    TicketAsked {
+        /// The work that asks.
+        work: WorkId,
+        /// The ticket.
+        ticket: RunTicket,
+    },
     /// The entry gave up on the work.
     WorkAbandoned(WorkId),
     /// The backend server generated more tokens for the work.
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -152,6 +152,8 @@
             AttemptOutcome::LostUnanswered => {
                 self.may_have_run = true;
                 match &self.facts.mode {
+                    // Only the agent that issued a ticket can say what became of it.
+                    RunMode::Ticketed(ticket) => NextStep::TryHolder(ticket.vm.clone()),
                     RunMode::Idempotent | RunMode::Keyed(_) => {
                         NextStep::TryAnother { spends_budget: true }
                     }
@@ -164,7 +166,7 @@
                 self.may_have_run = true;
                 match &self.facts.mode {
                     RunMode::Idempotent => NextStep::TryAnother { spends_budget: true },
-                    RunMode::Keyed(_) | RunMode::Single => {
+                    RunMode::Keyed(_) | RunMode::Ticketed(_) | RunMode::Single => {
                         NextStep::Refuse(Refusal::unknown(RefusalCode::AnswerBroken))
                     }
                 }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -202,6 +202,7 @@
             entry::request_ended(state, &request_id, tokens)
         }
         Event::WorkArrived(facts) => agent::work_arrived(state, facts, now),
+        Event::TicketAsked { work, ticket } => vec![agent::issue_ticket(state, work, &ticket, now)],
         Event::WorkAbandoned(work) => agent::work_abandoned(state, work),
         Event::WorkProgressed { work: _, tokens, elapsed } => {
             let was_warm = state.ramp.is_warm();
--- a/src/core/state/agent.rs
+++ b/src/core/state/agent.rs
@@ -8,7 +8,7 @@
         claims::ClaimEnd,
     },
     units::Moment,
-    wire::{RefusalReason, RunKey, RunMode},
+    wire::{RefusalReason, RunKey, RunMode, RunTicket},
 };
 
 pub(super) fn work_arrived(state: &mut ProcessState, facts: WorkFacts, now: Moment) -> Vec<Effect> {
@@ -16,13 +16,16 @@
     if let Some(reason) = refusal_of(state, &facts, now) {
         return vec![Effect::RefuseWork { work, reason }];
     }
-    let RunMode::Keyed(key) = facts.mode.clone() else {
-        return enqueue(state, facts);
+    let decision = match &facts.mode {
+        RunMode::Idempotent | RunMode::Single => return enqueue(state, facts),
+        RunMode::Keyed(key) => state.claims.arrive(key, work, now),
+        RunMode::Ticketed(ticket) => state.claims.arrive_ticket(ticket, work),
     };
-    match state.claims.arrive(&key, work, now) {
+    let key = facts.mode.key().cloned();
+    match decision {
         KeyDecision::Claim => {
             state.keyed.insert(work, facts);
-            vec![Effect::AppendClaims(vec![key])]
+            vec![Effect::AppendClaims(key.into_iter().collect())]
         }
         KeyDecision::Wait => {
             state.keyed.insert(work, facts);
@@ -46,10 +49,7 @@
     if facts.deadline <= now {
         return Some(RefusalReason::DeadlinePassed);
     }
-    let knows_key = match &facts.mode {
-        RunMode::Keyed(key) => state.claims.knows(key),
-        RunMode::Idempotent | RunMode::Single => false,
-    };
+    let knows_key = facts.mode.key().is_some_and(|key| state.claims.knows(key));
     match state.service_state() {
         ServiceState::Out if !knows_key => Some(RefusalReason::Leaving),
         ServiceState::Out | ServiceState::In => None,
@@ -65,7 +65,7 @@
 /// takes its place.
 fn drop_waiting(state: &mut ProcessState, facts: &WorkFacts, reason: RefusalReason) -> Vec<Effect> {
     let mut effects = vec![Effect::RefuseWork { work: facts.work, reason }];
-    if let RunMode::Keyed(key) = &facts.mode {
+    if let Some(key) = facts.mode.key() {
         let next = state.claims.abandon(key, facts.work);
         effects.extend(next.map_or_else(Vec::new, |work| enqueue_keyed(state, work)));
     }
@@ -82,7 +82,7 @@
 pub(super) fn work_abandoned(state: &mut ProcessState, work: WorkId) -> Vec<Effect> {
     let waiting = state.queue.remove_waiting(work).or_else(|| state.keyed.remove(&work));
     let Some(facts) = waiting else { return Vec::new() };
-    let RunMode::Keyed(key) = &facts.mode else { return Vec::new() };
+    let Some(key) = facts.mode.key() else { return Vec::new() };
     let next = state.claims.abandon(key, work);
     next.map_or_else(Vec::new, |work| enqueue_keyed(state, work))
 }
@@ -101,7 +101,7 @@
         WorkOutcome::NotHandedOver | WorkOutcome::Broken => state.ramp.reset(),
         WorkOutcome::Cancelled => {}
     }
-    let RunMode::Keyed(key) = &facts.mode else { return Vec::new() };
+    let Some(key) = facts.mode.key() else { return Vec::new() };
     match outcome {
         WorkOutcome::NotHandedOver => {
             let next = state.claims.release(key, work);
@@ -190,7 +190,7 @@
         state.keyed.values().filter(|it| it.deadline <= now).map(|it| it.work).collect();
     for work in due {
         let Some(facts) = state.keyed.remove(&work) else { continue };
-        let RunMode::Keyed(key) = &facts.mode else { continue };
+        let Some(key) = facts.mode.key() else { continue };
         // Work that joined a run in progress must not be told "not run".
         let joined_run = state.claims.is_running(key);
         state.claims.abandon(key, work);
@@ -218,10 +218,7 @@
     let mut effects = Vec::new();
     while state.queue.running() < state.ramp.limit().0 as usize {
         let Some(facts) = state.queue.start_next() else { break };
-        let may_run = match &facts.mode {
-            RunMode::Keyed(key) => state.claims.start(key, facts.work),
-            RunMode::Idempotent | RunMode::Single => true,
-        };
+        let may_run = facts.mode.key().is_none_or(|key| state.claims.start(key, facts.work));
         if may_run {
             effects.push(Effect::StartWork(facts.work));
         } else {
@@ -250,3 +247,18 @@
     state.armed = Some(next);
     Some(Effect::ArmTimer(next))
 }
+
+pub(super) fn issue_ticket(
+    state: &mut ProcessState,
+    work: WorkId,
+    ticket: &RunTicket,
+    now: Moment,
+) -> Effect {
+    if state.service_state() == ServiceState::Out {
+        return Effect::RefuseWork { work, reason: RefusalReason::Leaving };
+    }
+    match state.claims.issue(ticket, now) {
+        true => Effect::IssueTicket(work),
+        false => Effect::RefuseWork { work, reason: RefusalReason::ClaimsUnavailable },
+    }
+}
--- a/src/core/state/entry.rs
+++ b/src/core/state/entry.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+
 use super::{BALANCER_LAG, ProcessState};
 use crate::{
-    config::{PlanRecord, ServiceState},
+    config::{ConfigLedger, PlanRecord, ServiceState},
     core::{
-        AttemptOutcome, Effect, Refusal, RefusalCode, RequestFacts, RouteChoice, ServerView,
-        choose_home, choose_server, requests::NextStep,
+        AttemptOutcome, CoreSettings, Effect, MemberTable, Refusal, RefusalCode, RequestFacts,
+        RouteChoice, ServerView, choose_home, choose_server,
+        requests::{NextStep, RequestState},
     },
     units::{ConfigVersion, Moment, RequestId, TokenCount, VmId},
     wire::RunMode,
@@ -78,13 +81,41 @@
 /// Sends the request to a server not tried yet, or refuses it at once where none is left.
 fn route(state: &mut ProcessState, request_id: &RequestId) -> Vec<Effect> {
     let Some(request) = state.requests.get(request_id) else { return Vec::new() };
-    let service = request.facts.service.clone();
-    let servers = state
-        .members
-        .servers(&service, &state.ledger)
+    if let RunMode::Ticketed(ticket) = &request.facts.mode
+        && request.tried.is_empty()
+    {
+        // Only the agent that issued the ticket can run it, or say that it did.
+        let holder = ticket.vm.clone();
+        return take_step(state, request_id, NextStep::TryHolder(holder));
+    }
+    let choice = choose(&state.members, &state.ledger, &state.settings, request, &mut state.rng);
+    match choice {
+        RouteChoice::Server(vm) => attempt(state, request_id, vm),
+        RouteChoice::Nowhere => {
+            let code = if request.tried.is_empty() {
+                RefusalCode::NoServer
+            } else {
+                RefusalCode::Overloaded
+            };
+            let refusal = request.refusal(code).retry_after(SERVER_RETRY);
+            vec![Effect::Refuse { request_id: request_id.clone(), refusal }]
+        }
+    }
+}
+
+fn choose(
+    members: &MemberTable,
+    ledger: &ConfigLedger,
+    settings: &CoreSettings,
+    request: &RequestState,
+    rng: &mut SmallRng,
+) -> RouteChoice {
+    let servers = members
+        .servers(&request.facts.service, ledger)
         .filter(|(vm, _)| !request.tried.contains(vm));
-    let choice = match &request.facts.mode {
+    match &request.facts.mode {
         RunMode::Keyed(key) => choose_home(servers.map(|(vm, _)| vm), key),
+        RunMode::Ticketed(_) => RouteChoice::Nowhere,
         RunMode::Idempotent | RunMode::Single => {
             let views: Vec<ServerView<'_>> = servers
                 .map(|(vm, peer)| ServerView {
@@ -94,19 +125,7 @@
                     load: peer.load(),
                 })
                 .collect();
-            choose_server(&views, &state.settings.failure_domain, &mut state.rng)
-        }
-    };
-    match choice {
-        RouteChoice::Server(vm) => attempt(state, request_id, vm),
-        RouteChoice::Nowhere => {
-            let code = if request.tried.is_empty() {
-                RefusalCode::NoServer
-            } else {
-                RefusalCode::Overloaded
-            };
-            let refusal = request.refusal(code).retry_after(SERVER_RETRY);
-            vec![Effect::Refuse { request_id: request_id.clone(), refusal }]
+            choose_server(&views, &settings.failure_domain, rng)
         }
     }
 }
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -80,6 +80,8 @@
 pub enum WorkCommand {
     /// Hand it to the backend server.
     Start,
+    /// Hand out the ticket that it asked for.
+    IssueTicket,
     /// Refuse it.
     Refuse(RefusalReason),
     /// Point to the holder of its key's claim.
@@ -222,6 +224,7 @@
                 self.note_refusal(&request_id, &refusal);
                 self.requests.send(&request_id, RequestCommand::Refuse(refusal));
             }
+            Effect::IssueTicket(work) => self.works.send(&work, WorkCommand::IssueTicket),
             Effect::StartWork(work) => self.works.send(&work, WorkCommand::Start),
             Effect::RefuseWork { work, reason } => {
                 self.works.send(&work, WorkCommand::Refuse(reason))
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,8 +1,11 @@
 //! One attempt: a work order on a stream of its own, and the replies to it.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use quinn::{Connection, RecvStream, SendStream, VarInt};
+use tokio::time::timeout;
 
 use crate::{
     core::AttemptOutcome,
@@ -13,6 +16,8 @@
 
 /// Longest reply message.
 const MAX_REPLY: ByteCount = ByteCount(16 << 20);
+/// Time for which an attempt waits while all streams of the connection are in use.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Code with which a stream is stopped that nobody waits for any more.
 const ABANDONED: VarInt = VarInt::from_u32(1);
 
@@ -48,7 +53,8 @@
         order: &WorkOrder,
     ) -> Result<Self, AttemptOutcome> {
         let link = link.ok_or(AttemptOutcome::NeverSent)?;
-        let (mut send, recv) = link.open_bi().await.map_err(|_| AttemptOutcome::NeverSent)?;
+        let opened = timeout(OPEN_TIMEOUT, link.open_bi()).await;
+        let (mut send, recv) = opened.ok().and_then(Result::ok).ok_or(AttemptOutcome::NeverSent)?;
         // Once bytes may have left, the agent may have the whole order.
         write_frame(&mut send, order).await.map_err(|_| AttemptOutcome::LostUnanswered)?;
         let request_id = order.request_id.clone();
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -23,7 +23,7 @@
     },
     options::{EntrySettings, RoleSettings},
     units::{ClientAccount, PriorityLevel, RequestId, ServiceName},
-    wire::{HeaderPair, RunKey, RunMode, WorkKind, WorkOrder},
+    wire::{HeaderPair, RunKey, RunMode, RunTicket, WorkKind, WorkOrder},
 };
 
 /// Path in front of a plain service's own path.
@@ -52,6 +52,7 @@
     health_routes(shell.clone())
         .route("/v1/chat/completions", handle(shell.clone(), CallerPath::Draft))
         .route("/v1/completions", handle(shell.clone(), CallerPath::Draft))
+        .route("/v1/tickets", handle(shell.clone(), CallerPath::Ticket))
         .route("/services/{*path}", handle(shell.clone(), CallerPath::Service))
         .route("/{*path}", handle(shell, CallerPath::Unknown))
 }
@@ -61,6 +62,7 @@
 enum CallerPath {
     Draft,
     Service,
+    Ticket,
     Unknown,
 }
 
@@ -133,6 +135,7 @@
     let body = read_body(body, limits.max_body_bytes, body_timeout).await.map_err(body_refusal)?;
     let (service, kind) = match head.target {
         Target::Draft => draft(&body)?,
+        Target::Ticket => (ticketed_service(&body)?, WorkKind::TicketIssue),
         Target::Service(service) => (service, WorkKind::ServiceCall),
     };
     let mode = run_mode(kind, &parts, &head.account)?;
@@ -203,13 +206,15 @@
 
 enum Target {
     Draft,
+    Ticket,
     Service(ServiceName),
 }
 
 fn target(path: CallerPath, parts: &Parts) -> Result<Target, Refusal> {
     match path {
         CallerPath::Draft if parts.method == Method::POST => Ok(Target::Draft),
-        CallerPath::Draft => Err(bad(RefusalCode::BadMethod)),
+        CallerPath::Ticket if parts.method == Method::POST => Ok(Target::Ticket),
+        CallerPath::Draft | CallerPath::Ticket => Err(bad(RefusalCode::BadMethod)),
         CallerPath::Service => {
             let rest = parts.uri.path().strip_prefix(SERVICES_PATH).unwrap_or_default();
             let name = rest.split('/').next().unwrap_or_default();
@@ -243,19 +248,33 @@
     Ok((service, kind))
 }
 
+#[derive(Deserialize)]
+struct TicketFields {
+    service: ServiceName,
+}
+
+fn ticketed_service(body: &Bytes) -> Result<ServiceName, Refusal> {
+    let fields: TicketFields =
+        serde_json::from_slice(body).map_err(|_| bad(RefusalCode::BadBody))?;
+    Ok(fields.service)
+}
+
 /// Drafts and safe methods may be repeated. Other calls run once: over all servers where the caller
 /// shows a key, else by being handed over by one attempt only.
 fn run_mode(kind: WorkKind, parts: &Parts, account: &ClientAccount) -> Result<RunMode, Refusal> {
     let is_repeatable = match kind {
-        WorkKind::WholeDraft | WorkKind::StreamedDraft => true,
+        WorkKind::WholeDraft | WorkKind::StreamedDraft | WorkKind::TicketIssue => true,
         WorkKind::ServiceCall => parts.method.is_safe(),
     };
     if is_repeatable {
         return Ok(RunMode::Idempotent);
     }
     let Some(value) = parts.headers.get(IDEMPOTENCY_KEY) else { return Ok(RunMode::Single) };
-    let key = value.to_str().ok().and_then(|it| Uuid::parse_str(it.trim_matches('"')).ok());
-    let key = key.ok_or_else(|| bad(RefusalCode::BadIdempotencyKey))?;
+    let text = value.to_str().map_err(|_| bad(RefusalCode::BadIdempotencyKey))?.trim_matches('"');
+    if let Some(ticket) = RunTicket::parse(text, account.clone()) {
+        return Ok(RunMode::Ticketed(ticket));
+    }
+    let key = Uuid::parse_str(text).map_err(|_| bad(RefusalCode::BadIdempotencyKey))?;
     check_age(&key)?;
     Ok(RunMode::Keyed(RunKey { account: account.clone(), key }))
 }
@@ -285,7 +304,7 @@
 fn backend_path(kind: WorkKind, parts: &Parts) -> SmolStr {
     let whole = parts.uri.path_and_query().map_or("/", |it| it.as_str());
     match kind {
-        WorkKind::WholeDraft | WorkKind::StreamedDraft => whole.into(),
+        WorkKind::WholeDraft | WorkKind::StreamedDraft | WorkKind::TicketIssue => whole.into(),
         WorkKind::ServiceCall => {
             let rest = whole.strip_prefix(SERVICES_PATH).unwrap_or(whole);
             let start = rest.find(['/', '?']).unwrap_or(rest.len());
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -296,7 +296,7 @@
 fn may_cancel(facts: &RequestFacts) -> bool {
     match facts.mode {
         RunMode::Idempotent => true,
-        RunMode::Keyed(_) | RunMode::Single => false,
+        RunMode::Keyed(_) | RunMode::Ticketed(_) | RunMode::Single => false,
     }
 }
 
@@ -326,6 +326,6 @@
         WorkKind::WholeDraft => {
             serde_json::from_slice::<DraftUsage>(body).map_or(0, |it| it.usage.completion_tokens)
         }
-        WorkKind::StreamedDraft | WorkKind::ServiceCall => 0,
+        WorkKind::StreamedDraft | WorkKind::ServiceCall | WorkKind::TicketIssue => 0,
     }
 }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -25,8 +25,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Interval of keep-alives on a silent connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
-/// Requests at once on one connection.
-const MAX_STREAMS: u32 = 4_096;
+/// Requests at once on one connection. Each possible one costs memory on every connection.
+const MAX_STREAMS: u32 = 256;
 /// Bytes that a peer may send ahead on one stream, so that a slow caller holds its engine back.
 const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,7 +10,7 @@
 pub use framing::{FrameError, read_frame, write_frame};
 pub use messages::{
     AgentReport, HeaderPair, PeerHello, PeerNotice, PeerRole, RefusalReason, RunKey, RunMode,
-    WorkKind, WorkOrder, WorkReply,
+    RunTicket, WorkKind, WorkOrder, WorkReply,
 };
 
 /// Protocol name offered in the TLS handshake; it carries the wire version, so that peers of
--- a/src/wire/messages.rs
+++ b/src/wire/messages.rs
@@ -100,6 +100,51 @@
     }
 }
 
+/// The right to run one call, issued by an agent that remembers it in this life. It needs no log.
+///
+/// ```
+/// use alderbay::{units::IncarnationId, wire::RunTicket};
+/// let ticket = RunTicket::new("b-1".parse()?, IncarnationId(9), "dues".parse()?, uuid::Uuid::nil());
+/// let text = ticket.to_string();
+/// assert_eq!(RunTicket::parse(&text, "dues".parse()?), Some(ticket));
+/// # Ok::<(), alderbay::units::IdError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunTicket {
+    /// The agent's VM.
+    pub vm: VmId,
+    /// The agent's life.
+    pub incarnation: IncarnationId,
+    /// What the agent remembers the call by.
+    pub key: RunKey,
+}
+
+/// What a ticket's text begins with.
+const TICKET_PREFIX: &str = "ticket/";
+
+impl RunTicket {
+    /// A ticket of one life of the agent on `vm`.
+    pub fn new(vm: VmId, incarnation: IncarnationId, account: ClientAccount, key: Uuid) -> Self {
+        Self { vm, incarnation, key: RunKey { account, key } }
+    }
+
+    /// Reads a ticket that `account` shows; none where the text is no ticket.
+    pub fn parse(text: &str, account: ClientAccount) -> Option<Self> {
+        let mut parts = text.strip_prefix(TICKET_PREFIX)?.split('/');
+        let vm = parts.next()?.parse().ok()?;
+        let incarnation = parts.next()?.parse().ok()?;
+        let key = Uuid::parse_str(parts.next()?).ok()?;
+        let is_whole = parts.next().is_none();
+        is_whole.then(|| Self::new(vm, incarnation, account, key))
+    }
+}
+
+impl fmt::Display for RunTicket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{TICKET_PREFIX}{}/{}/{}", self.vm, self.incarnation, self.key.key)
+    }
+}
+
 /// How often a request may be handed to a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunMode {
@@ -107,10 +152,27 @@
     Idempotent,
     /// Once over all servers, by a claim on the log.
     Keyed(RunKey),
+    /// Once, by a ticket that one life of one agent issued and alone may run.
+    Ticketed(RunTicket),
     /// Once, by being handed over by one attempt only.
     Single,
 }
 
+impl RunMode {
+    /// The key under which an agent remembers the run, where there is one.
+    ///
+    /// ```
+    /// assert_eq!(alderbay::wire::RunMode::Single.key(), None);
+    /// ```
+    pub fn key(&self) -> Option<&RunKey> {
+        match self {
+            Self::Idempotent | Self::Single => None,
+            Self::Keyed(key) => Some(key),
+            Self::Ticketed(ticket) => Some(&ticket.key),
+        }
+    }
+}
+
 /// What is to be run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkKind {
@@ -120,6 +182,8 @@
     StreamedDraft,
     /// A call of a plain service.
     ServiceCall,
+    /// A ticket for a later call of a plain service; nothing is run.
+    TicketIssue,
 }
 
 /// One request on its way to a backend server.
--- /dev/null
+++ b/tests/plan_limits.rs
@@ -0,0 +1,104 @@
+//! Each account gets what its plan grants, whatever another account does.
+
+use alderbay::{
+    config::{EntryValue, PlanRecord},
+    units::{ConcurrencyLimit, PriorityLevel},
+};
+use googletest::prelude::*;
+use tokio::time::{Duration, Instant, sleep_until};
+
+use crate::{
+    launcher,
+    support::{
+        callers::Caller,
+        fleet::{Fleet, FleetPlan, LEDGER, MODEL},
+        load::SteadyLoad,
+    },
+};
+
+/// Share of its grant that a well-behaved account gets during another's rush.
+const GRANT_KEPT: f64 = 0.99;
+
+fn plan(requests_per_second: f64, concurrency: u32) -> EntryValue {
+    EntryValue::Plan(PlanRecord {
+        services: [MODEL, LEDGER].iter().map(|it| it.parse().unwrap()).collect(),
+        requests_per_second: requests_per_second.try_into().unwrap(),
+        tokens_per_second: 1e6.try_into().unwrap(),
+        concurrency: ConcurrencyLimit(concurrency),
+        priority: PriorityLevel(1),
+    })
+}
+
+#[gtest]
+#[tokio::test]
+async fn rush_leaves_others_their_grant() {
+    let fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    // The rushing plan may use 24 at once; its account asks for ten times that.
+    fleet.edit(vec![("plan/basic", Some(plan(300.0, 24)))]);
+    let version = fleet.edit(vec![("plan/gold", Some(plan(120.0, 60)))]);
+    fleet.wait_version(version).await;
+    let entries: Vec<_> = fleet.entries.iter().map(|it| it.listen).collect();
+    let warm_up = SteadyLoad::start(&Caller::new("tours"), &entries, 4, 20);
+    warm_up.wait_whole(60).await;
+    warm_up.stop().await;
+
+    let rush = SteadyLoad::start(&Caller::new("tours"), &entries, 80, 10);
+    rush.wait_whole(30).await;
+    // The other account asks for half its grant, evenly.
+    let started = Instant::now();
+    let mut asked = Vec::new();
+    for n in 0..180_u64 {
+        sleep_until(started + Duration::from_micros(16_667 * n)).await;
+        let entry = entries[usize::try_from(n).unwrap() % entries.len()];
+        let prompt = format!("steady {n}");
+        asked.push(tokio::spawn(async move {
+            Caller::new("dues").draft(entry, MODEL, &prompt, 5, true).await
+        }));
+    }
+    let mut whole = 0;
+    let total = asked.len();
+    for answer in asked {
+        whole += usize::from(answer.await.unwrap().is_some_and(|it| it.stream().1));
+    }
+    let rushed = rush.stop().await;
+    println!(
+        "{whole} of {total} served during a rush that was refused {} times",
+        rushed.refusals()
+    );
+    expect_that!(whole as f64 / total as f64, ge(GRANT_KEPT));
+    expect_that!(rushed.refusals(), gt(0));
+    expect_that!(rushed.wrong, is_empty());
+    for (code, outcome) in rushed.refused.keys() {
+        expect_that!(outcome.as_str(), eq("not_run"), "{code}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn rate_is_limited_over_the_fleet() {
+    let fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    let version = fleet.edit(vec![("plan/basic", Some(plan(30.0, 1_000)))]);
+    fleet.wait_version(version).await;
+    let caller = Caller::new("tours");
+    let started = Instant::now();
+    let (mut served, mut refused) = (0_u32, 0_u32);
+    while started.elapsed() < Duration::from_secs(3) {
+        for entry in &fleet.entries {
+            let answer = caller.draft(entry.listen, MODEL, "p", 1, false).await.unwrap();
+            if answer.status == 200 {
+                served += 1;
+                continue;
+            }
+            refused += 1;
+            let refusal = ("rate_limited".to_owned(), "not_run".to_owned());
+            expect_that!(answer.error(), eq(&refusal));
+            expect_that!(answer.headers.contains_key("retry-after"), eq(true));
+        }
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    // One second's worth may be saved up, on each entry rounded up to a request.
+    let granted = 30.0 * (seconds + 1.0) + 3.0;
+    println!("{served} served and {refused} refused in {seconds:.2} s, {granted:.0} granted");
+    expect_that!(f64::from(served), le(granted));
+    expect_that!(refused, gt(0));
+}
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -119,6 +119,54 @@
     expect_that!(fleet.runs_of("m"), eq(1));
 }
 
+async fn ticket(caller: &Caller, entry: std::net::SocketAddr) -> String {
+    let body = serde_json::json!({ "service": LEDGER }).to_string();
+    let answer = caller.send(entry, http::Request::post("/v1/tickets"), body).await.unwrap();
+    assert_eq!(answer.status, 201, "{}", answer.text());
+    let fields: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    fields["ticket"].as_str().unwrap().to_owned()
+}
+
+async fn post_ticketed(
+    caller: &Caller,
+    entry: std::net::SocketAddr,
+    ticket: &str,
+    body: &str,
+) -> Option<Answer> {
+    let request = http::Request::post(format!("/services/{LEDGER}/mandates"))
+        .header("idempotency-key", ticket)
+        .header("x-deadline-ms", "8000");
+    caller.send(entry, request, body.to_owned()).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn tickets_run_once_without_the_log() {
+    let mut fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    fleet.log.set_down(true);
+    let caller = Caller::new("dues");
+    let (first, second) = (fleet.entries[0].listen, fleet.entries[1].listen);
+    let ticket_1 = ticket(&caller, first).await;
+    for entry in [first, second, first] {
+        let answer = post_ticketed(&caller, entry, &ticket_1, "m").await;
+        expect_that!(answer.map(|it| it.status), some(eq(201)));
+    }
+    expect_that!(fleet.runs_of("m"), eq(1));
+    // A later life of the agent has forgotten its tickets: it must not run them.
+    let ticket_2 = ticket(&caller, first).await;
+    let holder = ticket_2.split('/').nth(1).unwrap().parse().unwrap();
+    fleet.restart(&holder);
+    fleet.wait_connected().await;
+    let answer = post_ticketed(&caller, second, &ticket_2, "n").await;
+    expect_that!(error_of(&answer).map(|it| it.1), some(eq("unknown")), "{answer:?}");
+    expect_that!(fleet.runs_of("n"), eq(0));
+    // Another account cannot use a ticket.
+    let ticket_3 = ticket(&caller, first).await;
+    let answer = post_ticketed(&Caller::new("tours"), first, &ticket_3, "o").await;
+    expect_that!(error_of(&answer).map(|it| it.1), some(eq("unknown")), "{answer:?}");
+    expect_that!(fleet.runs_of("o"), eq(0));
+}
+
 #[gtest]
 #[tokio::test]
 async fn lost_append_answers_run_once() {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -14,6 +14,7 @@
 mod map_switch;
 mod naive_router;
 mod operator_tool;
+mod plan_limits;
 mod reducer_replay;
 mod run_once;
 mod whole_answer;
