--- a/src/core/fanout.rs
+++ b/src/core/fanout.rs
@@ -51,24 +51,19 @@
         let all: Vec<&VmId> = agents.iter().map(|it| it.0).collect();
         return entries.iter().map(|it| (it.0, all.clone())).collect();
     }
-    let mut subsets: BTreeMap<&VmId, Vec<&VmId>> =
-        entries.iter().map(|it| (it.0, Vec::new())).collect();
-    let mut taken = vec![0_usize; agents.len()];
-    let is_near = |entry: &PlacedVm<'a>, agent: &PlacedVm<'a>| entry.1 == agent.1;
-    let is_far = |entry: &PlacedVm<'a>, agent: &PlacedVm<'a>| entry.1 != agent.1;
+    let mut table = LinkTable::new(entries, agents);
     for domain in agents.iter().map(|it| it.1).collect::<BTreeSet<_>>() {
-        let own = entries.iter().filter(|it| it.1 == domain).count();
-        let agents_there = agents.iter().filter(|it| it.1 == domain).count();
-        let room = room_for(own * settings.near, agents_there);
         let inside: Vec<PlacedVm<'a>> =
             entries.iter().copied().filter(|it| it.1 == domain).collect();
-        hand_out(&inside, agents, settings.near, room, &is_near, &mut taken, &mut subsets);
+        let agents_there = agents.iter().filter(|it| it.1 == domain).count();
+        let room = room_for(inside.len() * settings.near, agents_there);
+        table.hand_out(&inside, settings.near, room, |entry, agent| entry.1 == agent.1);
     }
     // An entry whose own domain has too few agents takes more of the others, for the same total.
     let total = settings.near + settings.far;
     let room = room_for(entries.len() * total, agents.len());
-    hand_out(entries, agents, total, room, &is_far, &mut taken, &mut subsets);
-    subsets
+    table.hand_out(entries, total, room, |entry, agent| entry.1 != agent.1);
+    table.subsets
 }
 
 /// Entries that may keep one agent: a little over the mean, so that preferences count.
@@ -78,44 +73,63 @@
     (mean.ceil() as usize).max((mean * MAX_OVER_MEAN) as usize)
 }
 
-/// Fills subsets up to `wanted` agents, in rounds of one agent for each entry.
-fn hand_out<'a>(
-    entries: &[PlacedVm<'a>],
-    agents: &[PlacedVm<'a>],
-    wanted: usize,
-    room: usize,
-    is_eligible: &dyn Fn(&PlacedVm<'a>, &PlacedVm<'a>) -> bool,
-    taken: &mut [usize],
-    subsets: &mut BTreeMap<&'a VmId, Vec<&'a VmId>>,
-) {
-    let orders: Vec<Vec<usize>> =
-        entries.iter().map(|it| preference(it, agents, is_eligible)).collect();
-    for _ in 0..wanted {
-        for (entry, order) in entries.iter().zip(&orders) {
-            let Some(subset) = subsets.get_mut(entry.0) else { continue };
-            if subset.len() >= wanted {
-                continue;
+/// Subsets as they fill.
+struct LinkTable<'a, 'b> {
+    agents: &'b [PlacedVm<'a>],
+    /// Entries that keep each agent so far.
+    taken: Vec<usize>,
+    subsets: BTreeMap<&'a VmId, Vec<&'a VmId>>,
+}
+
+impl<'a, 'b> LinkTable<'a, 'b> {
+    fn new(entries: &[PlacedVm<'a>], agents: &'b [PlacedVm<'a>]) -> Self {
+        let subsets = entries.iter().map(|it| (it.0, Vec::new())).collect();
+        Self { agents, taken: vec![0; agents.len()], subsets }
+    }
+
+    /// Fills subsets up to `wanted` eligible agents, in rounds of one agent for each entry, with
+    /// agents that have `room` first.
+    fn hand_out(
+        &mut self,
+        entries: &[PlacedVm<'a>],
+        wanted: usize,
+        room: usize,
+        is_eligible: impl Fn(&PlacedVm<'a>, &PlacedVm<'a>) -> bool,
+    ) {
+        let orders: Vec<Vec<usize>> = entries
+            .iter()
+            .map(|entry| self.preference(entry, |agent| is_eligible(entry, agent)))
+            .collect();
+        for _ in 0..wanted {
+            for (entry, order) in entries.iter().zip(&orders) {
+                self.take_one(entry.0, order, wanted, room);
             }
-            let free = || order.iter().filter(|it| !subset.contains(&agents[**it].0));
-            let preferred = free().find(|it| taken[**it] < room);
-            let Some(choice) = preferred.or_else(|| free().min_by_key(|it| taken[**it])) else {
-                continue;
-            };
-            taken[*choice] += 1;
-            subset.push(agents[*choice].0);
         }
     }
-}
 
-/// Eligible agents, by the hash of the pair.
-fn preference<'a>(
-    entry: &PlacedVm<'a>,
-    agents: &[PlacedVm<'a>],
-    is_eligible: &dyn Fn(&PlacedVm<'a>, &PlacedVm<'a>) -> bool,
-) -> Vec<usize> {
-    let seed = xxh3_64_with_seed(entry.0.as_str().as_bytes(), 0);
-    let mut order: Vec<usize> =
-        (0..agents.len()).filter(|it| is_eligible(entry, &agents[*it])).collect();
-    order.sort_by_key(|it| xxh3_64_with_seed(agents[*it].0.as_str().as_bytes(), seed));
-    order
+    fn take_one(&mut self, entry: &'a VmId, order: &[usize], wanted: usize, room: usize) {
+        let Some(subset) = self.subsets.get_mut(entry) else { return };
+        if subset.len() >= wanted {
+            return;
+        }
+        let free = || order.iter().filter(|it| !subset.contains(&self.agents[**it].0));
+        let preferred = free().find(|it| self.taken[**it] < room);
+        let choice = preferred.or_else(|| free().min_by_key(|it| self.taken[**it]));
+        let Some(choice) = choice.copied() else { return };
+        self.taken[choice] += 1;
+        subset.push(self.agents[choice].0);
+    }
+
+    /// Eligible agents, by the hash of the pair.
+    fn preference(
+        &self,
+        entry: &PlacedVm<'a>,
+        is_eligible: impl Fn(&PlacedVm<'a>) -> bool,
+    ) -> Vec<usize> {
+        let seed = xxh3_64_with_seed(entry.0.as_str().as_bytes(), 0);
+        let mut order: Vec<usize> =
+            (0..self.agents.len()).filter(|it| is_eligible(&self.agents[*it])).collect();
+        order.sort_by_key(|it| xxh3_64_with_seed(self.agents[*it].0.as_str().as_bytes(), seed));
+        order
+    }
 }
