Spend a fixed number of links on the services; report only what changes choices

Cause: six links for each of 22 services, 59 bytes a second each with IP and UDP headers (the proxies had counted payload only), and a report each second on each, came to over 5 kB a second; at today's sizes six links of one service left servers idle for no gain. Change: 96 links over all services, at least four each; keep-alives each 3 s; an agent reports when it comes, goes, bears more or less, or work begins or ceases to wait. JSON files, the wall clock and the core's default settings are read in one place each. Ruled out: keep-alives each 5 s (a dead peer would be noticed after 12 s).

--- a/src/core/fanout.rs
+++ b/src/core/fanout.rs
@@ -11,6 +11,10 @@
 
 use crate::units::{FailureDomain, VmId};
 
+/// Links of one entry, as long as each service gets [`MIN_LINKS_EACH`].
+const MAX_LINKS: usize = 96;
+/// Least number of links for each service.
+const MIN_LINKS_EACH: usize = 4;
 /// Most entries that keep one agent, over the mean.
 const MAX_OVER_MEAN: f64 = 1.2;
 
@@ -26,9 +30,18 @@
     pub far: usize,
 }
 
-impl Default for FanoutSettings {
-    fn default() -> Self {
-        Self { near: 3, far: 3 }
+impl FanoutSettings {
+    /// Spends a fixed number of links of each entry evenly on the services, half of them in the
+    /// entry's own failure domain.
+    ///
+    /// ```
+    /// use alderbay::core::FanoutSettings;
+    /// assert_eq!(FanoutSettings::for_services(22), FanoutSettings { near: 2, far: 2 });
+    /// assert_eq!(FanoutSettings::for_services(2), FanoutSettings { near: 24, far: 24 });
+    /// ```
+    pub fn for_services(services: usize) -> Self {
+        let each = (MAX_LINKS / services.max(1)).max(MIN_LINKS_EACH);
+        Self { near: each / 2, far: each - each / 2 }
     }
 }
 
@@ -38,7 +51,8 @@
 /// ```
 /// use alderbay::core::{FanoutSettings, assign_agents};
 /// let (entry, agent, domain) = ("e".parse()?, "a".parse()?, "d".parse()?);
-/// let subsets = assign_agents(&[(&entry, &domain)], &[(&agent, &domain)], FanoutSettings::default());
+/// let settings = FanoutSettings::for_services(1);
+/// let subsets = assign_agents(&[(&entry, &domain)], &[(&agent, &domain)], settings);
 /// assert_eq!(subsets[&entry], [&agent]);
 /// # Ok::<(), alderbay::units::IdError>(())
 /// ```
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -143,8 +143,9 @@
                 agents.push((&record.vm, &record.failure_domain));
             }
         }
+        let settings = FanoutSettings::for_services(by_service.len());
         for agents in by_service.values() {
-            let subsets = assign_agents(&entries, agents, FanoutSettings::default());
+            let subsets = assign_agents(&entries, agents, settings);
             let Some(kept) = subsets.get(own) else { continue };
             subset.extend(kept.iter().map(|it| (*it).clone()));
         }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -45,6 +45,30 @@
     pub seed: u64,
 }
 
+impl CoreSettings {
+    /// Settings with defaults for all bounds, and a life and seed of zero.
+    ///
+    /// ```
+    /// use alderbay::{core::{CoreSettings, ProcessState}, wire::PeerRole};
+    /// let settings = CoreSettings::new("e-1".parse()?, PeerRole::Entry, "east".parse()?);
+    /// assert!(!ProcessState::new(settings).is_ready());
+    /// # Ok::<(), alderbay::units::IdError>(())
+    /// ```
+    pub fn new(vm: VmId, role: PeerRole, failure_domain: FailureDomain) -> Self {
+        Self {
+            vm,
+            role,
+            failure_domain,
+            incarnation: IncarnationId(0),
+            services: Vec::new(),
+            attempts: AttemptSettings::default(),
+            ramp: RampSettings::default(),
+            queue: QueueSettings::default(),
+            seed: 0,
+        }
+    }
+}
+
 /// Everything a process knows.
 #[derive(Clone, Debug)]
 pub struct ProcessState {
--- a/src/daemon/control_stream.rs
+++ b/src/daemon/control_stream.rs
@@ -23,7 +23,7 @@
 
 /// Longest control message; a whole configuration is the largest.
 const MAX_NOTICE: ByteCount = ByteCount(16 << 20);
-/// Shortest time between two reports that differ in load only. Reports also ride on the answers.
+/// Shortest time between two reports of an agent that neither comes nor leaves.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a control stream ended.
@@ -133,21 +133,27 @@
     }
 }
 
-/// Waits for a report worth sending: at once where the agent comes or leaves, else no more than one
-/// an interval.
+/// Waits for a report worth sending: at once where the agent comes or leaves, and no more than one
+/// an interval where the server bears more or less, or work begins or ceases to wait. How much runs
+/// rides on the answers.
 async fn next_report(
     report: &mut watch::Receiver<AgentReport>,
     last: Option<(AgentReport, Instant)>,
 ) {
     let Some((sent, at)) = last else { return };
     // The sender lives in the shell, as long as the process does; its end would only end the wait.
-    let _ = report.wait_for(|it| *it != sent).await;
+    let _ = report.wait_for(|it| differs(it, &sent)).await;
     tokio::select! {
         _ = report.wait_for(|it| it.state != sent.state) => {}
         () = tokio::time::sleep_until(at + REPORT_INTERVAL) => {}
     }
 }
 
+fn differs(now: &AgentReport, sent: &AgentReport) -> bool {
+    let waits = |it: &AgentReport| it.waiting > 0;
+    now.state != sent.state || now.limit != sent.limit || waits(now) != waits(sent)
+}
+
 async fn read_notices(
     shell: &ProcessShell,
     peer: &VmId,
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -337,16 +337,15 @@
 }
 
 fn core_settings(settings: &Settings, incarnation: IncarnationId) -> CoreSettings {
+    let identity = &settings.identity;
     let base = CoreSettings {
-        vm: settings.identity.vm.clone(),
-        role: settings.role.role(),
-        failure_domain: settings.identity.failure_domain.clone(),
         incarnation,
-        services: Vec::new(),
-        attempts: Default::default(),
-        ramp: Default::default(),
-        queue: Default::default(),
         seed: incarnation.0,
+        ..CoreSettings::new(
+            identity.vm.clone(),
+            settings.role.role(),
+            identity.failure_domain.clone(),
+        )
     };
     match &settings.role {
         RoleSettings::Entry(entry) => CoreSettings { attempts: entry.attempts, ..base },
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -22,6 +22,7 @@
         BodyError, DEADLINE_MS, IDEMPOTENCY_KEY, REQUEST_ID, discard_body, error_answer, read_body,
     },
     options::{EntrySettings, RoleSettings},
+    telemetry::wall_clock_ms,
     units::{ClientAccount, PriorityLevel, RequestId, ServiceName},
     wire::{HeaderPair, RunKey, RunMode, RunTicket, WorkKind, WorkOrder},
 };
@@ -287,8 +288,7 @@
     let (seconds, nanos) =
         key.get_timestamp().ok_or_else(|| bad(RefusalCode::BadIdempotencyKey))?.to_unix();
     let made_at = Duration::new(seconds, nanos);
-    let now =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let now = Duration::from_millis(wall_clock_ms());
     let is_expired = now.saturating_sub(made_at) > MAX_KEY_AGE;
     let is_ahead = made_at.saturating_sub(now) > MAX_KEY_AGE;
     match (is_expired, is_ahead) {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -10,13 +10,13 @@
 pub use arguments::{
     ControlArguments, ControlCommand, ListCommand, PublishOptions, StateCommand, control_arguments,
 };
-pub use lists::{ListFile, ListFileError};
+pub use lists::ListFile;
 
 use std::process::ExitCode;
 
 use thiserror::Error;
 
-use crate::{config::EditError, platform::PlatformError, units::VmId};
+use crate::{config::EditError, options::JsonFileError, platform::PlatformError, units::VmId};
 use fleet::FleetClient;
 
 /// Exit code of an edit that was rejected.
@@ -34,7 +34,7 @@
     Platform(#[from] PlatformError),
     /// The lists' file is refused.
     #[error(transparent)]
-    ListFile(#[from] ListFileError),
+    ListFile(#[from] JsonFileError),
     /// All processes came to the same verdict.
     #[error("rejected: {0}")]
     Rejected(#[from] EditError),
--- a/src/operator/lists.rs
+++ b/src/operator/lists.rs
@@ -1,45 +1,18 @@
 //! The operators' two lists as a file: shown, checked, compared, published.
 
-use std::{
-    collections::BTreeMap,
-    io,
-    path::{Path, PathBuf},
-};
+use std::{collections::BTreeMap, io};
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use super::{ListCommand, OperatorError, fleet::FleetClient, publish, render::Output};
 use crate::{
     config::{
         AccountRecord, ConfigChange, ConfigLedger, EntryKey, EntryValue, KeyHash, PlanRecord,
     },
+    options::read_json_file,
     units::{ClientAccount, ConfigVersion, PlanId},
 };
 
-/// Why a file of lists is refused.
-#[derive(Debug, Error)]
-pub enum ListFileError {
-    /// The file cannot be read.
-    #[error("{}: {source}", path.display())]
-    Unreadable {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        source: io::Error,
-    },
-    /// The text is not JSON of the right shape.
-    #[error("{}: at {field}: {source}", path.display())]
-    BadField {
-        /// The file.
-        path: PathBuf,
-        /// Path of the field.
-        field: String,
-        /// What is wrong.
-        source: serde_json::Error,
-    },
-}
-
 /// Both lists.
 ///
 /// ```
@@ -58,22 +31,6 @@
 }
 
 impl ListFile {
-    /// Reads a file.
-    ///
-    /// # Errors
-    ///
-    /// The file is unreadable or holds a bad field; the error names it.
-    pub fn read(path: &Path) -> Result<Self, ListFileError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| ListFileError::Unreadable { path: path.to_owned(), source })?;
-        let mut decoder = serde_json::Deserializer::from_str(&text);
-        serde_path_to_error::deserialize(&mut decoder).map_err(|error| ListFileError::BadField {
-            path: path.to_owned(),
-            field: error.path().to_string(),
-            source: error.into_inner(),
-        })
-    }
-
     /// The lists in force.
     pub fn of_ledger(ledger: &ConfigLedger) -> Self {
         let mut lists = Self::default();
@@ -146,13 +103,13 @@
         }
         ListCommand::Check { file } => {
             let ledger = client.ledger().await?;
-            let changes = ListFile::read(&file)?.changes_from(&ledger);
+            let changes = read_json_file::<ListFile>(&file)?.changes_from(&ledger);
             show_diff(output, &ledger, &changes)?;
             publish::check(&ledger, changes)
         }
         ListCommand::Publish { yes, options, file } => {
             let ledger = client.ledger().await?;
-            let changes = ListFile::read(&file)?.changes_from(&ledger);
+            let changes = read_json_file::<ListFile>(&file)?.changes_from(&ledger);
             show_diff(output, &ledger, &changes)?;
             if changes.is_empty() {
                 return Ok(());
--- a/src/operator/publish.rs
+++ b/src/operator/publish.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, IsTerminal, Write},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use tokio::time::{Instant, sleep};
@@ -12,6 +12,7 @@
 use crate::{
     config::{ConfigChange, ConfigEdit, ConfigLedger, ConfigRecord, EditVerdict, EntryValue},
     platform::{PlatformError, streams},
+    telemetry::wall_clock_ms,
     units::{ConfigVersion, EditId, VmId},
 };
 
@@ -64,11 +65,10 @@
 
 fn new_edit(changes: Vec<ConfigChange>, options: &PublishOptions) -> ConfigEdit {
     let edit_id = Uuid::new_v4().to_string();
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     ConfigEdit {
         edit_id: edit_id.parse().unwrap_or_else(|_| unreachable!("a UUID is an identifier")),
         author: options.author.clone(),
-        published_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+        published_ms: wall_clock_ms(),
         reason: options.reason.clone(),
         changes,
     }
--- a/src/options.rs
+++ b/src/options.rs
@@ -1,9 +1,11 @@
 //! Command-line arguments and the settings file, merged and validated once.
 
 mod arguments;
+mod json_file;
 mod settings;
 
 pub use arguments::{DaemonArguments, daemon_arguments};
+pub use json_file::{JsonFileError, read_json_file};
 pub use settings::{
     AgentSettings, EntrySettings, HttpLimits, IdentitySettings, LogLevel, PeerSettings,
     PlatformSettings, RoleSettings, Settings, SettingsError, StopSettings, TelemetrySettings,
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    fmt, io,
+    fmt,
     net::SocketAddr,
     path::{Path, PathBuf},
     str::FromStr,
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use super::{JsonFileError, read_json_file};
 use crate::{
     core::{AttemptSettings, QueueSettings, RampSettings},
     units::{ByteCount, FailureDomain, ServiceName, VmId},
@@ -22,24 +23,9 @@
 /// Why the settings are refused.
 #[derive(Debug, Error)]
 pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("{}: {source}", path.display())]
-    Unreadable {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        source: io::Error,
-    },
-    /// The text is not JSON of the right shape.
-    #[error("{}: at {field}: {source}", path.display())]
-    BadField {
-        /// The file.
-        path: PathBuf,
-        /// Path of the field.
-        field: String,
-        /// What is wrong and what it may be.
-        source: serde_json::Error,
-    },
+    /// The file is refused.
+    #[error(transparent)]
+    File(#[from] JsonFileError),
     /// A value is outside its bounds.
     #[error("at {field}: {value} is not {allowed}")]
     OutOfBounds {
@@ -298,17 +284,7 @@
     ///
     /// As [`super::merge`].
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
-        let mut decoder = serde_json::Deserializer::from_str(&text);
-        let mut settings: Self =
-            serde_path_to_error::deserialize(&mut decoder).map_err(|error| {
-                SettingsError::BadField {
-                    path: path.to_owned(),
-                    field: error.path().to_string(),
-                    source: error.into_inner(),
-                }
-            })?;
+        let mut settings: Self = read_json_file(path)?;
         let folder = path.parent().unwrap_or(Path::new(""));
         for file in settings.peers.files() {
             *file = folder.join(&*file);
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,9 +1,6 @@
 //! Logs as JSON lines on standard error, one object an event.
 
-use std::{
-    io::{self, Write},
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::io::{self, Write};
 
 use log::{
     Level, LevelFilter, Log, Metadata, Record, SetLoggerError,
@@ -13,6 +10,7 @@
 use simplelog::{CombinedLogger, Config, SharedLogger};
 use thiserror::Error;
 
+use super::wall_clock_ms;
 use crate::{options::LogLevel, units::VmId};
 
 /// Why logging could not be started.
@@ -67,8 +65,7 @@
             return;
         }
         let mut line = Map::new();
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        line.insert("at_ms".into(), u64::try_from(at.as_millis()).unwrap_or(u64::MAX).into());
+        line.insert("at_ms".into(), wall_clock_ms().into());
         line.insert("level".into(), record.level().as_str().to_ascii_lowercase().into());
         line.insert("vm".into(), self.vm.as_str().into());
         line.insert("module".into(), record.target().into());
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -22,9 +22,9 @@
 pub const CERTIFICATE_NAME: &str = "alderbay";
 
 /// Silence after which a peer is taken for lost.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Interval of keep-alives on a silent connection.
-const KEEP_ALIVE: Duration = Duration::from_secs(2);
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
 /// Requests at once on one connection. Each possible one costs memory on every connection.
 const MAX_STREAMS: u32 = 256;
 /// Bytes that a peer may send ahead on one stream, so that a slow caller holds its engine back.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -17,6 +17,7 @@
 mod plan_limits;
 mod reducer_replay;
 mod run_once;
+mod slow_caller;
 mod whole_answer;
 mod whole_path;
 
