Test the retry budget and the order of waiting work

Cause: the bound on retries and the order in which an agent starts, sheds and expires work had no test of their own.

--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -106,3 +106,73 @@
         self.waiting.values().map(|it| it.deadline).min()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+    use crate::{units::PriorityLevel, wire::RunMode};
+
+    fn facts(work: u64, account: &str, priority: u8, deadline: u64) -> WorkFacts {
+        WorkFacts {
+            work: WorkId(work),
+            account: account.parse().unwrap(),
+            service: "llm".parse().unwrap(),
+            priority: PriorityLevel(priority),
+            deadline: Moment(deadline),
+            mode: RunMode::Idempotent,
+        }
+    }
+
+    fn started(queue: &mut WorkQueue) -> Option<u64> {
+        queue.start_next().map(|it| it.work.0)
+    }
+
+    #[gtest]
+    fn urgent_work_starts_first() {
+        let mut queue = WorkQueue::default();
+        for it in [facts(1, "a", 0, 5), facts(2, "b", 2, 9), facts(3, "c", 2, 7)] {
+            assert_that!(queue.push(it, QueueSettings::default()), none());
+        }
+        assert_that!(started(&mut queue), some(eq(3)));
+        assert_that!(started(&mut queue), some(eq(2)));
+        assert_that!(started(&mut queue), some(eq(1)));
+        assert_that!(started(&mut queue), none());
+    }
+
+    #[gtest]
+    fn account_with_less_running_starts_first() {
+        let mut queue = WorkQueue::default();
+        for it in [facts(1, "a", 0, 1), facts(2, "a", 0, 2), facts(3, "b", 0, 9)] {
+            queue.push(it, QueueSettings::default());
+        }
+        assert_that!(started(&mut queue), some(eq(1)));
+        assert_that!(started(&mut queue), some(eq(3)));
+        queue.end(WorkId(1));
+        assert_that!(started(&mut queue), some(eq(2)));
+    }
+
+    #[gtest]
+    fn full_queue_sheds_least_urgent() {
+        let mut queue = WorkQueue::default();
+        let settings = QueueSettings { max_waiting: 2 };
+        queue.push(facts(1, "a", 1, 5), settings);
+        queue.push(facts(2, "b", 0, 5), settings);
+        let shed = queue.push(facts(3, "c", 2, 5), settings).map(|it| it.work);
+        assert_that!(shed, some(eq(WorkId(2))));
+        let shed = queue.push(facts(4, "d", 0, 1), settings).map(|it| it.work);
+        assert_that!(shed, some(eq(WorkId(4))));
+    }
+
+    #[gtest]
+    fn late_work_expires() {
+        let mut queue = WorkQueue::default();
+        queue.push(facts(1, "a", 0, 5), QueueSettings::default());
+        queue.push(facts(2, "a", 0, 8), QueueSettings::default());
+        assert_that!(queue.next_deadline(), some(eq(Moment(5))));
+        let expired: Vec<u64> = queue.expire(Moment(5)).into_iter().map(|it| it.work.0).collect();
+        assert_that!(expired, elements_are![eq(&1)]);
+        assert_that!(queue.waiting(), eq(1));
+    }
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -16,6 +16,7 @@
 mod operator_tool;
 mod plan_limits;
 mod reducer_replay;
+mod retry_budget;
 mod run_once;
 mod slow_caller;
 mod whole_answer;
