Split each plan's grant over the entries by demand

Cause: each entry gave out an equal part of each grant, so an account whose callers reach one of n entries got a n-th of what its plan grants. Change: entries report an account's demand each second to its home, found by hashing; the home grants a floor to each and the rest by demand; shares end after 3 s, and an entry without a fresh one gives out an equal part, so that parts that are cut off go on. An entry gets more only once the others know that they have less. Also: shorter help, ids made from UUIDs without a check that cannot fail.

--- a/src/config/ledger.rs
+++ b/src/config/ledger.rs
@@ -258,22 +258,31 @@
         verdict
     }
 
-    /// Says whether the edit would be accepted now.
-    pub fn check(&self, edit: &ConfigEdit) -> Result<(), EditError> {
+    fn check(&self, edit: &ConfigEdit) -> Result<(), EditError> {
         if self.verdicts.iter().any(|it| it.edit_id == edit.edit_id) {
             return Err(EditError::Repeated { edit_id: edit.edit_id.clone() });
         }
-        if edit.changes.is_empty() {
+        self.check_changes(&edit.changes)
+    }
+
+    /// Says whether an edit of these changes would be accepted now.
+    ///
+    /// ```
+    /// use alderbay::config::{ConfigLedger, EditError};
+    /// assert_eq!(ConfigLedger::default().check_changes(&[]), Err(EditError::Empty));
+    /// ```
+    pub fn check_changes(&self, changes: &[ConfigChange]) -> Result<(), EditError> {
+        if changes.is_empty() {
             return Err(EditError::Empty);
         }
         let mut seen = BTreeSet::new();
-        for change in &edit.changes {
+        for change in changes {
             if !seen.insert(&change.key) {
                 return Err(EditError::ChangedTwice { key: change.key.clone() });
             }
             self.check_change(change)?;
         }
-        self.check_plans(edit)
+        self.check_plans(changes)
     }
 
     fn check_change(&self, change: &ConfigChange) -> Result<(), EditError> {
@@ -300,9 +309,9 @@
 
     /// Every account must be on a plan that exists after the edit. Accounts that the edit leaves alone
     /// are looked through only where it removes a plan.
-    fn check_plans(&self, edit: &ConfigEdit) -> Result<(), EditError> {
+    fn check_plans(&self, changes: &[ConfigChange]) -> Result<(), EditError> {
         let changed: BTreeMap<&EntryKey, Option<&EntryValue>> =
-            edit.changes.iter().map(|it| (&it.key, it.value.as_ref())).collect();
+            changes.iter().map(|it| (&it.key, it.value.as_ref())).collect();
         let exists_after = |key: &EntryKey| match changed.get(key) {
             Some(value) => value.is_some(),
             None => self.entries.contains_key(key),
--- a/src/core.rs
+++ b/src/core.rs
@@ -16,6 +16,7 @@
 mod requests;
 mod retry;
 mod routing;
+mod shares;
 mod state;
 
 pub use capacity::{CapacityRamp, RampSettings};
@@ -31,4 +32,5 @@
 pub use requests::{AttemptSettings, RequestTable};
 pub use retry::RetryBudget;
 pub use routing::{RouteChoice, ServerView, choose_home, choose_server};
+pub use shares::{DemandReport, DemandTable, HomeTable, ShareGrant, home_entry};
 pub use state::{BALANCER_LAG, CoreSettings, ProcessState, reduce};
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{KnownAnswer, WorkId};
+use super::{DemandReport, KnownAnswer, ShareGrant, WorkId};
 use crate::{
     config::EditVerdict,
     units::{ConfigVersion, Moment, PriorityLevel, RequestId, VmId},
@@ -31,6 +31,22 @@
     EditJudged(EditVerdict),
     /// Record in the audit trail what the process did by itself.
     Audit(AuditFact),
+    /// Report demand to the home of these accounts.
+    ReportDemand {
+        /// The home.
+        home: VmId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The demand.
+        reports: Vec<DemandReport>,
+    },
+    /// Answer the demand that an entry has just reported.
+    AnswerDemand {
+        /// The entry.
+        to: VmId,
+        /// Its shares.
+        grants: Vec<ShareGrant>,
+    },
     /// Send the request to this server.
     Attempt {
         /// The request.
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ClaimRecord, StoredAnswer, VmRecord};
+use super::{ClaimRecord, DemandReport, ShareGrant, StoredAnswer, VmRecord};
 use crate::{
     config::{ConfigSnapshot, KeyHash},
     platform::LogPage,
@@ -59,6 +59,17 @@
     },
     /// A caller's request was read and is to be routed.
     RequestArrived(RequestFacts),
+    /// An interval of demand is over.
+    DemandDue,
+    /// Another entry reported its demand to this home.
+    DemandReported {
+        /// The entry.
+        from: VmId,
+        /// Its demand by account.
+        reports: Vec<DemandReport>,
+    },
+    /// A home granted shares to this entry.
+    SharesGranted(Vec<ShareGrant>),
     /// An attempt at a backend server ended.
     AttemptEnded {
         /// The request.
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -94,14 +94,14 @@
         self.peers.get(vm)
     }
 
-    /// Entries that give out shares of the plans, this one included.
-    pub fn count_entries(&self, ledger: &ConfigLedger) -> usize {
-        let counts = |it: &&VmRecord| {
+    /// Entries that give out shares of the plans.
+    pub fn entries(&self, ledger: &ConfigLedger) -> impl Iterator<Item = &VmRecord> {
+        let in_service = |it: &&VmRecord| {
             it.role == PeerRole::Entry
                 && it.state == ServiceState::In
                 && ledger.vm_state(&it.vm, &it.failure_domain) == ServiceState::In
         };
-        self.listed.values().filter(counts).count().max(1)
+        self.listed.values().filter(in_service)
     }
 
     /// Takes over a new VM list and says which agents entry `own` connects to or lets go. An empty
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -8,13 +8,15 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
-    AttemptSettings, AuditFact, CapacityRamp, ClaimOwner, ClaimTable, Effect, Event, MemberTable,
-    PlanLimits, PlanShare, QueueSettings, RampSettings, RequestTable, RetryBudget, TimedEvent,
-    WorkFacts, WorkId, WorkQueue,
+    AttemptSettings, AuditFact, CapacityRamp, ClaimOwner, ClaimTable, DemandTable, Effect, Event,
+    HomeTable, MemberTable, PlanLimits, PlanShare, QueueSettings, RampSettings, RequestTable,
+    RetryBudget, TimedEvent, WorkFacts, WorkId, WorkQueue,
 };
 use crate::{
     config::{ConfigLedger, ServiceState},
-    units::{ConfigVersion, FailureDomain, IncarnationId, Moment, ServiceName, VmId},
+    units::{
+        ClientAccount, ConfigVersion, FailureDomain, IncarnationId, Moment, ServiceName, VmId,
+    },
     wire::{AgentReport, PeerRole},
 };
 
@@ -76,7 +78,10 @@
     pub(super) ledger: ConfigLedger,
     pub(super) members: MemberTable,
     pub(super) limits: PlanLimits,
+    /// The equal part of each grant, where no share by demand is fresh.
     pub(super) share: PlanShare,
+    pub(super) demand: DemandTable,
+    pub(super) homes: HomeTable,
     pub(super) requests: RequestTable,
     pub(super) budget: RetryBudget,
     pub(super) ramp: CapacityRamp,
@@ -100,6 +105,8 @@
             members: MemberTable::default(),
             limits: PlanLimits::default(),
             share: PlanShare::default(),
+            demand: DemandTable::default(),
+            homes: HomeTable::default(),
             requests: RequestTable::default(),
             budget: RetryBudget::default(),
             ramp: CapacityRamp::new(settings.ramp),
@@ -130,6 +137,11 @@
         &self.requests
     }
 
+    /// Fresh shares of plans by account; entries.
+    pub fn shares(&self, now: Moment) -> BTreeMap<ClientAccount, f64> {
+        self.demand.fresh(now)
+    }
+
     /// What this agent can take now.
     pub fn report(&self) -> AgentReport {
         AgentReport {
@@ -218,6 +230,15 @@
             state.members.report(&vm, report);
             Vec::new()
         }
+        Event::DemandDue => entry::demand_due(state, now),
+        Event::DemandReported { from, reports } => {
+            let grants = entry::grants_for(state, &from, reports, now);
+            vec![Effect::AnswerDemand { to: from, grants }]
+        }
+        Event::SharesGranted(grants) => {
+            state.demand.grant(grants, now);
+            Vec::new()
+        }
         Event::RequestArrived(facts) => entry::request_arrived(state, facts, now),
         Event::AttemptEnded { request_id, vm, outcome } => {
             entry::attempt_ended(state, &request_id, &vm, &outcome, now)
@@ -277,7 +298,8 @@
 }
 
 fn refresh_share(state: &mut ProcessState) {
-    state.share = PlanShare(1.0 / state.members.count_entries(&state.ledger) as f64);
+    let entries = state.members.entries(&state.ledger).count().max(1);
+    state.share = PlanShare(1.0 / entries as f64);
 }
 
 fn compare_config(
--- a/src/core/state/entry.rs
+++ b/src/core/state/entry.rs
@@ -1,6 +1,6 @@
 //! Events of an entry: callers' requests and attempts at backend servers.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use rand::rngs::SmallRng;
 
@@ -8,8 +8,9 @@
 use crate::{
     config::{ConfigLedger, PlanRecord, ServiceState},
     core::{
-        AttemptOutcome, CoreSettings, Effect, MemberTable, Refusal, RefusalCode, RequestFacts,
-        RouteChoice, ServerView, choose_home, choose_server,
+        AttemptOutcome, CoreSettings, DemandReport, Effect, MemberTable, PlanShare, Refusal,
+        RefusalCode, RequestFacts, RouteChoice, ServerView, ShareGrant, choose_home, choose_server,
+        home_entry,
         requests::{NextStep, RequestState},
     },
     units::{ConfigVersion, Moment, RequestId, TokenCount, VmId},
@@ -50,7 +51,9 @@
         return Err(Refusal::not_run(RefusalCode::ShuttingDown).retry_after(Duration::ZERO));
     }
     let plan = authorise(state, facts)?;
-    state.limits.admit(&facts.account, &plan, state.share, now)?;
+    state.demand.note(&facts.account);
+    let share = PlanShare(state.demand.share(&facts.account, state.share.0, now));
+    state.limits.admit(&facts.account, &plan, share, now)?;
     Ok(plan)
 }
 
@@ -199,3 +202,37 @@
         None => Vec::new(),
     }
 }
+
+/// Reports each account's demand to its home; this entry's own accounts are granted at once.
+pub(super) fn demand_due(state: &mut ProcessState, now: Moment) -> Vec<Effect> {
+    let mut by_home: BTreeMap<VmId, Vec<DemandReport>> = BTreeMap::new();
+    for report in state.demand.close_interval(now) {
+        let entries = state.members.entries(&state.ledger).map(|it| &it.vm);
+        let Some(home) = home_entry(entries, &report.account) else { continue };
+        by_home.entry(home.clone()).or_default().push(report);
+    }
+    let own = state.settings.vm.clone();
+    if let Some(reports) = by_home.remove(&own) {
+        let grants = grants_for(state, &own, reports, now);
+        state.demand.grant(grants, now);
+    }
+    let address_of =
+        |vm: &VmId| state.members.listed().find(|it| it.vm == *vm).map(|it| it.address);
+    by_home
+        .into_iter()
+        .filter_map(|(home, reports)| {
+            let address = address_of(&home)?;
+            Some(Effect::ReportDemand { home, address, reports })
+        })
+        .collect()
+}
+
+pub(super) fn grants_for(
+    state: &mut ProcessState,
+    entry: &VmId,
+    reports: Vec<DemandReport>,
+    now: Moment,
+) -> Vec<ShareGrant> {
+    let entries = state.members.entries(&state.ledger).count();
+    state.homes.report(entry, reports, entries, now)
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,8 +15,8 @@
 pub use clock::ProcessClock;
 pub use control_stream::{ControlError, exchange_hellos, run_control};
 pub use shell::{
-    AttemptNote, DaemonError, ExplainedRequest, PeerCommand, ProcessShell, RequestCommand,
-    ShellInbox, WorkCommand,
+    AttemptNote, DaemonError, DemandMessage, ExplainedRequest, PeerCommand, ProcessShell,
+    RequestCommand, ShellInbox, WorkCommand,
 };
 pub use status::{PeerStatus, ProcessStatus};
 
@@ -49,7 +49,9 @@
     tokio::spawn(audit_trail::publish(shell.clone(), inbox.audit));
     tokio::spawn(shell::run_timer(shell.clone()));
     let cut_off = match &settings.role {
-        RoleSettings::Entry(entry) => crate::entry::run(shell, inbox.peers, entry).await?,
+        RoleSettings::Entry(entry) => {
+            crate::entry::run(shell, inbox.peers, inbox.demand, entry).await?
+        }
         RoleSettings::Agent(agent) => crate::agent::run(shell, inbox.claims, agent).await?,
     };
     drop(phase);
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -23,8 +23,8 @@
 use crate::{
     config::EditVerdict,
     core::{
-        AuditFact, CoreSettings, Effect, Event, KnownAnswer, ProcessState, Refusal, TimedEvent,
-        WorkId, reduce,
+        AuditFact, CoreSettings, DemandReport, Effect, Event, KnownAnswer, ProcessState, Refusal,
+        ShareGrant, TimedEvent, WorkId, reduce,
     },
     http::ListenerError,
     options::{RoleSettings, Settings, SettingsError},
@@ -104,6 +104,17 @@
     Disconnect(VmId),
 }
 
+/// Demand to be reported to a home.
+#[derive(Clone, Debug)]
+pub struct DemandMessage {
+    /// The home.
+    pub home: VmId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The demand.
+    pub reports: Vec<DemandReport>,
+}
+
 /// The reducer's state with the mailboxes that its effects go to.
 pub struct ProcessShell {
     state: Mutex<ProcessState>,
@@ -115,6 +126,8 @@
     peers: mpsc::UnboundedSender<PeerCommand>,
     claims: mpsc::UnboundedSender<Vec<RunKey>>,
     audit: mpsc::UnboundedSender<AuditFact>,
+    demand: mpsc::UnboundedSender<DemandMessage>,
+    demand_answers: MailboxMap<VmId, Vec<ShareGrant>>,
     config: watch::Sender<(ConfigVersion, ConfigDigest)>,
     report: watch::Sender<AgentReport>,
     timer: watch::Sender<Option<Moment>>,
@@ -141,6 +154,8 @@
     pub claims: mpsc::UnboundedReceiver<Vec<RunKey>>,
     /// Facts for the audit trail.
     pub audit: mpsc::UnboundedReceiver<AuditFact>,
+    /// Demand to be reported.
+    pub demand: mpsc::UnboundedReceiver<DemandMessage>,
 }
 
 impl ProcessShell {
@@ -158,6 +173,7 @@
         let (peers, peer_commands) = mpsc::unbounded_channel();
         let (claims, claim_requests) = mpsc::unbounded_channel();
         let (audit, facts) = mpsc::unbounded_channel();
+        let (demand, demand_messages) = mpsc::unbounded_channel();
         let report = state.report();
         let shell = Self {
             state: Mutex::new(state),
@@ -169,6 +185,8 @@
             peers,
             claims,
             audit,
+            demand,
+            demand_answers: MailboxMap::default(),
             config: watch::Sender::new((ConfigVersion(0), ConfigDigest(0))),
             report: watch::Sender::new(report),
             timer: watch::Sender::new(None),
@@ -180,7 +198,15 @@
             log: LogClient::new(settings.platform.log_service)?,
             vms: VmListClient::new(settings.platform.vm_list)?,
         };
-        Ok((shell, ShellInbox { peers: peer_commands, claims: claim_requests, audit: facts }))
+        Ok((
+            shell,
+            ShellInbox {
+                peers: peer_commands,
+                claims: claim_requests,
+                audit: facts,
+                demand: demand_messages,
+            },
+        ))
     }
 
     /// Reduces an event and passes its effects on.
@@ -216,6 +242,11 @@
                 // The receiver lives as long as the process.
                 let _ = self.audit.send(fact);
             }
+            Effect::ReportDemand { home, address, reports } => {
+                // The receiver lives as long as the process.
+                let _ = self.demand.send(DemandMessage { home, address, reports });
+            }
+            Effect::AnswerDemand { to, grants } => self.demand_answers.send(&to, grants),
             Effect::Attempt { request_id, vm, priority } => {
                 self.note_attempt(&request_id, &vm);
                 self.requests.send(&request_id, RequestCommand::Attempt { vm, priority });
@@ -267,6 +298,11 @@
         &self.works
     }
 
+    /// Mailboxes of answers to entries that report demand.
+    pub fn demand_answers(&self) -> &MailboxMap<VmId, Vec<ShareGrant>> {
+        &self.demand_answers
+    }
+
     /// Mailboxes of notices to peers.
     pub fn notices(&self) -> &MailboxMap<VmId, PeerNotice> {
         &self.notices
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -1,11 +1,15 @@
 //! What a process tells operators of itself.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use super::ProcessShell;
 use crate::{
     config::ServiceState,
-    units::{ConfigDigest, ConfigVersion, FailureDomain, IncarnationId, ServiceName, VmId},
+    units::{
+        ClientAccount, ConfigDigest, ConfigVersion, FailureDomain, IncarnationId, ServiceName, VmId,
+    },
     wire::{AgentReport, PeerRole},
 };
 
@@ -34,6 +38,8 @@
     pub requests: usize,
     /// What it can take; agents.
     pub report: AgentReport,
+    /// Its fresh shares of plans, by account; an account that is missing gets an equal part.
+    pub shares: BTreeMap<ClientAccount, f64>,
     /// The processes it is connected to.
     pub peers: Vec<PeerStatus>,
 }
@@ -71,6 +77,7 @@
             stopping: state.is_stopping(),
             requests: state.requests().len(),
             report: state.report(),
+            shares: state.shares(shell.clock.now()),
             peers: state
                 .members()
                 .peers()
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod flight;
 mod peers;
+mod shares;
 
 pub use peers::PeerLinks;
 
@@ -13,7 +14,7 @@
 
 use crate::{
     core::{BALANCER_LAG, Event},
-    daemon::{DaemonError, PeerCommand, ProcessShell, stop_signal},
+    daemon::{DaemonError, DemandMessage, PeerCommand, ProcessShell, stop_signal},
     http::{HttpListener, ListenerPhase},
     options::EntrySettings,
     transport::PeerEndpoint,
@@ -28,11 +29,15 @@
 pub async fn run(
     shell: Arc<ProcessShell>,
     commands: mpsc::UnboundedReceiver<PeerCommand>,
+    demand: mpsc::UnboundedReceiver<DemandMessage>,
     settings: &EntrySettings,
 ) -> Result<usize, DaemonError> {
     let endpoint = PeerEndpoint::bind(&shell.settings.peers)?;
     let links = Arc::new(PeerLinks::default());
     tokio::spawn(peers::run(shell.clone(), endpoint.clone(), links.clone(), commands));
+    tokio::spawn(shares::run_clock(shell.clone()));
+    tokio::spawn(shares::send_reports(shell.clone(), endpoint.clone(), demand));
+    tokio::spawn(shares::answer_reports(shell.clone(), endpoint.clone()));
     let (phase, phases) = watch::channel(ListenerPhase::Open);
     let listener = HttpListener::bind(settings.listen, shell.settings.http).await?;
     let router = callers::router(shell.clone(), links);
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -104,9 +104,7 @@
 }
 
 fn new_request_id() -> RequestId {
-    let text = Uuid::new_v4().to_string();
-    // A UUID's text holds nothing but what identifiers may hold.
-    text.parse().unwrap_or_else(|_| unreachable!("a UUID is an identifier"))
+    RequestId::from_uuid(Uuid::new_v4())
 }
 
 /// What the head of a request says.
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -177,12 +177,11 @@
     /// A loss before this attempt's head is a loss in mid-answer to a caller that has a part
     /// already.
     fn while_streaming(&self, outcome: AttemptOutcome) -> AttemptOutcome {
-        match (&self.caller, &outcome) {
-            (CallerSide::Streaming(_), AttemptOutcome::LostUnanswered) => {
-                AttemptOutcome::LostMidAnswer
-            }
-            _ => outcome,
+        let is_streaming = matches!(self.caller, CallerSide::Streaming(_));
+        if is_streaming && outcome == AttemptOutcome::LostUnanswered {
+            return AttemptOutcome::LostMidAnswer;
         }
+        outcome
     }
 
     /// Passes a stream on, event by event.
--- a/src/operator/arguments.rs
+++ b/src/operator/arguments.rs
@@ -10,7 +10,6 @@
     units::{FailureDomain, OperatorName, RequestId, VmId},
 };
 
-/// What the command line says.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(control_arguments))]
 /// Publishes the operators' lists, takes failure domains and VMs out and in, and shows what the
@@ -33,7 +32,7 @@
     pub command: ControlCommand,
 }
 
-/// One command.
+/// Commands
 #[derive(Clone, Debug, Bpaf)]
 pub enum ControlCommand {
     /// Show, check or publish the two lists: accounts with their plans, and what each plan may use.
--- a/src/operator/lists.rs
+++ b/src/operator/lists.rs
@@ -105,7 +105,10 @@
             let ledger = client.ledger().await?;
             let changes = read_json_file::<ListFile>(&file)?.changes_from(&ledger);
             show_diff(output, &ledger, &changes)?;
-            publish::check(&ledger, changes)
+            if !changes.is_empty() {
+                ledger.check_changes(&changes)?;
+            }
+            Ok(())
         }
         ListCommand::Publish { yes, options, file } => {
             let ledger = client.ledger().await?;
@@ -114,7 +117,7 @@
             if changes.is_empty() {
                 return Ok(());
             }
-            publish::check(&ledger, changes.clone())?;
+            ledger.check_changes(&changes)?;
             if !yes && !publish::confirm()? {
                 return Err(OperatorError::NotConfirmed);
             }
--- a/src/operator/publish.rs
+++ b/src/operator/publish.rs
@@ -10,7 +10,7 @@
 
 use super::{OperatorError, PublishOptions, StateCommand, fleet::FleetClient, render::Output};
 use crate::{
-    config::{ConfigChange, ConfigEdit, ConfigLedger, ConfigRecord, EditVerdict, EntryValue},
+    config::{ConfigChange, ConfigEdit, ConfigRecord, EditVerdict, EntryValue},
     platform::{PlatformError, streams},
     telemetry::wall_clock_ms,
     units::{ConfigVersion, EditId, VmId},
@@ -23,22 +23,6 @@
 /// Interval at which processes are asked for their version.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Says whether the changes would be accepted now.
-pub(super) fn check(
-    ledger: &ConfigLedger,
-    changes: Vec<ConfigChange>,
-) -> Result<(), OperatorError> {
-    if changes.is_empty() {
-        return Ok(());
-    }
-    let options = PublishOptions {
-        author: "check".parse().unwrap_or_else(|_| unreachable!("a plain word is a name")),
-        reason: Default::default(),
-        wait: 0,
-    };
-    Ok(ledger.check(&new_edit(changes, &options))?)
-}
-
 /// Asks the operator at the terminal.
 pub(super) fn confirm() -> Result<bool, OperatorError> {
     if !io::stdin().is_terminal() {
@@ -64,9 +48,8 @@
 }
 
 fn new_edit(changes: Vec<ConfigChange>, options: &PublishOptions) -> ConfigEdit {
-    let edit_id = Uuid::new_v4().to_string();
     ConfigEdit {
-        edit_id: edit_id.parse().unwrap_or_else(|_| unreachable!("a UUID is an identifier")),
+        edit_id: EditId::from_uuid(Uuid::new_v4()),
         author: options.author.clone(),
         published_ms: wall_clock_ms(),
         reason: options.reason.clone(),
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -6,10 +6,9 @@
 
 use super::LogLevel;
 
-/// What the command line says.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(daemon_arguments))]
-/// Runs one alderbay process, an entry in front of callers or an agent beside a backend server.
+/// Runs one alderbay process: an entry in front of callers, or an agent beside a backend server.
 pub struct DaemonArguments {
     /// Read the settings from this JSON file.
     #[bpaf(long, argument("FILE"))]
--- a/src/units/ids.rs
+++ b/src/units/ids.rs
@@ -3,8 +3,9 @@
 use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use thiserror::Error;
+use uuid::Uuid;
 
 /// Longest identifier, in bytes.
 const MAX_ID_BYTES: usize = 96;
@@ -117,3 +118,24 @@
     /// The person or program that made an edit.
     OperatorName;
 }
+
+macro_rules! ids_of_uuids {
+    ($($name:ident),*) => {$(
+        impl $name {
+            /// The identifier that reads as the UUID does.
+            ///
+            /// ```
+            /// use uuid::Uuid;
+            #[doc = concat!("use alderbay::units::", stringify!($name), ";")]
+            #[doc = concat!("let id = ", stringify!($name), "::from_uuid(Uuid::nil());")]
+            /// assert_eq!(id.to_string().parse(), Ok(id));
+            /// ```
+            pub fn from_uuid(id: Uuid) -> Self {
+                // The text of a UUID holds nothing but what identifiers may hold.
+                Self(id.to_smolstr())
+            }
+        }
+    )*};
+}
+
+ids_of_uuids!(RequestId, EditId);
--- a/tests/plan_limits.rs
+++ b/tests/plan_limits.rs
@@ -10,8 +10,8 @@
 use crate::{
     launcher,
     support::{
-        callers::Caller,
-        fleet::{Fleet, FleetPlan, LEDGER, MODEL},
+        callers::{Caller, wait_until},
+        fleet::{Fleet, FleetPlan, LEDGER, MODEL, SOON},
         load::SteadyLoad,
     },
 };
@@ -102,3 +102,32 @@
     expect_that!(f64::from(served), le(granted));
     expect_that!(refused, gt(0));
 }
+
+#[gtest]
+#[tokio::test]
+async fn grant_follows_demand() {
+    /// The floor of an entry is a fifth of the grant over three entries; the rest follows demand.
+    const MOST: f64 = 0.8;
+    let mut fleet = Fleet::start(FleetPlan::default(), launcher()).await;
+    let share = async |fleet: &Fleet, entry: usize| {
+        let status = fleet.entries[entry].status().await;
+        status.and_then(|it| it.shares.get(&"tours".parse().unwrap()).copied())
+    };
+    for entry in [0, 1, 2, 0] {
+        let load = SteadyLoad::start(&Caller::new("tours"), &[fleet.entries[entry].listen], 2, 4);
+        let is_lent =
+            wait_until(SOON, || async { share(&fleet, entry).await.is_some_and(|it| it > MOST) })
+                .await;
+        let last = share(&fleet, entry).await;
+        expect_that!(is_lent, eq(true), "entry {entry} has {last:?}");
+        load.stop().await;
+    }
+    // With the others dead, whichever was the account's home, the last gives out its equal part.
+    for entry in 1..3 {
+        fleet.entries[entry].kill();
+    }
+    let load = SteadyLoad::start(&Caller::new("tours"), &[fleet.entries[0].listen], 2, 4);
+    load.wait_whole(50).await;
+    let tally = load.stop().await;
+    expect_that!(tally.wrong, is_empty());
+}
