Read the VM list only where it changed; give a returning entry its floor at once

(2) An entry that comes back into service was granted nothing until the others had reported again, and refused callers for up to a second (`domain_leaves_and_returns` failed with `concurrency_limited`). Change: entity tags on the VM list; a granted share is never below the floor. Result: an unchanged list costs an exchange without a body.

--- a/src/core/shares.rs
+++ b/src/core/shares.rs
@@ -131,8 +131,9 @@
 
 /// Demand of all entries for the accounts whose home this entry is.
 ///
-/// What was granted adds up to no more than the whole at any moment: an entry gets more only once
-/// the others have been told that they have less, or their shares have ended.
+/// What was granted adds up to no more than the whole: an entry gets more only once the others have
+/// been told that they have less, or their shares have ended. Only the floor of an entry that comes
+/// into service is granted at once, before the others have made room.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HomeTable {
     accounts: HashMap<ClientAccount, HomeAccount>,
@@ -191,7 +192,8 @@
         let free = 1.0 - others().map(|it| it.granted).sum::<f64>() - silent * floor;
         let is_new = now.since(self.since) < FIRST_REPORTS;
         let bound = if is_new { free.min(1.0 / entries) } else { free };
-        let granted = wanted.min(bound).max(0.0);
+        // An entry that has just come into service finds nothing free; its floor is due at once.
+        let granted = wanted.min(bound).max(floor);
         self.entries.insert(entry.clone(), EntryDemand { rate, granted, at: now });
         granted
     }
@@ -245,6 +247,17 @@
         }
     }
 
+    #[gtest]
+    fn new_entry_has_its_floor_at_once() {
+        let mut table = HomeTable::default();
+        let (one, two) = ("e-1".parse().unwrap(), "e-2".parse().unwrap());
+        let mut share = |vm, entries, now| table.report(vm, reports(5.0), entries, now)[0].share;
+        share(&one, 1, Moment(0));
+        let now = Moment(0).after(FIRST_REPORTS);
+        assert_that!(share(&one, 1, now), near(1.0, 1e-9));
+        assert_that!(share(&two, 2, now), near(0.1, 1e-9));
+    }
+
     #[gtest]
     fn share_follows_demand_and_ends() {
         let account = "a".parse().unwrap();
--- a/src/daemon/vm_follower.rs
+++ b/src/daemon/vm_follower.rs
@@ -10,11 +10,13 @@
 
 /// Reads the list for ever; while it cannot be read, the last one holds.
 pub(super) async fn follow(shell: Arc<ProcessShell>) {
+    let mut tag = None;
     let mut last = Vec::new();
     loop {
-        match shell.vms.read().await {
-            Ok(list) if list == last => {}
-            Ok(list) => {
+        match shell.vms.read_changed(&mut tag).await {
+            Ok(None) => {}
+            Ok(Some(list)) if list == last => {}
+            Ok(Some(list)) => {
                 last.clone_from(&list);
                 shell.dispatch(Event::VmListRead(list));
             }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -68,9 +68,9 @@
     uri: String,
     timeout: Duration,
 ) -> Result<T, PlatformError> {
-    let (status, body) = exchange(client.get(uri), timeout).await?;
-    if status != http::StatusCode::OK.as_u16() {
-        return Err(PlatformError::Status(status));
+    let (parts, body) = exchange(client.get(uri), timeout).await?;
+    if parts.status != http::StatusCode::OK {
+        return Err(PlatformError::Status(parts.status.as_u16()));
     }
     Ok(serde_json::from_slice(&body)?)
 }
@@ -79,14 +79,14 @@
 async fn exchange(
     request: volo_http::client::RequestBuilder<volo_http::client::Client>,
     timeout: Duration,
-) -> Result<(u16, bytes::Bytes), PlatformError> {
+) -> Result<(http::response::Parts, bytes::Bytes), PlatformError> {
     use volo_http::body::BodyConversion;
 
     let answer = async {
         let response = request.send().await?;
-        let status = response.status().as_u16();
-        let body = response.into_body().into_bytes().await.map_err(PlatformError::Body)?;
-        Ok((status, body))
+        let (parts, body) = response.into_parts();
+        let body = body.into_bytes().await.map_err(PlatformError::Body)?;
+        Ok((parts, body))
     };
     tokio::time::timeout(timeout, answer).await.map_err(|_| PlatformError::Timeout(timeout))?
 }
--- a/src/platform/log_service.rs
+++ b/src/platform/log_service.rs
@@ -65,9 +65,9 @@
     pub async fn append(&self, stream: &str, text: String) -> Result<LogOffset, PlatformError> {
         let uri = format!("http://{}/v1/streams/{stream}/records", self.address);
         let request = self.client.post(uri).data(text);
-        let (status, body) = exchange(request, EXCHANGE_TIMEOUT).await?;
-        if status != 200 {
-            return Err(PlatformError::Status(status));
+        let (parts, body) = exchange(request, EXCHANGE_TIMEOUT).await?;
+        if parts.status != http::StatusCode::OK {
+            return Err(PlatformError::Status(parts.status.as_u16()));
         }
         let answer: AppendAnswer = serde_json::from_slice(&body)?;
         Ok(answer.offset)
