--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -26,8 +26,8 @@
 /// How long a key is remembered. Entries refuse keys that were made more than [`MAX_KEY_AGE`] ago,
 /// so that no retry comes after its key was forgotten.
 const KEY_MEMORY: Duration = Duration::from_secs(30 * 60);
-/// Age at which entries refuse a key; half of [`KEY_MEMORY`], which leaves the rest for clocks that
-/// differ.
+/// Age at which entries refuse a key; half of the time for which they are remembered, which leaves
+/// the rest for clocks that differ.
 pub const MAX_KEY_AGE: Duration = Duration::from_secs(15 * 60);
 
 /// Which life of which agent holds a claim.
