--- a/src/agent/backend.rs
+++ b/src/agent/backend.rs
@@ -27,7 +27,8 @@
     ["connection", "content-length", "keep-alive", "trailer", "transfer-encoding", "upgrade"];
 
 /// Why a call gave no answer.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub(super) enum CallError {
     /// No connection could be made: nothing ran.
     #[error("connecting to the backend server: {0}")]
--- a/src/agent/peers.rs
+++ b/src/agent/peers.rs
@@ -16,7 +16,8 @@
 };
 
 /// Why a connection from an entry ended.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum LinkError {
     #[error(transparent)]
     Connection(#[from] quinn::ConnectionError),
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -20,7 +20,8 @@
 /// assert_eq!(key.to_string(), "plan/gold");
 /// # Ok::<(), alderbay::config::KeyError>(())
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "SmolStr", into = "SmolStr")]
 pub enum EntryKey {
     /// A client account.
@@ -34,7 +35,8 @@
 }
 
 /// Why a text is not an entry's key.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum KeyError {
     /// The part before the slash names no list.
     #[error("{0:?} is not a key: account/…, plan/…, failure_domain/… and vm/… are")]
@@ -87,7 +89,8 @@
 }
 
 /// SHA-256 of an account's secret, in hexadecimal; the secret itself is never published.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(SmolStr);
 
@@ -107,7 +110,8 @@
 }
 
 /// One row of the customers' list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AccountRecord {
     /// The plan the account is on.
@@ -117,7 +121,8 @@
 }
 
 /// One row of the plans' list: what the accounts on a plan may use, each account by itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlanRecord {
     /// Models and services the plan may use.
@@ -134,7 +139,8 @@
 }
 
 /// Whether a failure domain or a VM may be given new work.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServiceState {
     /// May be given work.
@@ -145,7 +151,8 @@
 }
 
 /// The text is neither `in` nor `out`.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{0:?} is neither 'in' nor 'out'")]
 pub struct StateError(SmolStr);
 
@@ -171,7 +178,8 @@
 }
 
 /// The value of an entry; its kind must match the kind of the key.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EntryValue {
     /// For `account/…`.
@@ -183,7 +191,8 @@
 }
 
 /// An entry with the revision that set it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigEntry {
     /// Version of the configuration right after the edit that set this value.
     pub revision: crate::units::ConfigVersion,
--- a/src/config/edits.rs
+++ b/src/config/edits.rs
@@ -8,7 +8,8 @@
 use crate::units::{ClientAccount, ConfigVersion, EditId, OperatorName, PlanId};
 
 /// One record of the configuration stream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum ConfigRecord {
     /// Operators change entries.
@@ -18,7 +19,8 @@
 }
 
 /// A set of changes that is accepted or rejected as one.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigEdit {
     /// Makes the edit recognisable when the answer to its append was lost.
     pub edit_id: EditId,
@@ -34,7 +36,8 @@
 }
 
 /// Replaces or removes one entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigChange {
     /// The entry.
     pub key: EntryKey,
@@ -45,7 +48,8 @@
 }
 
 /// Why an edit is rejected. All processes come to the same reason.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Error)]
 #[serde(rename_all = "snake_case")]
 pub enum EditError {
     /// An edit of this id stands earlier in the stream.
--- a/src/config/ledger.rs
+++ b/src/config/ledger.rs
@@ -20,7 +20,8 @@
 const MAX_VERDICTS: usize = 512;
 
 /// What became of an edit.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EditVerdict {
     /// The edit.
     pub edit_id: EditId,
@@ -37,7 +38,8 @@
 }
 
 /// The whole state, for processes that cannot replay the stream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigSnapshot {
     /// Version the snapshot stands for.
     pub version: ConfigVersion,
@@ -50,7 +52,8 @@
 }
 
 /// Why a snapshot is refused.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Error)]
 pub enum SnapshotError {
     /// The entries do not give the digest that stands beside them.
     #[error("snapshot at version {version}: digest {stated} stated, {computed} computed")]
@@ -82,7 +85,8 @@
 /// let ledger = ConfigLedger::default();
 /// assert_eq!(ledger.version(), ConfigVersion(0));
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigLedger {
     version: ConfigVersion,
     digest: ConfigDigest,
--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -16,7 +16,8 @@
 const USUAL_WEIGHT: f64 = 0.01;
 
 /// What the settings say about one backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RampSettings {
     /// Requests at once that a server bears right after its start.
@@ -53,7 +54,8 @@
 /// ramp.reset();
 /// assert_eq!(ramp.limit().0, 1);
 /// ```
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct CapacityRamp {
     settings: RampSettings,
     progress: u64,
--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -31,7 +31,8 @@
 pub const MAX_KEY_AGE: Duration = Duration::from_secs(15 * 60);
 
 /// Which life of which agent holds a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimOwner {
     /// The agent's VM.
     pub vm: VmId,
@@ -40,7 +41,8 @@
 }
 
 /// One record of the claim stream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// Who claims.
     pub owner: ClaimOwner,
@@ -49,7 +51,8 @@
 }
 
 /// A whole answer of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredAnswer {
     /// HTTP status.
     pub status: u16,
@@ -60,7 +63,8 @@
 }
 
 /// What is known of a key that was run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum KnownAnswer {
     /// Its answer.
     Kept(StoredAnswer),
@@ -70,7 +74,8 @@
     Unknown,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 enum KeyState {
     /// The claim is on its way to the log.
     Claiming,
@@ -84,7 +89,8 @@
     Foreign(ClaimOwner),
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct KeyEntry {
     state: KeyState,
     /// Work that waits for the key, the next one to run first.
@@ -109,7 +115,8 @@
 }
 
 /// All keys that an agent knows.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimTable {
     owner: ClaimOwner,
     replayed: bool,
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -12,7 +12,8 @@
 };
 
 /// Something to be done by the shell around the reducer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Effect {
     /// Keep a connection to this peer.
     Connect {
@@ -99,7 +100,8 @@
 }
 
 /// What a process did by itself, for the audit trail.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AuditFact {
     /// It takes new work no more, by the configuration.
@@ -140,7 +142,8 @@
 }
 
 /// Whether a request ran, as far as is known. The three are never confused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunOutcome {
     /// Provably never handed to a backend server.
@@ -162,7 +165,8 @@
 }
 
 /// What a caller is told in place of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     /// Stable code.
     pub code: RefusalCode,
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -16,7 +16,8 @@
 };
 
 /// An event with the moment at which the process learned of it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TimedEvent {
     /// When.
     pub at: Moment,
@@ -25,11 +26,13 @@
 }
 
 /// Number of one piece of work at an agent, unique in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkId(pub u64);
 
 /// Something that happened.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Event {
     /// A page of the configuration stream was read.
     ConfigRead(LogPage),
@@ -131,7 +134,8 @@
 }
 
 /// What the reducer needs to know of a caller's request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestFacts {
     /// Its id.
     pub request_id: RequestId,
@@ -148,7 +152,8 @@
 }
 
 /// How an attempt at a backend server ended, as the entry sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum AttemptOutcome {
     /// The agent refused; nothing ran.
     Refused(RefusalReason),
@@ -184,7 +189,8 @@
 }
 
 /// What the reducer needs to know of work at an agent.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkFacts {
     /// Its number.
     pub work: WorkId,
@@ -201,7 +207,8 @@
 }
 
 /// How work ended at the backend server, as its agent sees it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum WorkOutcome {
     /// No connection could be made; nothing ran.
     NotHandedOver,
--- a/src/core/limits.rs
+++ b/src/core/limits.rs
@@ -17,7 +17,8 @@
 const BURST_SECONDS: f64 = 1.0;
 
 /// The part of each grant that this entry may give out.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlanShare(pub f64);
 
 impl Default for PlanShare {
@@ -27,7 +28,8 @@
 }
 
 /// Why the account may not make the request now.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum LimitError {
     /// Over its requests or tokens a second.
     #[error("over the plan's rate; {wait_seconds:.3} s to wait")]
@@ -66,7 +68,8 @@
 /// assert!(bucket.wait_seconds(2.0, Moment(0)) > 0.0);
 /// assert_eq!(bucket.wait_seconds(2.0, Moment(1_000_000)), 0.0);
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TokenBucket {
     level: f64,
     filled_at: Moment,
@@ -99,7 +102,8 @@
     (rate * BURST_SECONDS).max(1.0)
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct AccountUse {
     requests: TokenBucket,
     tokens: TokenBucket,
@@ -107,7 +111,8 @@
 }
 
 /// Use of all accounts at this entry.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlanLimits {
     accounts: HashMap<ClientAccount, AccountUse>,
 }
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -16,7 +16,8 @@
 };
 
 /// One row of the VM list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VmRecord {
     /// The VM.
     pub vm: VmId,
@@ -38,7 +39,8 @@
 }
 
 /// What this process knows of one connected peer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerFacts {
     /// What the peer said of itself.
     pub hello: PeerHello,
@@ -62,7 +64,8 @@
 }
 
 /// All VMs listed and all peers connected.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberTable {
     listed: BTreeMap<VmId, VmRecord>,
     peers: BTreeMap<VmId, PeerFacts>,
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -8,7 +8,8 @@
 use crate::units::{ClientAccount, Moment};
 
 /// Bounds of the queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct QueueSettings {
     /// Requests that may wait.
@@ -25,7 +26,8 @@
 ///
 /// The next work to start is the most urgent; among equals, the one whose account has the least
 /// running here; among those, the one with the earliest deadline.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkQueue {
     waiting: BTreeMap<WorkId, WorkFacts>,
     running: BTreeMap<WorkId, WorkFacts>,
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -12,7 +12,8 @@
 };
 
 /// Bounds on attempts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AttemptSettings {
     /// Servers that are asked at most for one request.
@@ -26,7 +27,8 @@
 }
 
 /// One request in progress.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestState {
     /// What the caller asked for.
     pub facts: RequestFacts,
@@ -41,7 +43,8 @@
 }
 
 /// All requests in progress.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestTable {
     requests: BTreeMap<RequestId, RequestState>,
 }
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -19,7 +19,8 @@
 /// (0..11).for_each(|_| budget.deposit());
 /// assert!(budget.withdraw());
 /// ```
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RetryBudget {
     balance: f64,
 }
--- a/src/core/shares.rs
+++ b/src/core/shares.rs
@@ -28,7 +28,8 @@
 const LEAST_DEMAND: f64 = 0.05;
 
 /// Demand of one account at one entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct DemandReport {
     /// The account.
     pub account: ClientAccount,
@@ -37,7 +38,8 @@
 }
 
 /// The part of an account's grant that one entry may give out.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShareGrant {
     /// The account.
     pub account: ClientAccount,
--- a/src/daemon/audit_trail.rs
+++ b/src/daemon/audit_trail.rs
@@ -14,7 +14,8 @@
 const MAX_TRIES: u32 = 30;
 
 /// One record of the audit stream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct AuditRecord {
     /// Wall-clock time, in milliseconds since 1970.
     pub at_ms: u64,
--- a/src/daemon/control_stream.rs
+++ b/src/daemon/control_stream.rs
@@ -27,7 +27,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a control stream ended.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ControlError {
     /// A message could not be exchanged.
     #[error(transparent)]
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -36,7 +36,8 @@
 };
 
 /// Why a process could not run.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum DaemonError {
     /// The settings are refused.
     #[error(transparent)]
--- a/src/daemon/shell/explain.rs
+++ b/src/daemon/shell/explain.rs
@@ -13,7 +13,8 @@
 const MAX_REMEMBERED: usize = 1_000;
 
 /// The course of one request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExplainedRequest {
     /// The request.
     pub request_id: RequestId,
@@ -30,7 +31,8 @@
 }
 
 /// One attempt.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptNote {
     /// The server.
     pub vm: VmId,
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -14,7 +14,8 @@
 };
 
 /// The state of one process.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ProcessStatus {
     /// Its VM.
     pub vm: VmId,
@@ -45,7 +46,8 @@
 }
 
 /// One connected process.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerStatus {
     /// Its VM.
     pub vm: VmId,
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -25,7 +25,8 @@
 const RETRY_PAUSE: Range<Duration> = Duration::from_millis(100)..Duration::from_millis(700);
 
 /// Why a connection to an agent ended.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum LinkError {
     #[error(transparent)]
     Transport(#[from] TransportError),
--- a/src/entry/shares.rs
+++ b/src/entry/shares.rs
@@ -28,7 +28,8 @@
 const MAX_MESSAGE: ByteCount = ByteCount(1 << 20);
 
 /// Why an exchange with another entry failed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum ShareError {
     #[error(transparent)]
     Transport(#[from] TransportError),
@@ -41,7 +42,8 @@
 }
 
 /// One entry's reports.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct DemandQuestion {
     from: VmId,
     reports: Vec<DemandReport>,
--- a/src/experts/balance.rs
+++ b/src/experts/balance.rs
@@ -14,7 +14,8 @@
 const POTENTIAL_EXPONENT: i32 = 12;
 
 /// When weight moves are worth their cost.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BalanceSettings {
     /// Skew at which the search stops.
@@ -34,7 +35,8 @@
 }
 
 /// A decision for one layer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RebalancePlan {
     /// The map after the moves.
     pub map: ExpertMap,
--- a/src/experts/placement.rs
+++ b/src/experts/placement.rs
@@ -6,11 +6,13 @@
 use thiserror::Error;
 
 /// One expert of a layer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ExpertId(pub u16);
 
 /// One rank of a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RankId(pub u16);
 
 impl fmt::Display for ExpertId {
@@ -26,7 +28,8 @@
 }
 
 /// Why slots do not make a map.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum MapError {
     /// The slots do not hold every expert.
     #[error("{experts} experts do not fit into {ranks} ranks of {slots} slots")]
@@ -47,7 +50,8 @@
 }
 
 /// One weight transfer: the expert's weights are fetched into a slot in place of another's.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotMove {
     /// The rank that fetches.
     pub rank: RankId,
@@ -67,7 +71,8 @@
 /// assert_eq!(map.skew(&[1.0; 4]), 1.0);
 /// # Ok::<(), alderbay::experts::MapError>(())
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExpertMap {
     experts: usize,
     slots_per_rank: usize,
--- a/src/experts/popularity.rs
+++ b/src/experts/popularity.rs
@@ -12,7 +12,8 @@
 /// estimate.observe(&[0.0, 4.0]);
 /// assert_eq!(estimate.loads(), [2.0, 2.0]);
 /// ```
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadEstimate {
     loads: Vec<f64>,
     weight: f64,
--- a/src/experts/switch/member.rs
+++ b/src/experts/switch/member.rs
@@ -10,7 +10,8 @@
 type AgentLife = u64;
 
 /// What members tell each other. Messages may be lost, repeated and overtake one another.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum SwitchMessage {
     /// Asks all members to hold for a switch.
     Propose {
@@ -86,7 +87,8 @@
 }
 
 /// What a member that leads a ballot has gathered.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 enum LedBallot {
     /// Members that hold, with their lives.
     Proposal { ballot: SwitchBallot, prepared: BTreeMap<u16, AgentLife> },
@@ -95,7 +97,8 @@
 }
 
 /// One member's agent in one life. All of it is forgotten when the agent restarts.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SwitchMember {
     me: u16,
     life: AgentLife,
--- a/src/experts/switch/ranks.rs
+++ b/src/experts/switch/ranks.rs
@@ -5,21 +5,18 @@
 use serde::{Deserialize, Serialize};
 
 /// One step of the group.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct StepNumber(pub u64);
 
 /// One expert map of the group, numbered in the order of proposals.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct MapNumber(pub u64);
 
 /// Order of proposals and questions: the round first, then the member that began it.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SwitchBallot {
     /// The round; zero is below all ballots in use.
     pub round: u32,
@@ -36,7 +33,8 @@
 }
 
 /// A switch that is prepared and not decided.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct HeldSwitch {
     /// Ballot of the proposal.
     pub ballot: SwitchBallot,
@@ -58,7 +56,8 @@
 /// ranks.settle(ballot);
 /// assert_eq!(ranks.enter_step(), Some((StepNumber(2), MapNumber(7))));
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct GroupRanks {
     entered: StepNumber,
     map: MapNumber,
--- a/src/http/answers.rs
+++ b/src/http/answers.rs
@@ -16,14 +16,16 @@
 };
 
 /// The JSON body of an error: `{"error": {…}}`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// The error.
     pub error: ErrorFields,
 }
 
 /// What a caller learns of an error.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorFields {
     /// Stable code.
     pub code: SmolStr,
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -23,7 +23,8 @@
 const RELAY_DEPTH: usize = 32;
 
 /// Why a body could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum BodyError {
     /// It is over the bound.
     #[error("the body is over {0} bytes")]
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -25,7 +25,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Why a listener could not be opened.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("binding {address}: {source}")]
 pub struct ListenerError {
     address: SocketAddr,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -27,7 +27,8 @@
 const EXIT_NOT_FOUND: u8 = 6;
 
 /// Why a command failed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum OperatorError {
     /// The platform gave no answer that can be used.
     #[error(transparent)]
--- a/src/operator/arguments.rs
+++ b/src/operator/arguments.rs
@@ -10,7 +10,8 @@
     units::{FailureDomain, OperatorName, RequestId, VmId},
 };
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version, generate(control_arguments))]
 /// Publishes the operators' lists, takes failure domains and VMs out and in, and shows what the
 /// fleet does.
@@ -33,7 +34,8 @@
 }
 
 /// Commands
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub enum ControlCommand {
     /// Show, check or publish the two lists: accounts with their plans, and what each plan may use.
     #[bpaf(command)]
@@ -67,7 +69,8 @@
 }
 
 /// How an edit is published.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct PublishOptions {
     /// Who makes the edit, for the audit trail.
     #[bpaf(long, argument("NAME"), env("USER"))]
@@ -81,7 +84,8 @@
 }
 
 /// What to do with the lists.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub enum ListCommand {
     /// Print the lists in force, in the shape that `publish` takes.
     #[bpaf(command)]
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -28,7 +28,8 @@
 }
 
 /// What one process answered, if it did.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(super) struct ProcessAnswer<T> {
     pub(super) vm: VmId,
     pub(super) answer: Option<T>,
--- a/src/operator/history.rs
+++ b/src/operator/history.rs
@@ -14,7 +14,8 @@
 };
 
 /// One line of the audit trail.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 struct AuditLine {
     at_ms: u64,
     who: SmolStr,
@@ -55,7 +56,8 @@
 }
 
 /// A request's course with the entry that knows it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 struct RequestCourse {
     entry: VmId,
     request: ExplainedRequest,
--- a/src/operator/lists.rs
+++ b/src/operator/lists.rs
@@ -21,7 +21,8 @@
 /// assert!(lists.plans.is_empty());
 /// # Ok::<(), serde_json::Error>(())
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListFile {
     /// What each plan may use.
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -6,7 +6,8 @@
 
 use super::LogLevel;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version, generate(daemon_arguments))]
 /// Runs one alderbay process: an entry in front of callers, or an agent beside a backend server.
 pub struct DaemonArguments {
--- a/src/options/json_file.rs
+++ b/src/options/json_file.rs
@@ -9,7 +9,8 @@
 use thiserror::Error;
 
 /// Why a file is refused.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum JsonFileError {
     /// It cannot be read.
     #[error("{}: {source}", path.display())]
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -21,7 +21,8 @@
 };
 
 /// Why the settings are refused.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum SettingsError {
     /// The file is refused.
     #[error(transparent)]
@@ -39,7 +40,8 @@
 }
 
 /// All settings of one process.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Who the process is.
@@ -62,7 +64,8 @@
 }
 
 /// Who the process is.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct IdentitySettings {
     /// Its VM.
@@ -74,7 +77,8 @@
 }
 
 /// What the process does.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RoleSettings {
     /// In front of callers.
@@ -94,7 +98,8 @@
 }
 
 /// Settings of an entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// Address for callers.
@@ -119,7 +124,8 @@
 }
 
 /// Settings of an agent.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AgentSettings {
     /// Address of the backend server.
@@ -138,7 +144,8 @@
 }
 
 /// How the process talks to others.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerSettings {
     /// UDP address; agents are reached there, entries send from there.
@@ -152,7 +159,8 @@
 }
 
 /// Where the platform is.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address of the log service.
@@ -162,7 +170,8 @@
 }
 
 /// Bounds on HTTP connections and messages.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct HttpLimits {
     /// Connections at once.
@@ -199,7 +208,8 @@
 }
 
 /// How the process stops.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StopSettings {
     /// Time for work in progress to end, in milliseconds.
@@ -220,7 +230,8 @@
 }
 
 /// Logs and metrics.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TelemetrySettings {
     /// Least severe level that is logged.
@@ -230,7 +241,8 @@
 }
 
 /// Severity of log lines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LogLevel {
     /// Errors only.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -36,7 +36,8 @@
 }
 
 /// Why the platform gave no answer that can be used.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum PlatformError {
     /// The exchange failed; a write may have taken effect.
     #[error("exchange with the platform: {0}")]
--- a/src/platform/log_service.rs
+++ b/src/platform/log_service.rs
@@ -14,7 +14,8 @@
 use crate::units::LogOffset;
 
 /// Records of one stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogPage {
     /// Oldest record that the log still keeps.
     pub first: LogOffset,
@@ -25,7 +26,8 @@
 }
 
 /// One record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogRecord {
     /// Its position.
     pub offset: LogOffset,
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -14,7 +14,8 @@
 use crate::{options::LogLevel, units::VmId};
 
 /// Why logging could not be started.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("starting the log: {0}")]
 pub struct LogError(#[from] SetLoggerError);
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -14,7 +14,8 @@
 const PREFIX: &str = "alderbay";
 
 /// Why metrics cannot be sent.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum MetricsError {
     /// No socket could be opened.
     #[error("opening a socket for metrics: {0}")]
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -31,7 +31,8 @@
 const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
 /// Why peers cannot be reached or listened to.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum TransportError {
     /// A certificate or key file is unreadable.
     #[error("{path}: {source}")]
--- a/src/units/ids.rs
+++ b/src/units/ids.rs
@@ -11,7 +11,8 @@
 const MAX_ID_BYTES: usize = 96;
 
 /// Why a text is not an identifier.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum IdError {
     /// The text is empty.
     #[error("an identifier may not be empty")]
--- a/src/units/quantities.rs
+++ b/src/units/quantities.rs
@@ -6,7 +6,8 @@
 use thiserror::Error;
 
 /// Why a text is not a quantity.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Error)]
 pub enum QuantityError {
     /// The text is not a whole number.
     #[error("not a whole number: {0}")]
--- a/src/wire/framing.rs
+++ b/src/wire/framing.rs
@@ -11,7 +11,8 @@
 const LENGTH_BYTES: usize = 4;
 
 /// Why a frame could not be read or written.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum FrameError {
     /// The stream ended or broke while reading.
     #[error("reading a frame: {0}")]
--- a/src/wire/messages.rs
+++ b/src/wire/messages.rs
@@ -16,7 +16,8 @@
 };
 
 /// The role of a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerRole {
     /// In front of callers.
@@ -35,7 +36,8 @@
 }
 
 /// First message of both sides on a connection.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerHello {
     /// Wire version of the sender.
     pub wire_version: u16,
@@ -52,7 +54,8 @@
 }
 
 /// Later messages of both sides on a control stream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerNotice {
     /// Which configuration the sender has.
     Config {
@@ -70,7 +73,8 @@
 }
 
 /// What an agent can take now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AgentReport {
     /// Requests the backend server can bear at once now.
     pub limit: ConcurrencyLimit,
@@ -86,7 +90,8 @@
 pub type HeaderPair = (SmolStr, Bytes);
 
 /// The caller's key of a non-idempotent request: a version 7 UUID, unique for each account.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RunKey {
     /// The account that made the key.
     pub account: ClientAccount,
@@ -109,7 +114,8 @@
 /// assert_eq!(RunTicket::parse(&text, "dues".parse()?), Some(ticket));
 /// # Ok::<(), alderbay::units::IdError>(())
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RunTicket {
     /// The agent's VM.
     pub vm: VmId,
@@ -146,7 +152,8 @@
 }
 
 /// How often a request may be handed to a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RunMode {
     /// Any number of times.
     Idempotent,
@@ -174,7 +181,8 @@
 }
 
 /// What is to be run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum WorkKind {
     /// A draft whose answer is one whole document.
     WholeDraft,
@@ -187,7 +195,8 @@
 }
 
 /// One request on its way to a backend server.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkOrder {
     /// The caller's request.
     pub request_id: RequestId,
@@ -216,7 +225,8 @@
 }
 
 /// Why work was not run. Each of these means that nothing was handed to the backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The server and its queue are full.
@@ -253,7 +263,8 @@
 }
 
 /// One message of the answer to a [`WorkOrder`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum WorkReply {
     /// Nothing was run.
     Refused {
