--- a/src/bin/alderbayd.rs
+++ b/src/bin/alderbayd.rs
@@ -1,10 +1,14 @@
-//! The daemon: an entry or an agent, by its settings.
+//! The daemon: an entry, an agent, a gateway or a rank agent, by its settings.
 
 use std::process::ExitCode;
 
 use alderbay::{
     daemon,
-    options::{daemon_arguments, merge},
+    gateway,
+    options::{
+        DaemonArguments, DaemonSettings, DirectRole, DirectSettings, daemon_arguments, merge,
+    },
+    rank_agent,
 };
 use anyhow::Context;
 
@@ -18,7 +22,26 @@
         println!("the settings are good");
         return Ok(ExitCode::SUCCESS);
     }
-    let runtime = tokio::runtime::Runtime::new().context("starting the runtime")?;
-    let cut_off = runtime.block_on(daemon::run(settings))?;
+    let cut_off = match settings {
+        DaemonSettings::Fleet(settings) => {
+            let runtime = tokio::runtime::Runtime::new().context("starting the runtime")?;
+            runtime.block_on(daemon::run(*settings))?
+        }
+        DaemonSettings::Direct(settings) => run_direct(*settings, &arguments)?,
+    };
+    log::logger().flush();
     Ok(if cut_off == 0 { ExitCode::SUCCESS } else { ExitCode::from(CUT_OFF) })
 }
+
+/// Gateways and rank agents get a part of one core, which a second thread would only divide.
+fn run_direct(settings: DirectSettings, arguments: &DaemonArguments) -> anyhow::Result<usize> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
+    let cut_off = match settings.role {
+        DirectRole::Gateway(_) => runtime.block_on(gateway::run(settings, arguments.clone()))?,
+        DirectRole::RankAgent(_) => runtime.block_on(rank_agent::run(settings))?,
+    };
+    Ok(cut_off)
+}
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -21,7 +21,7 @@
 use crate::{
     core::{AttemptOutcome, Event, Refusal, RefusalCode, RequestFacts},
     daemon::{ExplainedRequest, ProcessShell, RequestCommand},
-    http::{REQUEST_ID, RelaySender, error_answer, error_event, relay_body},
+    http::{REQUEST_ID, RelaySender, caller_gone, error_answer, error_event, relay_body},
     units::{RequestId, TokenCount, VmId},
     wire::{RunMode, WorkKind, WorkOrder},
 };
@@ -227,7 +227,7 @@
             return Err(AttemptOutcome::Answered);
         };
         let stall = Duration::from_millis(self.shell.settings.http.stall_timeout_ms);
-        match timeout(stall, sender.send(bytes)).await {
+        match timeout(stall, sender.send(Ok(bytes))).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => {
                 self.shell.metrics.count("caller.gone");
@@ -277,20 +277,13 @@
                 let _ = waiting.send(error_answer(refusal, &self.order.request_id));
             }
             CallerSide::Streaming(sender) => {
-                let _ = sender.send(error_event(refusal, &self.order.request_id)).await;
+                let _ = sender.send(Ok(error_event(refusal, &self.order.request_id))).await;
             }
             CallerSide::Done => {}
         }
     }
 }
 
-/// Resolves when the caller goes away before the head of its answer, and never once it has that.
-async fn caller_gone(gone: oneshot::Receiver<()>) {
-    if gone.await.is_ok() {
-        std::future::pending().await
-    }
-}
-
 /// Work that runs once must not be cancelled: its result is kept for a caller that asks again.
 fn may_cancel(facts: &RequestFacts) -> bool {
     match facts.mode {
--- a/src/experts.rs
+++ b/src/experts.rs
@@ -6,11 +6,18 @@
 mod balance;
 mod placement;
 mod popularity;
+mod rollout;
+mod rounds;
 mod switch;
 
 pub use balance::{BalanceSettings, RebalancePlan, rebalance, repack};
 pub use placement::{ExpertId, ExpertMap, MapError, RankId, SlotMove};
 pub use popularity::{LoadEstimate, PopularityDay};
+pub use rollout::{
+    MapRollout, MemberStatus, RankOrder, RankReport, RankUse, RolloutEffect, RolloutNote,
+    RolloutState, STATUS_LISTENERS,
+};
+pub use rounds::{GroupMap, MapRound, RoundSettings, group_skew, plan_round};
 pub use switch::{
     GroupRanks, HeldSwitch, MapNumber, StepNumber, SwitchAct, SwitchBallot, SwitchMember,
     SwitchMessage, SwitchTrigger,
--- /dev/null
+++ b/src/experts/rollout.rs
@@ -0,0 +1,668 @@
+//! Bringing a new map into force on all ranks of a group at the same step.
+//!
+//! Ranks do not compare maps, so the order of commands alone must see to it that no step begins on
+//! two maps. One agent coordinates: that of rank 0. Another can only finish what it began.
+//!
+//! 1. *Prepare*: every rank copies the experts that are new to it.
+//! 2. Once all ranks have prepared the map, the coordinator has its own rank hold a step that lies
+//!    ahead. No rank begins that step until rank 0 is let go.
+//! 3. *Arm*: every rank is told to use the map from that step on.
+//! 4. Once all ranks are armed, rank 0 is let go.
+//!
+//! Nothing is ever taken back after step 2: an order whose answer was lost may be carried out
+//! seconds later, so that to undo one arm would race another. Whoever finds rank 0 holding a step
+//! arms all ranks with the prepared map and lets go then, however often. Map numbers are never used
+//! twice, also by a coordinator that has forgotten earlier ones.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{Rng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+
+use super::{GroupMap, MapNumber, RoundSettings, StepNumber, group_skew, plan_round};
+use crate::{
+    routing::{ExpertLayout, GroupPlace},
+    units::Moment,
+};
+
+/// Age from which a status says nothing any more.
+const STATUS_LIFE: Duration = Duration::from_millis(700);
+/// Steps between the present one and the one at which ranks switch.
+const STEPS_AHEAD: u64 = 2;
+/// Pause before an order is repeated whose effect does not show.
+const ORDER_PAUSE: Duration = Duration::from_millis(120);
+/// Pause before a prepare is repeated; copies take longer than other orders.
+const PREPARE_PAUSE: Duration = Duration::from_millis(900);
+/// Pause between messages of a rollout.
+const MESSAGE_PAUSE: Duration = Duration::from_millis(60);
+/// Time after which a rollout that is not prepared everywhere is replaced by another.
+const PREPARE_LIMIT: Duration = Duration::from_secs(6);
+/// Pause between rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(150);
+/// Silence of rank 0 after which another agent finishes its switch.
+const RESCUE_SILENCE: Duration = Duration::from_millis(600);
+/// Agents that listen to statuses, by rank: the coordinator and its stand-ins.
+pub const STATUS_LISTENERS: u16 = 3;
+/// Map numbers are drawn from so many above the highest known.
+const NUMBER_SPREAD: u64 = 1 << 20;
+/// Weight of the latest counts in the popularity of experts.
+const LATEST_WEIGHT: f64 = 0.6;
+
+/// How a rank stands, as its engine says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RankReport {
+    /// Requests being worked on.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Slowness; over one where the engine is slower than usual.
+    pub pace: f64,
+    /// The last step begun.
+    pub step: StepNumber,
+    /// The map in use.
+    pub map: MapNumber,
+    /// The map that is copied and not in use.
+    pub prepared: Option<MapNumber>,
+    /// The map that comes into use, and with which step.
+    pub armed: Option<(MapNumber, StepNumber)>,
+    /// The step that is not begun before the rank is let go.
+    pub held: Option<StepNumber>,
+    /// The rank's place in its group.
+    pub group: Option<GroupPlace>,
+    /// Ranks of the group.
+    pub group_size: u16,
+}
+
+/// Which experts a rank's requests chose.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RankUse {
+    /// The step up to which it counts.
+    pub step: StepNumber,
+    /// Forming of the group.
+    pub epoch: u64,
+    /// Choices of each expert, layer after layer.
+    pub counts: Vec<u64>,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RankOrder {
+    /// Copy what is new of a map.
+    Prepare {
+        /// Its number.
+        version: MapNumber,
+        /// The map.
+        map: GroupMap,
+    },
+    /// Use a map from a step on.
+    Arm {
+        /// Its number.
+        version: MapNumber,
+        /// The step.
+        step: StepNumber,
+    },
+    /// Do not begin a step before it is released.
+    Hold(StepNumber),
+    /// Let a held step begin.
+    Release(StepNumber),
+}
+
+/// What an agent tells the others of its group.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The rank.
+    pub rank: u16,
+    /// Forming of the group.
+    pub epoch: u64,
+    /// The last step begun.
+    pub step: StepNumber,
+    /// The map in use.
+    pub map: MapNumber,
+    /// The map that is prepared.
+    pub prepared: Option<MapNumber>,
+    /// The map that comes into use, and with which step.
+    pub armed: Option<(MapNumber, StepNumber)>,
+    /// Highest map number that this agent knows of.
+    pub highest: MapNumber,
+    /// Experts of the rank by layer, as of the map in use.
+    pub experts: Vec<Vec<u16>>,
+    /// Number of the sample of counts; a sample is taken in once.
+    pub sample: u64,
+    /// Choices of each expert since the sample before.
+    pub counts: Vec<u32>,
+}
+
+/// What the coordinator wants of all ranks.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct MapRollout {
+    /// Forming of the group.
+    pub epoch: u64,
+    /// The map's number.
+    pub version: MapNumber,
+    /// The map; empty once it is prepared everywhere.
+    pub map: GroupMap,
+    /// The step from which on it is used; none before all ranks have prepared it.
+    pub step: Option<StepNumber>,
+}
+
+/// Something to be done by the agent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RolloutEffect {
+    /// Give the own engine an order.
+    Order(RankOrder),
+    /// Give the engine of another rank an order, because its agent is silent.
+    OrderRank(u16, RankOrder),
+    /// Ask the engine of another rank for a report, because its agent is silent.
+    AskRank(u16),
+    /// Send the rollout to all others.
+    Broadcast(MapRollout),
+    /// Say what was decided.
+    Note(RolloutNote),
+}
+
+/// A decision, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RolloutNote {
+    /// A round was planned.
+    Planned {
+        /// The map's number.
+        version: MapNumber,
+        /// Experts that are copied.
+        copies: usize,
+        /// Skew before, in thousandths.
+        skew_before: u32,
+        /// Skew that is expected, in thousandths.
+        skew_after: u32,
+    },
+    /// All ranks use the map.
+    InForce(MapNumber),
+    /// A rollout was given up before any rank was armed.
+    Abandoned(MapNumber),
+    /// The switch of a silent coordinator is being finished.
+    Rescue(MapNumber, StepNumber),
+    /// The group formed anew.
+    Formed(u64),
+}
+
+#[derive(Clone, Debug)]
+struct ActiveRollout {
+    rollout: MapRollout,
+    begun: Moment,
+}
+
+/// What an agent knows of its group and of the rollout in progress.
+#[derive(Clone, Debug)]
+pub struct RolloutState {
+    report: Option<RankReport>,
+    layout: Option<ExpertLayout>,
+    max_copies: usize,
+    /// Latest status by rank, with the moment at which it came.
+    statuses: BTreeMap<u16, (MemberStatus, Moment)>,
+    /// Choices by layer and expert, smoothed.
+    loads: Vec<Vec<f64>>,
+    fresh_counts: Vec<f64>,
+    samples: BTreeMap<u16, u64>,
+    active: Option<ActiveRollout>,
+    highest: MapNumber,
+    last_order: Option<(OrderKind, Moment)>,
+    last_message: Option<Moment>,
+    next_round: Moment,
+    /// What engines of ranks with silent agents said themselves.
+    asked: BTreeMap<u16, (RankReport, Moment)>,
+    rng: SmallRng,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderKind {
+    Prepare(MapNumber),
+    Arm(MapNumber, StepNumber),
+    Hold(StepNumber),
+    Release(StepNumber),
+}
+
+impl RolloutState {
+    /// An agent that knows nothing.
+    pub fn new(max_copies: usize, rng: SmallRng) -> Self {
+        Self {
+            report: None,
+            layout: None,
+            max_copies,
+            statuses: BTreeMap::new(),
+            loads: Vec::new(),
+            fresh_counts: Vec::new(),
+            samples: BTreeMap::new(),
+            active: None,
+            highest: MapNumber(0),
+            last_order: None,
+            last_message: None,
+            next_round: Moment(0),
+            asked: BTreeMap::new(),
+            rng,
+        }
+    }
+
+    /// The own rank's place.
+    pub fn place(&self) -> Option<&GroupPlace> {
+        self.report.as_ref()?.group.as_ref()
+    }
+
+    /// Whether a rollout is in progress, so that news are urgent.
+    pub fn is_busy(&self) -> bool {
+        self.active.is_some()
+    }
+
+    /// Highest map number known here.
+    pub fn highest(&self) -> MapNumber {
+        self.highest
+    }
+
+    /// Takes over how the group's experts may be placed.
+    pub fn learn_layout(&mut self, layout: ExpertLayout) {
+        self.layout = Some(layout);
+    }
+
+    /// Takes over a report of the own engine.
+    pub fn learn_report(&mut self, report: RankReport) -> Vec<RolloutEffect> {
+        let epoch = |it: &RankReport| it.group.as_ref().map(|it| it.epoch);
+        let has_formed = self.report.as_ref().and_then(epoch) != epoch(&report);
+        let known = [Some(report.map), report.prepared, report.armed.map(|it| it.0)];
+        self.highest = known.into_iter().flatten().fold(self.highest, MapNumber::max);
+        let formed = epoch(&report);
+        self.report = Some(report);
+        if !has_formed {
+            return Vec::new();
+        }
+        // What was prepared, armed and held is gone with the earlier forming.
+        self.active = None;
+        self.statuses.clear();
+        self.asked.clear();
+        self.last_order = None;
+        formed.map(|it| RolloutEffect::Note(RolloutNote::Formed(it))).into_iter().collect()
+    }
+
+    /// Takes over what the engine of another rank said itself.
+    pub fn learn_answer(&mut self, rank: u16, report: RankReport, now: Moment) {
+        let epoch = report.group.as_ref().map(|it| it.epoch);
+        if epoch.is_some() && epoch == self.place().map(|it| it.epoch) {
+            self.asked.insert(rank, (report, now));
+        }
+    }
+
+    /// Takes over the status of a rank, the own one included.
+    pub fn learn_status(&mut self, status: MemberStatus, now: Moment) {
+        if self.place().map(|it| it.epoch) != Some(status.epoch) {
+            return;
+        }
+        self.highest = self.highest.max(status.highest);
+        if self.samples.insert(status.rank, status.sample) != Some(status.sample) {
+            self.add_counts(&status.counts);
+        }
+        self.statuses.insert(status.rank, (status, now));
+    }
+
+    fn add_counts(&mut self, counts: &[u32]) {
+        if self.fresh_counts.len() != counts.len() {
+            self.fresh_counts = vec![0.0; counts.len()];
+        }
+        for (sum, count) in self.fresh_counts.iter_mut().zip(counts) {
+            *sum += f64::from(*count);
+        }
+    }
+
+    /// Takes over what the coordinator wants.
+    pub fn learn_rollout(&mut self, rollout: MapRollout, now: Moment) {
+        if self.place().map(|it| it.epoch) != Some(rollout.epoch) {
+            return;
+        }
+        self.highest = self.highest.max(rollout.version);
+        let is_news = match &self.active {
+            None => true,
+            // Only an agent without a step may be given another map.
+            Some(active) if active.rollout.version == rollout.version => {
+                active.rollout.step.is_none()
+            }
+            Some(active) => active.rollout.version < rollout.version,
+        };
+        let is_done = self.report.as_ref().is_some_and(|it| it.map >= rollout.version);
+        if is_news && !is_done {
+            self.active = Some(ActiveRollout { rollout, begun: now });
+        }
+    }
+
+    /// Closes an interval of counts: what came in is blended into the popularity of the experts.
+    pub fn close_interval(&mut self) {
+        let Some(layout) = self.layout else { return };
+        if self.fresh_counts.len() != layout.layers * layout.experts {
+            return;
+        }
+        let total: f64 = self.fresh_counts.iter().sum();
+        if total <= 0.0 {
+            return;
+        }
+        let fresh: Vec<Vec<f64>> =
+            self.fresh_counts.chunks(layout.experts).map(<[f64]>::to_vec).collect();
+        if self.loads.len() != fresh.len() {
+            self.loads = fresh;
+        } else {
+            for (old, new) in self.loads.iter_mut().flatten().zip(fresh.iter().flatten()) {
+                *old += (new - *old) * LATEST_WEIGHT;
+            }
+        }
+        self.fresh_counts.iter_mut().for_each(|it| *it = 0.0);
+    }
+
+    /// The group's skew under the present popularity.
+    pub fn skew(&self) -> Option<f64> {
+        Some(group_skew(&self.group_map()?, &self.loads))
+    }
+
+    /// Says what is to be done now.
+    pub fn settle(&mut self, now: Moment) -> Vec<RolloutEffect> {
+        let Some(report) = self.report.clone() else { return Vec::new() };
+        let Some(place) = report.group.clone().filter(|it| it.is_open) else { return Vec::new() };
+        let mut effects = Vec::new();
+        if let Some(active) = &self.active
+            && report.map >= active.rollout.version
+        {
+            let version = active.rollout.version;
+            self.active = None;
+            effects.push(RolloutEffect::Note(RolloutNote::InForce(version)));
+        }
+        effects.extend(self.follow_orders(&report, now));
+        if place.rank == 0 {
+            effects.extend(self.coordinate(&report, &place, now));
+        } else {
+            effects.extend(self.stand_in(&report, &place, now));
+        }
+        effects
+    }
+
+    /// Brings the own rank to where the rollout wants it.
+    fn follow_orders(&mut self, report: &RankReport, now: Moment) -> Option<RolloutEffect> {
+        let rollout = self.active.as_ref()?.rollout.clone();
+        let version = rollout.version;
+        match rollout.step {
+            None if report.prepared == Some(version) => None,
+            None => self.order(
+                OrderKind::Prepare(version),
+                RankOrder::Prepare { version, map: rollout.map },
+                now,
+            ),
+            Some(step) if report.armed == Some((version, step)) => None,
+            Some(step) if report.step >= step => None,
+            Some(step) => {
+                self.order(OrderKind::Arm(version, step), RankOrder::Arm { version, step }, now)
+            }
+        }
+    }
+
+    /// Gives an order, and repeats it at intervals while its effect does not show.
+    fn order(&mut self, kind: OrderKind, order: RankOrder, now: Moment) -> Option<RolloutEffect> {
+        let pause = match kind {
+            OrderKind::Prepare(_) => PREPARE_PAUSE,
+            OrderKind::Arm(..) | OrderKind::Hold(_) | OrderKind::Release(_) => ORDER_PAUSE,
+        };
+        let is_early =
+            self.last_order.is_some_and(|(last, at)| last == kind && now.since(at) < pause);
+        if is_early {
+            return None;
+        }
+        self.last_order = Some((kind, now));
+        Some(RolloutEffect::Order(order))
+    }
+
+    fn coordinate(
+        &mut self,
+        report: &RankReport,
+        place: &GroupPlace,
+        now: Moment,
+    ) -> Vec<RolloutEffect> {
+        if let Some(step) = report.held.filter(|it| *it > report.step) {
+            return self.finish_switch(report, place, step, now);
+        }
+        let Some(active) = self.active.clone() else { return self.begin_round(report, place, now) };
+        let rollout = &active.rollout;
+        if rollout.step.is_some() {
+            // Let go: the map comes into force with the step, which may be a while if there is no
+            // work. Until then nothing new is begun.
+            return self.broadcast(rollout.clone(), now).into_iter().collect();
+        }
+        if self.all_fresh(report, now, |it| it.prepared == Some(rollout.version)) {
+            let step = StepNumber(report.step.0 + STEPS_AHEAD);
+            return self
+                .order(OrderKind::Hold(step), RankOrder::Hold(step), now)
+                .into_iter()
+                .collect();
+        }
+        if now.since(active.begun) > PREPARE_LIMIT {
+            self.active = None;
+            return vec![RolloutEffect::Note(RolloutNote::Abandoned(rollout.version))];
+        }
+        self.broadcast(rollout.clone(), now).into_iter().collect()
+    }
+
+    /// Rank 0 holds a step: arm all ranks, then let go.
+    fn finish_switch(
+        &mut self,
+        report: &RankReport,
+        place: &GroupPlace,
+        step: StepNumber,
+        now: Moment,
+    ) -> Vec<RolloutEffect> {
+        let Some(version) = self.version_at(report, step, now) else {
+            // Statuses are missing, or a map is still being prepared.
+            let preparing = self.active.clone().filter(|it| it.rollout.step.is_none());
+            let message = preparing.and_then(|it| self.broadcast(it.rollout, now));
+            return message.into_iter().collect();
+        };
+        let known = self.active.as_ref().map(|it| (it.rollout.version, it.rollout.step));
+        if known != Some((version, Some(step))) {
+            let rollout =
+                MapRollout { epoch: place.epoch, version, map: Vec::new(), step: Some(step) };
+            self.active = Some(ActiveRollout { rollout, begun: now });
+            self.last_message = None;
+        }
+        if report.armed != Some((version, step)) {
+            let mut effects: Vec<RolloutEffect> =
+                self.follow_orders(report, now).into_iter().collect();
+            effects.extend(self.repeat_rollout(now));
+            return effects;
+        }
+        let Some(mut effects) = self.arm_others(report, place.rank, (version, step), now) else {
+            let release = RankOrder::Release(step);
+            return self.order(OrderKind::Release(step), release, now).into_iter().collect();
+        };
+        effects.extend(self.repeat_rollout(now));
+        effects
+    }
+
+    fn repeat_rollout(&mut self, now: Moment) -> Option<RolloutEffect> {
+        let rollout = self.active.as_ref()?.rollout.clone();
+        self.broadcast(rollout, now)
+    }
+
+    /// What is to be done for ranks that are not armed and whose agents are silent; none where all
+    /// ranks but `own` are armed.
+    fn arm_others(
+        &mut self,
+        report: &RankReport,
+        own: u16,
+        armed: (MapNumber, StepNumber),
+        now: Moment,
+    ) -> Option<Vec<RolloutEffect>> {
+        let (version, step) = armed;
+        let mut is_complete = true;
+        let mut effects = Vec::new();
+        for rank in (0..report.group_size).filter(|it| *it != own) {
+            let status = self.statuses.get(&rank);
+            let silence = status.map_or(RESCUE_SILENCE, |(_, at)| now.since(*at));
+            if status.is_some_and(|(it, _)| it.armed == Some(armed)) {
+                // What is armed stays armed up to its step.
+                continue;
+            }
+            is_complete = false;
+            if silence < RESCUE_SILENCE {
+                continue;
+            }
+            // One order for each report: the next report shows its effect.
+            match self.asked.remove(&rank).filter(|(_, at)| now.since(*at) < STATUS_LIFE) {
+                Some((asked, _)) if asked.armed == Some(armed) => {
+                    self.note_armed(rank, &asked);
+                }
+                Some(_) => {
+                    effects.push(RolloutEffect::OrderRank(rank, RankOrder::Arm { version, step }));
+                }
+                None => effects.push(RolloutEffect::AskRank(rank)),
+            }
+        }
+        (!is_complete).then_some(effects)
+    }
+
+    /// Keeps what an engine said itself as the status of its rank.
+    fn note_armed(&mut self, rank: u16, asked: &RankReport) {
+        let Some((status, _)) = self.statuses.get_mut(&rank) else { return };
+        status.armed = asked.armed;
+    }
+
+    /// The map that is to be used from a held step on: the one that ranks are armed with, else the
+    /// one that all have prepared.
+    fn version_at(&self, report: &RankReport, step: StepNumber, now: Moment) -> Option<MapNumber> {
+        let active = self.active.as_ref().map(|it| &it.rollout);
+        if let Some(rollout) = active.filter(|it| it.step == Some(step)) {
+            return Some(rollout.version);
+        }
+        let armed = |it: Option<(MapNumber, StepNumber)>| it.filter(|it| it.1 == step).map(|it| it.0);
+        let others = self.statuses.values().filter_map(|(it, _)| armed(it.armed));
+        if let Some(version) = armed(report.armed).into_iter().chain(others).next() {
+            return Some(version);
+        }
+        let version = report.prepared?;
+        self.all_fresh(report, now, |it| it.prepared == Some(version)).then_some(version)
+    }
+
+    /// Whether fresh statuses of all ranks meet a condition, the own report included.
+    fn all_fresh(
+        &self,
+        report: &RankReport,
+        now: Moment,
+        holds: impl Fn(&MemberStatus) -> bool,
+    ) -> bool {
+        (0..report.group_size).all(|rank| {
+            self.statuses
+                .get(&rank)
+                .is_some_and(|(it, at)| now.since(*at) < STATUS_LIFE && holds(it))
+        }) && report.group_size > 0
+    }
+
+    fn broadcast(&mut self, rollout: MapRollout, now: Moment) -> Option<RolloutEffect> {
+        if self.last_message.is_some_and(|at| now.since(at) < MESSAGE_PAUSE) {
+            return None;
+        }
+        self.last_message = Some(now);
+        Some(RolloutEffect::Broadcast(rollout))
+    }
+
+    fn begin_round(
+        &mut self,
+        report: &RankReport,
+        place: &GroupPlace,
+        now: Moment,
+    ) -> Vec<RolloutEffect> {
+        let Some(layout) = self.layout else { return Vec::new() };
+        if now < self.next_round || report.armed.is_some() {
+            return Vec::new();
+        }
+        let same_map = |it: &MemberStatus| it.map == report.map && it.armed.is_none();
+        if !self.all_fresh(report, now, same_map) || self.loads.is_empty() {
+            return Vec::new();
+        }
+        self.next_round = now.after(ROUND_PAUSE);
+        let Some(map) = self.group_map() else { return Vec::new() };
+        let settings = RoundSettings {
+            rank_slots: layout.rank_slots,
+            max_new: layout.max_new.min(1),
+            max_copies: self.max_copies,
+            ..RoundSettings::default()
+        };
+        let Some(round) = plan_round(&map, &self.loads, &settings) else { return Vec::new() };
+        let version = MapNumber(self.highest.0 + 1 + self.rng.random_range(0..NUMBER_SPREAD));
+        self.highest = version;
+        let rollout = MapRollout { epoch: place.epoch, version, map: round.map, step: None };
+        self.active = Some(ActiveRollout { rollout: rollout.clone(), begun: now });
+        self.last_message = Some(now);
+        let thousandths = |it: f64| (it * 1_000.0).round() as u32;
+        let note = RolloutNote::Planned {
+            version,
+            copies: round.copies,
+            skew_before: thousandths(round.skew_before),
+            skew_after: thousandths(round.skew_after),
+        };
+        vec![RolloutEffect::Note(note), RolloutEffect::Broadcast(rollout)]
+    }
+
+    /// The map in use, from what each rank says that it holds.
+    fn group_map(&self) -> Option<GroupMap> {
+        let layout = self.layout?;
+        let size = self.report.as_ref()?.group_size;
+        let mut map: GroupMap = vec![Vec::new(); layout.layers];
+        for rank in 0..size {
+            let (status, _) = self.statuses.get(&rank)?;
+            if status.experts.len() != layout.layers {
+                return None;
+            }
+            for (ranks, experts) in map.iter_mut().zip(&status.experts) {
+                ranks.push(experts.clone());
+            }
+        }
+        Some(map)
+    }
+
+    /// Finishes the switch of a coordinator that is silent while its rank holds the group.
+    fn stand_in(
+        &mut self,
+        report: &RankReport,
+        place: &GroupPlace,
+        now: Moment,
+    ) -> Vec<RolloutEffect> {
+        let is_silent = |rank: u16| {
+            self.statuses.get(&rank).is_none_or(|(_, at)| now.since(*at) > RESCUE_SILENCE)
+        };
+        let is_next = place.rank < STATUS_LISTENERS && (0..place.rank).all(is_silent);
+        let Some(active) = self.active.clone().filter(|_| is_next) else { return Vec::new() };
+        let version = active.rollout.version;
+        let asked = self.asked.get(&0).filter(|(_, at)| now.since(*at) < STATUS_LIFE);
+        let Some((first, _)) = asked.cloned() else { return vec![RolloutEffect::AskRank(0)] };
+        let Some(step) = first.held.filter(|it| *it > first.step) else {
+            // Nothing is held: the coordinator goes on when it is back.
+            if active.rollout.step.is_none() && now.since(active.begun) > PREPARE_LIMIT {
+                self.active = None;
+            }
+            self.asked.remove(&0);
+            return Vec::new();
+        };
+        let has_prepared = |rank: u16| {
+            let status = self.statuses.get(&rank).map(|it| &it.0);
+            let at_step = Some((version, step));
+            status.is_some_and(|it| it.prepared == Some(version) || it.armed == at_step)
+        };
+        let is_known = active.rollout.step == Some(step) || first.armed == Some((version, step));
+        if !is_known && !(1..report.group_size).all(has_prepared) {
+            return Vec::new();
+        }
+        let mut effects = vec![RolloutEffect::Note(RolloutNote::Rescue(version, step))];
+        let rollout = MapRollout { step: Some(step), map: Vec::new(), ..active.rollout.clone() };
+        self.active = Some(ActiveRollout { rollout, begun: active.begun });
+        effects.extend(self.repeat_rollout(now));
+        effects.extend(self.follow_orders(report, now));
+        if report.armed != Some((version, step)) {
+            return effects;
+        }
+        match self.arm_others(report, place.rank, (version, step), now) {
+            Some(more) => effects.extend(more),
+            None => effects.push(RolloutEffect::OrderRank(0, RankOrder::Release(step))),
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/src/gateway/callers.rs
@@ -0,0 +1,134 @@
+//! Requests of callers: heads and bodies turned into what the reducer and an attempt need.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header, request::Parts};
+use hyper::body::Incoming;
+use smol_str::SmolStr;
+use tokio::{sync::oneshot, time::Instant};
+use uuid::Uuid;
+use volo_http::{body::Body, response::Response};
+
+use super::{flight::Flight, shell::GatewayShell};
+use crate::{
+    core::{Refusal, RefusalCode},
+    http::{BodyError, read_body, text_answer},
+    platform::{CallerHeaders, READY_PATH, echo_request_id, set_retry_after},
+    routing::{CallerFacts, RoutingState},
+    units::{ByteCount, RequestId},
+};
+
+/// Bound on bodies before a catalog says one.
+const DEFAULT_MAX_BODY: ByteCount = ByteCount(4 << 20);
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub(super) struct CallerRequest {
+    pub(super) head: Parts,
+    pub(super) headers: CallerHeaders,
+    pub(super) request_id: RequestId,
+    pub(super) body: Bytes,
+    pub(super) arrived: Instant,
+}
+
+/// Answers callers.
+pub(super) fn handler(
+    shell: Arc<GatewayShell>,
+) -> impl Fn(SocketAddr, http::Request<Incoming>) -> BoxedAnswer + Clone {
+    move |_, request| Box::pin(answer(shell.clone(), request))
+}
+
+type BoxedAnswer = std::pin::Pin<Box<dyn Future<Output = Response> + Send>>;
+
+/// Answers the platform's balancer.
+pub(super) fn ready_handler(
+    shell: Arc<GatewayShell>,
+) -> impl Fn(SocketAddr, http::Request<Incoming>) -> std::future::Ready<Response> + Clone {
+    move |_, request| {
+        let is_ready = request.uri().path() == READY_PATH && shell.read(RoutingState::is_ready);
+        let (status, text) = match is_ready {
+            true => (StatusCode::OK, "ready\n"),
+            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        };
+        std::future::ready(text_answer(status, text))
+    }
+}
+
+async fn answer(shell: Arc<GatewayShell>, request: http::Request<Incoming>) -> Response {
+    let arrived = Instant::now();
+    shell.metrics.count("requests.arrived");
+    let (head, body) = request.into_parts();
+    let headers = CallerHeaders::decode(&head.headers);
+    let request_id =
+        headers.request_id.clone().unwrap_or_else(|| RequestId::from_uuid(Uuid::now_v7()));
+    let max_body =
+        shell.read(|it| it.catalog().map_or(DEFAULT_MAX_BODY, |it| it.limits().max_body));
+    let limit = Duration::from_millis(shell.limits.body_timeout_ms);
+    let body = match read_body(body, max_body, limit).await {
+        Ok(body) => body,
+        Err(error) => {
+            log::info!(request:% = request_id, error:% = error; "body refused");
+            return refusal_answer(&body_refusal(error), &head.headers);
+        }
+    };
+    let (sender, answer) = oneshot::channel();
+    let request_headers = head.headers.clone();
+    let request = CallerRequest { head, headers, request_id, body, arrived };
+    let (alive, presence) = oneshot::channel();
+    tokio::spawn(Flight::new(shell, request, sender).run(presence));
+    match answer.await {
+        Ok(answer) => {
+            // The flight may be over already.
+            let _ = alive.send(());
+            answer
+        }
+        // The flight always answers, unless it panicked.
+        Err(_) => {
+            let refusal = Refusal::unknown(RefusalCode::OutcomeUnknown);
+            refusal_answer(&refusal, &request_headers)
+        }
+    }
+}
+
+fn body_refusal(error: BodyError) -> Refusal {
+    Refusal::not_run(match error {
+        BodyError::TooLarge(_) => RefusalCode::BodyTooLarge,
+        BodyError::Timeout(_) | BodyError::Broken => RefusalCode::BodyTimeout,
+    })
+}
+
+/// What the reducer needs to know of a request.
+pub(super) fn facts_of(shell: &GatewayShell, request: &CallerRequest) -> CallerFacts {
+    CallerFacts {
+        number: shell.next_number(),
+        request_id: request.request_id.clone(),
+        host: host_of(&request.head),
+        path: request.head.uri.path().into(),
+        api_key: request.headers.api_key.clone(),
+        patience: request.headers.time_left,
+    }
+}
+
+/// The host in lower case, without its port.
+fn host_of(head: &Parts) -> SmolStr {
+    let named = head.headers.get(header::HOST).and_then(|it| it.to_str().ok());
+    let host = head.uri.host().or(named).unwrap_or_default();
+    let host = host.split_once(':').map_or(host, |it| it.0);
+    host.to_ascii_lowercase().into()
+}
+
+/// An answer of the system's own.
+pub(super) fn refusal_answer(refusal: &Refusal, request: &HeaderMap) -> Response {
+    let status =
+        StatusCode::from_u16(refusal.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut answer = Response::new(Body::from(format!("{}\n", refusal.code.message())));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    echo_request_id(request, headers);
+    if let Some(delay) = refusal.retry_after {
+        set_retry_after(headers, delay);
+    }
+    answer
+}
--- /dev/null
+++ b/src/gateway/shell.rs
@@ -0,0 +1,144 @@
+//! Hands events to the reducer, and its effects to whoever carries them out.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use crate::{
+    daemon::ProcessClock,
+    options::{DirectSettings, GatewaySettings, HttpLimits},
+    routing::{
+        BeliefChange, CatalogVersion, RequestNumber, RouteCatalog, RoutingEffect, RoutingEvent,
+        RoutingSettings, RoutingState, reduce,
+    },
+    telemetry::MetricSink,
+    units::Moment,
+};
+
+use super::sources::PlatformView;
+
+/// Patience of callers that state none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// The reducer's state and what the tasks of a gateway share.
+pub(super) struct GatewayShell {
+    state: Mutex<RoutingState>,
+    view: Mutex<PlatformView>,
+    /// Other gateways, and when they were last heard of; seeds are kept for good.
+    peers: Mutex<BTreeMap<SocketAddr, Option<Moment>>>,
+    next_request: AtomicU64,
+    /// Bounds on HTTP.
+    pub(super) limits: HttpLimits,
+    /// Where other gateways reach this one.
+    pub(super) peer_address: SocketAddr,
+    /// The runtime's clock.
+    pub(super) clock: ProcessClock,
+    /// Where metrics go.
+    pub(super) metrics: MetricSink,
+}
+
+/// How long a gateway that agents no longer hear of is asked.
+const PEER_MEMORY: Duration = Duration::from_secs(60);
+
+impl GatewayShell {
+    pub(super) fn new(
+        settings: &DirectSettings,
+        gateway: &GatewaySettings,
+        metrics: MetricSink,
+    ) -> Self {
+        let state = RoutingState::new(RoutingSettings {
+            failure_domain: settings.identity.failure_domain.clone(),
+            budget: gateway.budget,
+            admission: gateway.admission,
+            default_patience: DEFAULT_PATIENCE,
+            seed: rand::random(),
+        });
+        let others = gateway.seeds.iter().filter(|it| **it != gateway.peer_listen);
+        Self {
+            state: Mutex::new(state),
+            view: Mutex::default(),
+            peers: Mutex::new(others.map(|it| (*it, None)).collect()),
+            next_request: AtomicU64::new(0),
+            limits: settings.http,
+            peer_address: gateway.peer_listen,
+            clock: ProcessClock::start(),
+            metrics,
+        }
+    }
+
+    /// Reduces an event, logs what is believed now, and gives what is to be done for a request.
+    pub(super) fn dispatch(&self, event: RoutingEvent) -> Option<RoutingEffect> {
+        let effects = reduce(&mut lock(&self.state), self.clock.now(), event);
+        let mut step = None;
+        for effect in effects {
+            match effect {
+                RoutingEffect::Believe(change) => self.log_belief(&change),
+                other => step = Some(other),
+            }
+        }
+        step
+    }
+
+    fn log_belief(&self, change: &BeliefChange) {
+        self.metrics.count("beliefs.changed");
+        let age_ms = self.directory_age_ms();
+        log::info!(change:% = change, directory_age_ms = age_ms; "belief changed");
+    }
+
+    /// Reads the state.
+    pub(super) fn read<T>(&self, read: impl FnOnce(&RoutingState) -> T) -> T {
+        read(&lock(&self.state))
+    }
+
+    /// What was read of the platform.
+    pub(super) fn view(&self) -> MutexGuard<'_, PlatformView> {
+        lock(&self.view)
+    }
+
+    /// Age of the directory, for log lines.
+    pub(super) fn directory_age_ms(&self) -> Option<u64> {
+        let read_at = self.view().directory.as_ref()?.read_at;
+        u64::try_from(self.clock.now().since(read_at).as_millis()).ok()
+    }
+
+    /// Version of the catalog in force, for log lines.
+    pub(super) fn catalog_version(&self) -> CatalogVersion {
+        self.read(|it| it.catalog().map(RouteCatalog::version).unwrap_or_default())
+    }
+
+    /// Number for the next request.
+    pub(super) fn next_number(&self) -> RequestNumber {
+        RequestNumber(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Requests in progress.
+    pub(super) fn in_progress(&self) -> usize {
+        self.read(RoutingState::in_progress)
+    }
+
+    /// Notes gateways that an agent hears from.
+    pub(super) fn note_peers(&self, gateways: Vec<SocketAddr>) {
+        let now = self.clock.now();
+        let mut peers = lock(&self.peers);
+        for address in gateways.into_iter().filter(|it| *it != self.peer_address) {
+            peers.insert(address, Some(now));
+        }
+        peers.retain(|_, heard| heard.is_none_or(|at| now.since(at) < PEER_MEMORY));
+    }
+
+    /// Other gateways.
+    pub(super) fn peers(&self) -> BTreeSet<SocketAddr> {
+        lock(&self.peers).keys().copied().collect()
+    }
+}
+
+/// A panic under a lock leaves whole values behind: each update is one assignment or one reduction.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/http/answers.rs
+++ b/src/http/answers.rs
@@ -101,15 +101,15 @@
 pub fn json_answer<T: Serialize>(status: StatusCode, body: &T) -> Response {
     // Our own structures always encode; an empty body would be the only trace if one did not.
     let text = serde_json::to_vec(body).unwrap_or_default();
-    let mut answer = Response::new(Body::from(text));
+    let mut answer = Response::new(text.into());
     *answer.status_mut() = status;
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
 
 /// A plain answer.
-pub fn text_answer(status: StatusCode, text: &'static str) -> Response {
-    let mut answer = Response::new(Body::from(text));
+pub fn text_answer(status: StatusCode, text: impl Into<Body>) -> Response {
+    let mut answer = Response::new(text.into());
     *answer.status_mut() = status;
     answer
 }
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,7 +1,6 @@
 //! Bodies of requests, read within bounds, and bodies of answers, relayed as they come.
 
 use std::{
-    convert::Infallible,
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
@@ -11,7 +10,7 @@
 use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 use thiserror::Error;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::units::ByteCount;
 
@@ -96,13 +95,19 @@
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
 }
 
+/// The relayed body cannot be completed: its connection is closed without an end mark.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+#[error("the relayed body broke off")]
+pub struct RelayBroken;
+
 /// Sending side of a relayed body.
-pub type RelaySender = mpsc::Sender<Bytes>;
+pub type RelaySender = mpsc::Sender<Result<Bytes, RelayBroken>>;
 
-/// Receiving side of a relayed body. It ends when the sender is dropped.
+/// Receiving side of a relayed body. It ends whole when the sender is dropped.
 #[derive(Debug)]
 pub struct RelayBody {
-    parts: mpsc::Receiver<Bytes>,
+    parts: mpsc::Receiver<Result<Bytes, RelayBroken>>,
 }
 
 /// A body fed by a sender that waits while the caller takes nothing.
@@ -113,12 +118,19 @@
 
 impl Body for RelayBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = RelayBroken;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.parts.poll_recv(cx).map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
+        self.parts.poll_recv(cx).map(|part| part.map(|it| it.map(Frame::data)))
+    }
+}
+
+/// Resolves when the caller goes away before the head of its answer, and never once it has that.
+pub async fn caller_gone(gone: oneshot::Receiver<()>) {
+    if gone.await.is_ok() {
+        std::future::pending().await
     }
 }
--- /dev/null
+++ b/src/http/call.rs
@@ -0,0 +1,76 @@
+//! One request on a connection of its own.
+//!
+//! `hyper`'s connection is used as it is, below `volo-http`'s client, because the promise "not run"
+//! needs to know whether any byte of a request may have reached the server. A connection that could
+//! not be made proves that none did. And what a faulty server sends after an answer is lost with
+//! the connection, and never read as the answer to another request.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::response::Parts;
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+
+/// Why a call gave no answer.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum CallError {
+    /// No connection could be made: nothing ran.
+    #[error("connecting to the backend server: {0}")]
+    Connect(#[from] io::Error),
+    /// The connection broke after the request may have left: it may have run.
+    #[error("calling the backend server: {0}")]
+    Lost(#[from] hyper::Error),
+}
+
+/// A call whose answer has begun. Dropping it closes the connection, which cancels the call.
+#[derive(Debug)]
+pub struct OpenCall {
+    /// Head of the answer.
+    pub head: Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// Keeps the connection open.
+    pub guard: ConnectionGuard,
+}
+
+/// Closes its connection when dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard(AbortHandle);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Connects to a server.
+///
+/// # Errors
+///
+/// No connection stands within `limit`.
+pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(limit, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Sends a request over a new connection and waits for the head of its answer.
+///
+/// # Errors
+///
+/// [`CallError::Lost`]: the request may have reached the server.
+pub async fn call_once(
+    stream: TcpStream,
+    request: http::Request<Full<Bytes>>,
+) -> Result<OpenCall, CallError> {
+    // The handshake sends nothing; only `send_request` does.
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
+    let (head, body) = sender.send_request(request).await?.into_parts();
+    Ok(OpenCall { head, body, guard })
+}
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -33,6 +33,13 @@
     source: io::Error,
 }
 
+impl ListenerError {
+    /// The failure to bind an address.
+    pub fn new(address: SocketAddr, source: io::Error) -> Self {
+        Self { address, source }
+    }
+}
+
 /// What a listener does with connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ListenerPhase {
@@ -65,9 +72,21 @@
         Ok(Self { listener, limits, permits })
     }
 
-    /// Serves until the phase is [`ListenerPhase::Closed`] and the last connection has ended.
-    pub async fn serve(self, router: Router, mut phase: watch::Receiver<ListenerPhase>) {
+    /// Serves the routes until the phase is [`ListenerPhase::Closed`] and the last connection has
+    /// ended.
+    pub async fn serve(self, router: Router, phase: watch::Receiver<ListenerPhase>) {
         let router = Arc::new(router);
+        let max_head = self.limits.max_head_bytes;
+        let handle = move |peer, request| route(router.clone(), peer, request, max_head);
+        self.serve_with(handle, phase).await;
+    }
+
+    /// Serves with a handler of its own, as [`Self::serve`] does.
+    pub async fn serve_with<H, F>(self, handle: H, mut phase: watch::Receiver<ListenerPhase>)
+    where
+        H: Fn(SocketAddr, http::Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
         loop {
             let accepted = tokio::select! {
                 accepted = self.accept() => accepted,
@@ -75,7 +94,7 @@
             };
             let Some((stream, peer, permit)) = accepted else { continue };
             let connection =
-                serve_connection(stream, peer, self.limits, router.clone(), phase.clone());
+                serve_connection(stream, peer, self.limits, handle.clone(), phase.clone());
             tokio::spawn(async move {
                 connection.await;
                 drop(permit);
@@ -98,18 +117,28 @@
     }
 }
 
-async fn serve_connection(
+async fn serve_connection<H, F>(
     stream: TcpStream,
     peer: SocketAddr,
     limits: HttpLimits,
-    router: Arc<Router>,
+    handle: H,
     mut phase: watch::Receiver<ListenerPhase>,
-) {
+) where
+    H: Fn(SocketAddr, http::Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
     // Small parts of streams must not wait for larger ones.
     let _ = stream.set_nodelay(true);
     let answering = phase.clone();
     let service = service_fn(move |request| {
-        answer(router.clone(), peer, request, limits.max_head_bytes, answering.clone())
+        let (handled, phase) = (handle(peer, request), answering.clone());
+        async move {
+            let mut response = handled.await;
+            if *phase.borrow() != ListenerPhase::Open {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<Response, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -134,26 +163,23 @@
     }
 }
 
-async fn answer(
+async fn route(
     router: Arc<Router>,
     peer: SocketAddr,
     request: http::Request<Incoming>,
     max_head: ByteCount,
-    phase: watch::Receiver<ListenerPhase>,
-) -> Result<Response, Infallible> {
-    let mut context = ServerContext::new(Address::from(peer));
-    let mut response = if head_bytes(&request) > max_head.0 {
-        text_answer(
+) -> Response {
+    if head_bytes(&request) > max_head.0 {
+        return text_answer(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "the request's head is too large\n",
-        )
-    } else {
-        router.call(&mut context, request.map(Body::from_incoming)).await?
-    };
-    if *phase.borrow() != ListenerPhase::Open {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        );
+    }
+    let mut context = ServerContext::new(Address::from(peer));
+    match router.call(&mut context, request.map(Body::from_incoming)).await {
+        Ok(response) => response,
+        Err(impossible) => match impossible {},
     }
-    Ok(response)
 }
 
 /// Bytes of names and values in a head. The connection's buffer bounds it only roughly.
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -9,7 +9,8 @@
 #[derive(Clone, Debug)]
 #[derive(Bpaf)]
 #[bpaf(options, version, generate(daemon_arguments))]
-/// Runs one alderbay process: an entry in front of callers, or an agent beside a backend server.
+/// Runs one alderbay process: an entry or a gateway in front of callers, or an agent beside a
+/// backend server.
 pub struct DaemonArguments {
     /// Read the settings from this JSON file.
     #[bpaf(long, argument("FILE"))]
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,10 +1,23 @@
 //! The platform's services, read and written over HTTP; the rest of the process sees plain
 //! structures.
 
+mod directory;
+mod engine;
+mod headers;
 mod log_service;
+mod manifest;
+mod store;
 mod vm_list;
 
+pub use directory::decode_server;
+pub use engine::{EngineClient, OrderOutcome};
+pub use headers::{
+    AnswerKind, AttemptHeaders, CallerHeaders, READY_PATH, classify_answer, echo_request_id,
+    encode_attempt, end_to_end, set_retry_after,
+};
 pub use log_service::{LogClient, LogPage, LogRecord};
+pub use manifest::{OperatorKey, decode_catalog};
+pub use store::{KeyedRead, KeyedRecord, KeyedStream, StoreClient};
 pub use vm_list::VmListClient;
 
 use std::time::Duration;
@@ -51,6 +64,9 @@
     /// The platform answered with an error.
     #[error("the platform answered {0}")]
     Status(u16),
+    /// The answer ends before its records do.
+    #[error("the platform's answer is cut off")]
+    Truncated,
     /// The answer is not of the published shape.
     #[error("answer of the platform: {0}")]
     Shape(#[from] serde_json::Error),
--- /dev/null
+++ b/src/platform/directory.rs
@@ -0,0 +1,117 @@
+//! Entries of the platform's directory of backend servers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::{
+    routing::{GroupPlace, ServerRecord},
+    units::{FailureDomain, GroupName, ServerId, ServiceName},
+};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireServer {
+    service: ServiceName,
+    address: SocketAddr,
+    zone: FailureDomain,
+    #[serde(default)]
+    slots: Option<u32>,
+    state: WireState,
+    // Counts the check-ins; the entry changes when more than this changes.
+    #[serde(rename = "sequence")]
+    _sequence: u64,
+    // How much longer the server stays cold.
+    #[serde(default)]
+    warmup_left_ms: f64,
+    // Unix milliseconds of the server's start.
+    #[serde(default)]
+    born: Option<u64>,
+    #[serde(default)]
+    group: Option<WireGroup>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+#[derive(Deserialize)]
+pub(super) struct WireGroup {
+    name: GroupName,
+    epoch: u64,
+    rank: u16,
+    state: SmolStr,
+}
+
+impl WireGroup {
+    pub(super) fn decode(self) -> GroupPlace {
+        let is_open = self.state == "open";
+        GroupPlace { name: self.name, epoch: self.epoch, rank: self.rank, is_open }
+    }
+}
+
+/// Reads an entry. None where it names no server that could be used: others may write to the
+/// directory, too.
+///
+/// ```
+/// use alderbay::platform::decode_server;
+/// assert!(decode_server("i-1", b"no entry").is_none());
+/// ```
+pub fn decode_server(key: &str, value: &[u8]) -> Option<ServerRecord> {
+    let id: ServerId = key.parse().ok()?;
+    let wire: WireServer = match serde_json::from_slice(value) {
+        Ok(wire) => wire,
+        Err(error) => {
+            log::warn!(server:% = id, error:% = error; "directory entry names no server");
+            return None;
+        }
+    };
+    let warm_up_left = wire.warmup_left_ms.clamp(0.0, 3_600_000.0) / 1_000.0;
+    Some(ServerRecord {
+        id,
+        service: wire.service,
+        address: wire.address,
+        failure_domain: wire.zone,
+        slots: wire.slots.unwrap_or(1).max(1),
+        is_draining: matches!(wire.state, WireState::Draining),
+        warm_up_left: Duration::from_secs_f64(warm_up_left),
+        started_ms: wire.born,
+        group: wire.group.map(WireGroup::decode),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    const ENTRY: &str = r#"{"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1",
+        "slots":12,"state":"ready","warmup-left-ms":1500,"sequence":4,"born":17,
+        "group":{"name":"g","epoch":2,"rank":3,"state":"broken"},"size":8}"#;
+
+    #[gtest]
+    fn entry_is_decoded() {
+        let record = decode_server("i-1", ENTRY.as_bytes()).unwrap();
+        assert_that!(record.warm_up_left, eq(Duration::from_millis(1500)));
+        assert_that!(record.group.map(|it| (it.rank, it.is_open)), some(eq((3, false))));
+    }
+
+    #[gtest]
+    fn foreign_entries_name_none() {
+        let broken = [
+            ENTRY.replace("ready", "resting"),
+            ENTRY.replace("\"10.0.0.9:80\"", "7"),
+            ENTRY.replace("\"sequence\":4", "\"sequence\":\"4\""),
+            ENTRY.replace("\"zone\":\"a\",", ""),
+            "\u{0}".to_owned(),
+        ];
+        for it in broken {
+            assert_that!(decode_server("i-1", it.as_bytes()), none());
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/engine.rs
@@ -0,0 +1,218 @@
+//! Reports of and orders to a model engine that is a rank of a group.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use volo_http::client::Client;
+
+use super::{PlatformError, directory::WireGroup, exchange, get_json};
+use crate::experts::{MapNumber, RankOrder, RankReport, RankUse, StepNumber};
+
+/// Time for one call of the engine on the own VM.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(250);
+
+#[derive(Deserialize)]
+struct WireReport {
+    #[serde(default)]
+    queued: u32,
+    #[serde(default)]
+    active: u32,
+    // Slowness of the server; over one where it is slower than usual.
+    #[serde(default)]
+    pace: Option<f64>,
+    #[serde(default)]
+    step: u64,
+    // Versions of the maps in use, and copied.
+    #[serde(default)]
+    map: Option<u64>,
+    #[serde(default)]
+    prepared: Option<u64>,
+    #[serde(default)]
+    armed: Option<WireArmed>,
+    // Step that does not begin before it is let go.
+    #[serde(default)]
+    held: Option<u64>,
+    #[serde(default)]
+    group: Option<WireGroup>,
+    #[serde(default)]
+    size: Option<u16>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireArmed {
+    Pair(u64, u64),
+    Fields { version: u64, step: u64 },
+    Version(u64),
+}
+
+#[derive(Deserialize)]
+struct WireCounts {
+    step: u64,
+    epoch: u64,
+    #[serde(default)]
+    counts: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct WireLists {
+    map: WireHeld,
+}
+
+#[derive(Deserialize)]
+struct WireHeld {
+    version: u64,
+    experts: Vec<Vec<u16>>,
+}
+
+#[derive(Serialize)]
+struct WireOrder<'a> {
+    operation: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    step: Option<u64>,
+    epoch: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    map: Option<&'a [Vec<Vec<u16>>]>,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// Begun, done, or already in force.
+    Taken,
+    /// Does not fit the engine's state.
+    Refused(u16),
+}
+
+/// Client of one engine.
+#[derive(Clone)]
+pub struct EngineClient {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl EngineClient {
+    /// A client of the engine at `address`.
+    ///
+    /// # Errors
+    ///
+    /// The HTTP client cannot be built.
+    pub fn new(address: SocketAddr) -> Result<Self, PlatformError> {
+        let client = Client::builder().build().map_err(PlatformError::Client)?;
+        Ok(Self { client, address })
+    }
+
+    /// Where the engine is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its load and its place in the group.
+    ///
+    /// # Errors
+    ///
+    /// The engine is unreachable, slow, or answers with an error.
+    pub async fn report(&self) -> Result<RankReport, PlatformError> {
+        let uri = format!("http://{}/v1/report", self.address);
+        let wire: WireReport = get_json(&self.client, uri, ENGINE_TIMEOUT).await?;
+        Ok(wire.decode())
+    }
+
+    /// How often its requests chose each expert since its start.
+    ///
+    /// # Errors
+    ///
+    /// The engine is unreachable, slow, or answers with an error.
+    pub async fn expert_use(&self) -> Result<RankUse, PlatformError> {
+        let uri = format!("http://{}/v1/picked", self.address);
+        let wire: WireCounts = get_json(&self.client, uri, ENGINE_TIMEOUT).await?;
+        let mut counts = Vec::new();
+        flatten(&wire.counts, &mut counts);
+        Ok(RankUse { step: StepNumber(wire.step), epoch: wire.epoch, counts: counts })
+    }
+
+    /// Which experts it holds by layer, and as of which map.
+    ///
+    /// # Errors
+    ///
+    /// The engine is unreachable, slow, or answers with an error.
+    pub async fn held_experts(&self) -> Result<(MapNumber, Vec<Vec<u16>>), PlatformError> {
+        let uri = format!("http://{}/v1/picked?lists", self.address);
+        let wire: WireLists = get_json(&self.client, uri, ENGINE_TIMEOUT).await?;
+        Ok((MapNumber(wire.map.version), wire.map.experts))
+    }
+
+    /// Gives an order.
+    ///
+    /// # Errors
+    ///
+    /// There is no answer: the order may be carried out, also later.
+    pub async fn order(&self, epoch: u64, order: &RankOrder) -> Result<OrderOutcome, PlatformError> {
+        let body = encode_order(epoch, order)?;
+        let uri = format!("http://{}/v1/order", self.address);
+        let request = self
+            .client
+            .post(uri)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .data(body);
+        let (parts, _) = exchange(request, ENGINE_TIMEOUT).await?;
+        match parts.status.as_u16() {
+            200 | 202 => Ok(OrderOutcome::Taken),
+            status => Ok(OrderOutcome::Refused(status)),
+        }
+    }
+}
+
+fn encode_order(epoch: u64, order: &RankOrder) -> Result<Bytes, PlatformError> {
+    let plain = |operation, version: Option<MapNumber>, step: Option<StepNumber>| WireOrder {
+        operation,
+        version: version.map(|it| it.0),
+        step: step.map(|it| it.0),
+        epoch,
+        map: None,
+    };
+    let wire = match order {
+        RankOrder::Prepare { version, map } => {
+            WireOrder { map: Some(map), ..plain("prepare", Some(*version), None) }
+        }
+        RankOrder::Arm { version, step } => plain("arm", Some(*version), Some(*step)),
+        RankOrder::Hold(step) => plain("hold", None, Some(*step)),
+        RankOrder::Release(step) => plain("go", None, Some(*step)),
+    };
+    Ok(serde_json::to_vec(&wire)?.into())
+}
+
+impl WireReport {
+    fn decode(self) -> RankReport {
+        let armed = self.armed.and_then(|it| match it {
+            WireArmed::Pair(version, step) | WireArmed::Fields { version, step } => {
+                Some((MapNumber(version), StepNumber(step)))
+            }
+            WireArmed::Version(0) => None,
+            WireArmed::Version(version) => Some((MapNumber(version), StepNumber(0))),
+        });
+        RankReport {
+            running: self.active,
+            waiting: self.queued,
+            pace: self.pace.unwrap_or(1.0),
+            step: StepNumber(self.step),
+            map: MapNumber(self.map.unwrap_or(0)),
+            prepared: self.prepared.filter(|it| *it > 0).map(MapNumber),
+            armed,
+            held: self.held.filter(|it| *it > 0).map(StepNumber),
+            group: self.group.map(WireGroup::decode),
+            group_size: self.size.unwrap_or(0),
+        }
+    }
+}
+
+/// The counts of all layers one after the other, whether they come nested or flat.
+fn flatten(value: &serde_json::Value, counts: &mut Vec<u64>) {
+    match value {
+        serde_json::Value::Array(items) => items.iter().for_each(|it| flatten(it, counts)),
+        other => counts.push(other.as_u64().unwrap_or(0)),
+    }
+}
--- /dev/null
+++ b/src/platform/manifest.rs
@@ -0,0 +1,275 @@
+//! The operator's manifest, decoded into the route catalog.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use super::PlatformError;
+use crate::{
+    routing::{
+        AccountRecord, CallerLimits, CatalogVersion, EngineModel, ExpertLayout, RouteCatalog,
+        RouteKind, RouteRecord, RouteTarget, ServiceRecord,
+    },
+    units::{ByteCount, ClientAccount, RouteName, ServiceName},
+};
+
+/// Key of the manifest in the operator's stream.
+const MANIFEST_KEY: &str = "config";
+/// What the keys of evacuations begin with.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
+/// What a key of the operator's stream names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorKey {
+    /// The manifest.
+    Catalog,
+    /// Evacuation of a failure domain.
+    Evacuation(SmolStr),
+    /// Something of no concern here.
+    Other,
+}
+
+impl OperatorKey {
+    /// Reads a key.
+    ///
+    /// ```
+    /// use alderbay::platform::OperatorKey;
+    /// assert_eq!(OperatorKey::of("evacuate/a"), OperatorKey::Evacuation("a".into()));
+    /// ```
+    pub fn of(key: &str) -> Self {
+        if key == MANIFEST_KEY {
+            return Self::Catalog;
+        }
+        match key.strip_prefix(EVACUATION_PREFIX) {
+            Some(domain) => Self::Evacuation(domain.into()),
+            None => Self::Other,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireManifest {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+    #[serde(default)]
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireRoute {
+    name: RouteName,
+    #[serde(default)]
+    hostname: SmolStr,
+    path_prefix: SmolStr,
+    kind: SmolStr,
+    #[serde(default = "default_timeout_ms")]
+    timeout_ms: u64,
+    #[serde(default)]
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    gap_target_ms: Option<f64>,
+    #[serde(default)]
+    service: Option<ServiceName>,
+    #[serde(default)]
+    traffic_split: Vec<WireShare>,
+    #[serde(default = "default_attempts")]
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct WireShare {
+    service: ServiceName,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireService {
+    name: ServiceName,
+    #[serde(default)]
+    warmup_s: f64,
+    // Requests that a server bears in a second while it is cold.
+    #[serde(default)]
+    warmup_per_s: f64,
+    #[serde(default)]
+    engine: Option<WireEngine>,
+}
+
+// This table mixes names with '-' and with '_'.
+#[derive(Deserialize)]
+struct WireEngine {
+    slots: u32,
+    #[serde(default)]
+    stride: Option<u32>,
+    #[serde(default)]
+    step_ms: f64,
+    #[serde(default)]
+    per_seq_ms: f64,
+    #[serde(default, rename = "link-mbps")]
+    link_mbps: f64,
+    #[serde(default)]
+    sets: usize,
+    #[serde(default)]
+    experts: usize,
+    #[serde(default, rename = "placements")]
+    rank_slots: usize,
+    #[serde(default, rename = "spare")]
+    max_new: usize,
+    #[serde(default, rename = "expert-mb")]
+    expert_mb: f64,
+    #[serde(default, rename = "expert-share")]
+    expert_share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireTenant {
+    name: ClientAccount,
+    #[serde(default)]
+    api_keys: Vec<SmolStr>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct WireLimits {
+    max_body_bytes: u64,
+}
+
+impl Default for WireLimits {
+    fn default() -> Self {
+        Self { max_body_bytes: 4 << 20 }
+    }
+}
+
+fn default_timeout_ms() -> u64 {
+    30_000
+}
+
+fn default_attempts() -> u32 {
+    1
+}
+
+/// Decodes the operator's manifest.
+///
+/// # Errors
+///
+/// The text is not JSON of the published shape.
+pub fn decode_catalog(text: &[u8]) -> Result<RouteCatalog, PlatformError> {
+    let manifest: WireManifest = serde_json::from_slice(text)?;
+    let accounts = manifest.tenants.into_iter().map(decode_account).collect();
+    let services: BTreeMap<ServiceName, ServiceRecord> =
+        manifest.services.into_iter().map(|it| (it.name.clone(), decode_service(it))).collect();
+    let routes = manifest.routes.into_iter().map(decode_route).collect();
+    let limits = CallerLimits { max_body: ByteCount(manifest.limits.max_body_bytes) };
+    Ok(RouteCatalog::new(CatalogVersion(manifest.version), routes, services, accounts, limits))
+}
+
+fn decode_account(tenant: WireTenant) -> AccountRecord {
+    AccountRecord { account: tenant.name, api_keys: tenant.api_keys }
+}
+
+fn decode_route(route: WireRoute) -> RouteRecord {
+    let mut targets: Vec<RouteTarget> = route
+        .traffic_split
+        .into_iter()
+        .map(|it| RouteTarget { service: it.service, weight: it.weight })
+        .collect();
+    if targets.is_empty() {
+        targets.extend(route.service.map(|service| RouteTarget { service, weight: 1.0 }));
+    }
+    RouteRecord {
+        name: route.name,
+        host: route.hostname,
+        path_prefix: route.path_prefix,
+        kind: decode_kind(&route.kind, route.resumable),
+        timeout: Duration::from_millis(route.timeout_ms),
+        latency_objective: route.target_latency_ms.map(millis),
+        pause_objective: route.gap_target_ms.map(millis),
+        targets,
+        max_attempts: route.max_attempts.max(1),
+        is_public: route.public,
+    }
+}
+
+fn decode_kind(kind: &str, resumable: bool) -> RouteKind {
+    match kind {
+        "safe" => RouteKind::Idempotent,
+        "streaming" if resumable => RouteKind::ResumableStream,
+        "streaming" => RouteKind::SingleStream,
+        // Kinds that are not known are run at most once.
+        _ => RouteKind::Single,
+    }
+}
+
+fn decode_service(service: WireService) -> ServiceRecord {
+    ServiceRecord {
+        warm_up: Duration::from_secs_f64(service.warmup_s.clamp(0.0, 3_600.0)),
+        cold_rate: service.warmup_per_s,
+        engine: service.engine.map(decode_engine),
+    }
+}
+
+fn decode_engine(engine: WireEngine) -> EngineModel {
+    let layout = (engine.sets > 0 && engine.experts > 0).then_some(ExpertLayout {
+        layers: engine.sets,
+        experts: engine.experts,
+        rank_slots: engine.rank_slots,
+        max_new: engine.max_new,
+        copy_seconds: engine.expert_mb * 8.0 / engine.link_mbps.max(1.0),
+        expert_share: engine.expert_share,
+    });
+    EngineModel {
+        slots: engine.slots,
+        steps_per_event: engine.stride.unwrap_or(1),
+        step_ms: engine.step_ms,
+        step_ms_per_request: engine.per_seq_ms,
+        layout,
+    }
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64(value.clamp(0.0, 86_400_000.0) / 1_000.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    #[gtest]
+    fn manifest_is_decoded() {
+        let text = br#"{"version":7,"routes":[{"name":"r","hostname":"h.example","path-prefix":"/a/",
+            "kind":"streaming","timeout-ms":8000,"target-latency-ms":400,"priority":1,
+            "traffic-split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+            "max-attempts":2,"public":false,"resumable":true,"gap-target-ms":120}],
+            "services":[{"name":"s","warmup-s":3.0,"warmup-per-s":36.0,"engine":{"slots":12,
+            "sets":6,"experts":64,"placements":11,"spare":4,"expert-mb":1700.0,"link-mbps":92000.0}}],
+            "tenants":[{"name":"acc","api-keys":["k1"]}],"limits":{"max-body-bytes":9}}"#;
+        let catalog = decode_catalog(text).unwrap();
+        assert_that!(catalog.version(), eq(CatalogVersion(7)));
+        let route = catalog.route("h.example", "/a/x").unwrap();
+        assert_that!(route.kind, eq(RouteKind::ResumableStream));
+        assert_that!(route.targets, len(eq(2)));
+        assert_that!(catalog.account_of("k1").map(ToString::to_string), some(eq("acc")));
+        let engine = catalog.service(&"s".parse().unwrap()).unwrap().engine.clone().unwrap();
+        assert_that!(engine.layout.unwrap().copy_seconds, near(0.1478, 0.001));
+    }
+
+    #[gtest]
+    fn unknown_kind_runs_once() {
+        assert_that!(decode_kind("keyed", true), eq(RouteKind::Single));
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,220 @@
+//! Client of the platform's metadata store: partitioned logs over HTTP, of which some keep the
+//! newest record of each key.
+//!
+//! The system only reads: operators and backend servers write.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::{Buf, Bytes};
+use serde::Deserialize;
+use smol_str::SmolStr;
+use volo_http::client::Client;
+
+use super::{PlatformError, exchange, get_json};
+use crate::units::LogOffset;
+
+/// Time for one exchange with the store, long polls aside: below the shortest bound on news.
+const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Bytes of the two offsets in front of the records of a page.
+const PAGE_HEAD_BYTES: usize = 16;
+
+/// What operators publish: the route catalog and evacuations of failure domains.
+const OPERATOR_TOPIC: &str = "keyed.op";
+/// What backend servers say of themselves.
+const SERVER_TOPIC: &str = "keyed.servers";
+
+/// A keyed stream of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyedStream {
+    /// The catalog and evacuations.
+    Operator,
+    /// The directory of backend servers.
+    Servers,
+}
+
+impl KeyedStream {
+    fn topic(self) -> &'static str {
+        match self {
+            Self::Operator => OPERATOR_TOPIC,
+            Self::Servers => SERVER_TOPIC,
+        }
+    }
+}
+
+/// One record of a keyed stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// Its key.
+    pub key: SmolStr,
+    /// Its value; none drops the key.
+    pub value: Option<Bytes>,
+}
+
+/// What a read of changes gave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyedRead {
+    /// The records from the offset asked for, in order, and the offset after them.
+    Records(Vec<KeyedRecord>, LogOffset),
+    /// Records from that offset on are gone: read the newest of each key.
+    Expired,
+}
+
+/// Client of the store.
+#[derive(Clone)]
+pub struct StoreClient {
+    client: Client,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct NewestPage {
+    items: Vec<NewestItem>,
+    #[serde(rename = "has-more")]
+    has_more: bool,
+    #[serde(rename = "end-offset")]
+    end: LogOffset,
+}
+
+#[derive(Deserialize)]
+struct NewestItem {
+    key: SmolStr,
+    value: String,
+}
+
+impl StoreClient {
+    /// A client of the store at `address`.
+    ///
+    /// # Errors
+    ///
+    /// The HTTP client cannot be built.
+    pub fn new(address: SocketAddr) -> Result<Self, PlatformError> {
+        let client = Client::builder().build().map_err(PlatformError::Client)?;
+        Ok(Self { client, address })
+    }
+
+    /// The newest record of each key, and the offset from which later changes are read.
+    ///
+    /// # Errors
+    ///
+    /// The store is unreachable, slow, or answers with an error.
+    pub async fn newest(
+        &self,
+        stream: KeyedStream,
+    ) -> Result<(Vec<KeyedRecord>, LogOffset), PlatformError> {
+        let topic = stream.topic();
+        let base = format!("http://{}/v1/log-newest?topic={topic}&part=0", self.address);
+        let mut page: NewestPage = get_json(&self.client, base.clone(), STORE_TIMEOUT).await?;
+        // Pages are no snapshot: changes since the first one are read again.
+        let end = page.end;
+        let mut records = Vec::new();
+        loop {
+            let last = page.items.last().map(|it| it.key.clone());
+            records.extend(page.items.into_iter().map(decode_item));
+            let Some(last) = last.filter(|_| page.has_more) else { return Ok((records, end)) };
+            let uri = format!("{base}&after={last}");
+            page = get_json(&self.client, uri, STORE_TIMEOUT).await?;
+        }
+    }
+
+    /// Records from `from` on; waits up to `wait` for the first.
+    ///
+    /// # Errors
+    ///
+    /// The store is unreachable, slow, or answers with an error.
+    pub async fn read(
+        &self,
+        stream: KeyedStream,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Result<KeyedRead, PlatformError> {
+        let (address, topic, wait_ms) = (self.address, stream.topic(), wait.as_millis());
+        let uri = format!(
+            "http://{address}/v1/log-read?topic={topic}&part=0&range-start={from}&wait-ms={wait_ms}"
+        );
+        let (parts, body) = exchange(self.client.get(uri), STORE_TIMEOUT + wait).await?;
+        match parts.status {
+            http::StatusCode::OK => decode_page(body, from),
+            http::StatusCode::GONE => Ok(KeyedRead::Expired),
+            status => Err(PlatformError::Status(status.as_u16())),
+        }
+    }
+}
+
+/// A value that is no base64 stays as no value: the record names nothing that can be used.
+fn decode_item(item: NewestItem) -> KeyedRecord {
+    let value = BASE64_STANDARD.decode(item.value.as_bytes());
+    if let Err(error) = &value {
+        log::warn!(key:% = item.key, error:% = error; "record of the store cannot be read");
+    }
+    KeyedRecord { key: item.key, value: value.ok().filter(|it| !it.is_empty()).map(Bytes::from) }
+}
+
+fn decode_page(mut body: Bytes, from: LogOffset) -> Result<KeyedRead, PlatformError> {
+    if body.len() < PAGE_HEAD_BYTES {
+        return Err(PlatformError::Truncated);
+    }
+    body.advance(PAGE_HEAD_BYTES);
+    let mut records = Vec::new();
+    while !body.is_empty() {
+        if body.len() < size_of::<u32>() {
+            return Err(PlatformError::Truncated);
+        }
+        let length = body.get_u32() as usize;
+        if length > body.len() {
+            return Err(PlatformError::Truncated);
+        }
+        records.push(decode_record(body.split_to(length)));
+    }
+    let next = LogOffset(from.0 + records.len() as u64);
+    Ok(KeyedRead::Records(records, next))
+}
+
+fn decode_record(mut content: Bytes) -> KeyedRecord {
+    if content.is_empty() {
+        return KeyedRecord { key: SmolStr::default(), value: None };
+    }
+    let length = usize::from(content.get_u8()).min(content.len());
+    let key = String::from_utf8_lossy(&content.split_to(length)).into();
+    KeyedRecord { key, value: (!content.is_empty()).then_some(content) }
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    fn page(contents: &[&[u8]]) -> Bytes {
+        let mut body = vec![0; PAGE_HEAD_BYTES];
+        for it in contents {
+            body.extend((it.len() as u32).to_be_bytes());
+            body.extend(*it);
+        }
+        body.into()
+    }
+
+    #[gtest]
+    fn page_is_decoded() {
+        let read = decode_page(page(&[b"\x01ab", b"\x02xy"]), LogOffset(7)).unwrap();
+        let record = |key: &str, value: Option<&'static [u8]>| KeyedRecord {
+            key: key.into(),
+            value: value.map(Bytes::from_static),
+        };
+        let records = vec![record("a", Some(b"b")), record("xy", None)];
+        assert_that!(read, eq(&KeyedRead::Records(records, LogOffset(9))));
+    }
+
+    #[gtest]
+    fn cut_page_is_refused() {
+        let mut body = page(&[b"\x01ab"]);
+        body.truncate(body.len() - 1);
+        assert_that!(decode_page(body, LogOffset(0)), err(anything()));
+    }
+
+    #[gtest]
+    fn odd_records_harm_nothing() {
+        assert_that!(decode_record(Bytes::new()).value, none());
+        assert_that!(decode_record(Bytes::from_static(b"\xffab")).key, eq("ab"));
+    }
+}
--- /dev/null
+++ b/src/rank_agent.rs
@@ -0,0 +1,405 @@
+//! The agent beside a rank: it reports its engine's load to gateways and keeps the expert maps of
+//! its group.
+//!
+//! It is no part of any request's way. Reports and counts are free on the engine's own VM, and
+//! orders given there are, too. What it knows of others comes in datagrams; it reads nothing of the
+//! platform's store.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, MissedTickBehavior, interval},
+};
+
+use crate::{
+    daemon::{DaemonError, ProcessClock, stop_signal},
+    experts::{
+        MemberStatus, RankOrder, RankReport, RankUse, RolloutEffect, RolloutNote, RolloutState,
+        STATUS_LISTENERS,
+    },
+    http::ListenerError,
+    options::{DirectRole, DirectSettings},
+    platform::{EngineClient, OrderOutcome, PlatformError},
+    routing::LoadReport,
+    telemetry::{MetricSink, serve_metrics, start_logs},
+    units::Moment,
+    wire::{Datagram, GroupMember, MAX_DATAGRAM, Subscription},
+};
+
+/// Pause between looks at the engine while a map is rolled out.
+const BUSY_PAUSE: Duration = Duration::from_millis(25);
+/// Pause between looks at the engine otherwise.
+const CALM_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between samples of expert counts.
+const SAMPLE_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between statuses to the coordinator where nothing changes.
+const STATUS_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between looks at which experts the rank holds, where no map came into force.
+const EXPERTS_PAUSE: Duration = Duration::from_secs(2);
+/// Time after which a gateway that does not subscribe anew is forgotten.
+const SUBSCRIPTION_LIFE: Duration = Duration::from_secs(3);
+/// Experts that one round copies to a rank at most, over all layers.
+const MAX_COPIES: usize = 3;
+
+/// Runs a rank agent until it is told to stop.
+///
+/// # Errors
+///
+/// An address cannot be used.
+pub async fn run(settings: DirectSettings) -> Result<usize, DaemonError> {
+    start_logs(settings.telemetry.log_level, settings.identity.vm.clone())?;
+    let metrics = MetricSink::open(&settings.telemetry)?;
+    let DirectRole::RankAgent(role) = &settings.role else { return Ok(0) };
+    serve_metrics(settings.identity.admin_listen, settings.http, metrics.clone()).await?;
+    let address = settings.datagrams;
+    let socket = UdpSocket::bind(address)
+        .await
+        .map_err(|source| DaemonError::Listener(ListenerError::new(address, source)))?;
+    let agent = RankAgent {
+        engine: EngineClient::new(role.engine)?,
+        socket,
+        port: address.port(),
+        clock: ProcessClock::start(),
+        metrics,
+        gateways: BTreeMap::new(),
+        group: Vec::new(),
+        rollout: RolloutState::new(MAX_COPIES, SmallRng::from_os_rng()),
+        report: None,
+        sampled: None,
+        sample: 0,
+        fresh_counts: Vec::new(),
+        experts: None,
+        due: DueTimes::default(),
+        is_reachable: true,
+    };
+    log::info!(version = env!("CARGO_PKG_VERSION"), engine:% = role.engine; "started");
+    tokio::select! {
+        () = agent.work() => {}
+        stopped = stop_signal() => stopped?,
+    }
+    log::info!("stopped");
+    Ok(0)
+}
+
+/// When what is done at intervals is due.
+#[derive(Debug, Default)]
+struct DueTimes {
+    sample: Moment,
+    status: Moment,
+    experts: Moment,
+    load: Moment,
+}
+
+struct RankAgent {
+    engine: EngineClient,
+    socket: UdpSocket,
+    port: u16,
+    clock: ProcessClock,
+    metrics: MetricSink,
+    gateways: BTreeMap<SocketAddr, (SocketAddr, Moment)>,
+    group: Vec<GroupMember>,
+    rollout: RolloutState,
+    report: Option<RankReport>,
+    /// The latest counts, from which the next sample is taken.
+    sampled: Option<RankUse>,
+    sample: u64,
+    fresh_counts: Vec<u32>,
+    /// Experts that the rank holds, as of this map.
+    experts: Option<(crate::experts::MapNumber, Vec<Vec<u16>>)>,
+    due: DueTimes,
+    is_reachable: bool,
+}
+
+impl RankAgent {
+    async fn work(mut self) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        let mut ticks = interval(BUSY_PAUSE);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut next_look = Instant::now();
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((length, from)) => {
+                        let urgent = self.receive(&buffer[..length], from);
+                        if urgent {
+                            self.look().await;
+                        }
+                    }
+                    Err(error) => log::debug!(error:% = error; "datagram not received"),
+                },
+                _ = ticks.tick() => {
+                    if self.rollout.is_busy() || Instant::now() >= next_look {
+                        next_look = Instant::now() + CALM_PAUSE;
+                        self.look().await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in a datagram. True where the own rank may have to act at once.
+    fn receive(&mut self, bytes: &[u8], from: SocketAddr) -> bool {
+        let now = self.clock.now();
+        match Datagram::decode(bytes) {
+            Some(Datagram::Subscribe(Subscription { gateway, group, layout })) => {
+                self.gateways.insert(from, (gateway, now));
+                if !group.is_empty() {
+                    self.group = group;
+                }
+                if let Some(layout) = layout {
+                    self.rollout.learn_layout(layout);
+                }
+                false
+            }
+            Some(Datagram::Status(status)) => {
+                let is_armed = status.armed.is_some();
+                self.rollout.learn_status(status, now);
+                is_armed && self.rollout.is_busy()
+            }
+            Some(Datagram::Rollout(rollout)) => {
+                let was = self.rollout.is_busy();
+                let is_step = rollout.step.is_some();
+                self.rollout.learn_rollout(rollout, now);
+                self.rollout.is_busy() && (is_step || !was)
+            }
+            Some(Datagram::Load { .. }) | None => {
+                log::debug!(from:% = from; "datagram is not for an agent");
+                false
+            }
+        }
+    }
+
+    /// Looks at the engine and does what follows.
+    async fn look(&mut self) {
+        match self.engine.report().await {
+            Ok(report) => self.learn(report).await,
+            Err(error) => {
+                if std::mem::replace(&mut self.is_reachable, false) {
+                    log::warn!(engine:% = self.engine.address(), error:% = error; "engine lost");
+                }
+            }
+        }
+    }
+
+    async fn learn(&mut self, report: RankReport) {
+        if !std::mem::replace(&mut self.is_reachable, true) {
+            log::info!(engine:% = self.engine.address(); "engine regained");
+        }
+        let is_change = self.report.as_ref().is_none_or(|it| {
+            (it.map, it.prepared, it.armed) != (report.map, report.prepared, report.armed)
+        });
+        self.report = Some(report.clone());
+        let effects = self.rollout.learn_report(report.clone());
+        self.carry_out(effects).await;
+        let now = self.clock.now();
+        if now >= self.due.load {
+            self.due.load = now.after(CALM_PAUSE);
+            self.report_load(&report, now).await;
+        }
+        self.read_experts(&report, now).await;
+        if now >= self.due.sample {
+            self.due.sample = now.after(SAMPLE_PAUSE);
+            self.read_counts().await;
+            self.rollout.close_interval();
+        }
+        if is_change || now >= self.due.status {
+            self.due.status = now.after(STATUS_PAUSE);
+            self.send_status(&report, now).await;
+        }
+        let effects = self.rollout.settle(now);
+        self.carry_out(effects).await;
+    }
+
+    async fn report_load(&mut self, report: &RankReport, now: Moment) {
+        self.gateways.retain(|_, (_, at)| now.since(*at) < SUBSCRIPTION_LIFE);
+        let message = Datagram::Load {
+            server: self.engine.address(),
+            report: LoadReport {
+                running: report.running,
+                waiting: report.waiting,
+                is_open: report.group.as_ref().is_none_or(|it| it.is_open),
+            },
+            gateways: self.gateways.values().map(|it| it.0).collect(),
+        };
+        let to: Vec<SocketAddr> = self.gateways.keys().copied().collect();
+        self.send(&message, &to).await;
+    }
+
+    async fn read_experts(&mut self, report: &RankReport, now: Moment) {
+        let is_known = self.experts.as_ref().is_some_and(|it| it.0 == report.map);
+        if report.group.is_none() || is_known && now < self.due.experts {
+            return;
+        }
+        self.due.experts = now.after(EXPERTS_PAUSE);
+        match self.engine.held_experts().await {
+            Ok(held) => self.experts = Some(held),
+            Err(error) => log::info!(error:% = error; "experts of the rank cannot be read"),
+        }
+    }
+
+    async fn read_counts(&mut self) {
+        let latest = match self.engine.expert_use().await {
+            Ok(latest) => latest,
+            Err(error) => {
+                log::info!(error:% = error; "expert counts cannot be read");
+                return;
+            }
+        };
+        let before = self.sampled.replace(latest.clone());
+        let Some(before) = before.filter(|it| it.counts.len() == latest.counts.len()) else {
+            return;
+        };
+        let pairs = latest.counts.iter().zip(&before.counts);
+        // A restarted engine counts anew.
+        let since = |(new, old): (&u64, &u64)| u32::try_from(new.saturating_sub(*old)).unwrap_or(0);
+        self.fresh_counts = pairs.map(since).collect();
+        self.sample += 1;
+    }
+
+    async fn send_status(&mut self, report: &RankReport, now: Moment) {
+        let Some(place) = &report.group else { return };
+        let status = MemberStatus {
+            rank: place.rank,
+            epoch: place.epoch,
+            step: report.step,
+            map: report.map,
+            prepared: report.prepared,
+            armed: report.armed,
+            highest: self.rollout.highest(),
+            experts: match &self.experts {
+                Some((map, experts)) if *map == report.map => experts.clone(),
+                Some(_) | None => Vec::new(),
+            },
+            sample: self.sample,
+            counts: self.fresh_counts.clone(),
+        };
+        let own = place.rank;
+        let listeners: Vec<SocketAddr> = self
+            .group
+            .iter()
+            .filter(|it| it.rank < STATUS_LISTENERS && it.rank != own)
+            .map(|it| self.agent_of(it))
+            .collect();
+        if own < STATUS_LISTENERS {
+            self.rollout.learn_status(status.clone(), now);
+        }
+        self.send(&Datagram::Status(status), &listeners).await;
+    }
+
+    fn agent_of(&self, member: &GroupMember) -> SocketAddr {
+        SocketAddr::new(member.server.ip(), self.port)
+    }
+
+    async fn send(&self, message: &Datagram, to: &[SocketAddr]) {
+        let bytes = match message.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!(error:% = error; "datagram cannot be encoded");
+                return;
+            }
+        };
+        for address in to {
+            // A datagram that cannot be sent counts as lost; the next one replaces it.
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                log::debug!(to:% = address, error:% = error; "datagram not sent");
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, effects: Vec<RolloutEffect>) {
+        for effect in effects {
+            match effect {
+                RolloutEffect::Note(note) => self.log_note(&note),
+                RolloutEffect::Broadcast(rollout) => {
+                    let own = self.engine.address();
+                    let others = self.group.iter().filter(|it| it.server != own);
+                    let to: Vec<SocketAddr> = others.map(|it| self.agent_of(it)).collect();
+                    self.send(&Datagram::Rollout(rollout), &to).await;
+                }
+                RolloutEffect::Order(order) => self.give_order(&self.engine.clone(), &order).await,
+                RolloutEffect::OrderRank(rank, order) => {
+                    if let Some(engine) = self.engine_of(rank) {
+                        self.give_order(&engine, &order).await;
+                    }
+                }
+                RolloutEffect::AskRank(rank) => self.ask_rank(rank).await,
+            }
+        }
+    }
+
+    fn engine_of(&self, rank: u16) -> Option<EngineClient> {
+        let member = self.group.iter().find(|it| it.rank == rank)?;
+        match EngineClient::new(member.server) {
+            Ok(engine) => Some(engine),
+            Err(error) => {
+                log::error!(rank = rank, error:% = error; "no client for the rank's engine");
+                None
+            }
+        }
+    }
+
+    async fn ask_rank(&mut self, rank: u16) {
+        let Some(engine) = self.engine_of(rank) else { return };
+        match engine.report().await {
+            Ok(report) => self.rollout.learn_answer(rank, report, self.clock.now()),
+            Err(error) => log::info!(rank = rank, error:% = error; "engine of a rank is silent"),
+        }
+    }
+
+    async fn give_order(&self, engine: &EngineClient, order: &RankOrder) {
+        let Some(epoch) = self.rollout.place().map(|it| it.epoch) else { return };
+        let (name, detail) = describe(order);
+        let outcome: Result<OrderOutcome, PlatformError> = engine.order(epoch, order).await;
+        self.metrics.count(&format!("orders.{name}"));
+        match outcome {
+            Ok(OrderOutcome::Taken) => {
+                log::info!(order = name, detail = detail, epoch = epoch; "order taken");
+            }
+            Ok(OrderOutcome::Refused(status)) => {
+                log::info!(order = name, detail = detail, epoch = epoch, status = status; "order refused");
+            }
+            Err(error) => {
+                log::info!(order = name, detail = detail, epoch = epoch, error:% = error; "order not answered");
+            }
+        }
+    }
+
+    fn log_note(&self, note: &RolloutNote) {
+        match note {
+            RolloutNote::Planned { version, copies, skew_before, skew_after } => {
+                self.metrics.gauge("experts.skew_milli", u64::from(*skew_before));
+                log::info!(
+                    map = version.0, copies = copies, skew_before_milli = skew_before,
+                    skew_after_milli = skew_after;
+                    "expert map planned"
+                );
+            }
+            RolloutNote::InForce(version) => {
+                log::info!(map = version.0; "expert map in force");
+            }
+            RolloutNote::Abandoned(version) => {
+                log::warn!(map = version.0; "expert map given up before any rank was armed");
+            }
+            RolloutNote::Rescue(version, step) => {
+                log::warn!(map = version.0, step = step.0; "finishing the switch of a silent agent");
+            }
+            RolloutNote::Formed(epoch) => log::info!(epoch = epoch; "group formed"),
+        }
+    }
+}
+
+/// Name and number of an order, for log lines and counters.
+fn describe(order: &RankOrder) -> (&'static str, u64) {
+    match order {
+        RankOrder::Prepare { version, .. } => ("prepare", version.0),
+        RankOrder::Arm { version, .. } => ("arm", version.0),
+        RankOrder::Hold(step) => ("hold", step.0),
+        RankOrder::Release(step) => ("release", step.0),
+    }
+}
--- /dev/null
+++ b/src/routing/state.rs
@@ -0,0 +1,508 @@
+//! The state of a gateway, and its reducer.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    AdmissionSettings, AttemptBudget, AttemptOrder, AttemptResult, BeliefChange, BudgetSettings,
+    CallerFacts, Candidate, ColdGate, KnownServer, LoadReport, PlacementChoice, RequestNumber,
+    RouteCatalog, RouteKind, RouteRecord, RoutingEffect, RoutingEvent, ServerLoad, ServerTable,
+    SourceName, choose_candidate,
+};
+use crate::{
+    core::{Refusal, RefusalCode},
+    units::{ClientAccount, FailureDomain, GroupName, Moment, RequestId, ServerId, ServiceName},
+};
+
+/// Gateways that are assumed before an agent has said how many it hears from.
+const ASSUMED_GATEWAYS: u32 = 12;
+/// Time for which the largest number of gateways that was reported holds.
+const GATEWAYS_MEMORY: Duration = Duration::from_secs(10);
+/// Servers that one request may find unreachable.
+const MAX_UNREACHABLE: u32 = 4;
+/// Time left below which a further attempt cannot bring an answer.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(30);
+
+/// What the reducer takes from the settings.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct RoutingSettings {
+    /// The gateway's own failure domain.
+    pub failure_domain: FailureDomain,
+    /// Bounds on repeated attempts and cold servers.
+    pub budget: BudgetSettings,
+    /// Bounds on load.
+    pub admission: AdmissionSettings,
+    /// Patience of callers that state none.
+    pub default_patience: Duration,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// One caller's request in progress.
+#[derive(Clone, Debug)]
+struct RequestState {
+    request_id: RequestId,
+    route: RouteRecord,
+    service: ServiceName,
+    account: Option<ClientAccount>,
+    deadline: Moment,
+    /// Servers that it was sent to or that were unreachable.
+    tried: Vec<ServerId>,
+    /// Groups in which an attempt was lost or stalled.
+    failed_groups: Vec<GroupName>,
+    /// Attempts that were sent.
+    sent: u32,
+    /// Attempts that found no connection.
+    unreachable: u32,
+    may_have_run: bool,
+    /// Where the present attempt is.
+    at: Option<(ServerId, SocketAddr)>,
+}
+
+/// All that a gateway knows.
+#[derive(Clone, Debug)]
+pub struct RoutingState {
+    settings: RoutingSettings,
+    catalog: Option<RouteCatalog>,
+    servers: ServerTable,
+    /// By address: agents know no ids.
+    loads: HashMap<SocketAddr, ServerLoad>,
+    cold_gates: BTreeMap<ServerId, ColdGate>,
+    budgets: BTreeMap<ServiceName, AttemptBudget>,
+    gateways: Option<(u32, Moment)>,
+    requests: BTreeMap<RequestNumber, RequestState>,
+    is_stopping: bool,
+    rng: SmallRng,
+}
+
+impl RoutingState {
+    /// A state in which nothing has happened.
+    pub fn new(settings: RoutingSettings) -> Self {
+        Self {
+            catalog: None,
+            servers: ServerTable::default(),
+            loads: HashMap::new(),
+            cold_gates: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            gateways: None,
+            requests: BTreeMap::new(),
+            is_stopping: false,
+            rng: SmallRng::seed_from_u64(settings.seed),
+            settings,
+        }
+    }
+
+    /// The catalog in force.
+    pub fn catalog(&self) -> Option<&RouteCatalog> {
+        self.catalog.as_ref()
+    }
+
+    /// The servers known.
+    pub fn servers(&self) -> &ServerTable {
+        &self.servers
+    }
+
+    /// Whether the gateway takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.catalog.is_some() && !self.servers.is_empty() && !self.is_stopping
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Gateways that there may be.
+    pub fn fleet(&self) -> u32 {
+        self.gateways.map_or(ASSUMED_GATEWAYS, |it| it.0.max(1))
+    }
+}
+
+/// Reduces one event: brings the state up to date and says what is to be done.
+pub fn reduce(state: &mut RoutingState, now: Moment, event: RoutingEvent) -> Vec<RoutingEffect> {
+    let believe = |it: Vec<BeliefChange>| it.into_iter().map(RoutingEffect::Believe).collect();
+    match event {
+        RoutingEvent::CatalogRead { source, catalog } => catalog_read(state, source, *catalog),
+        RoutingEvent::EvacuationsRead(domains) => believe(state.servers.evacuate(domains)),
+        RoutingEvent::DirectoryRead(list) => {
+            let changes = state.servers.read_directory(list, now);
+            forget_gone(state);
+            believe(changes)
+        }
+        RoutingEvent::StoreLost => {
+            state.servers.store_lost(now);
+            believe(vec![BeliefChange::StoreLost])
+        }
+        RoutingEvent::StoreRegained => {
+            state.servers.store_regained(now);
+            believe(vec![BeliefChange::StoreRegained])
+        }
+        RoutingEvent::LoadReported { address, report, gateways } => {
+            load_reported(state, address, report, gateways, now);
+            Vec::new()
+        }
+        RoutingEvent::RequestArrived(facts) => vec![request_arrived(state, facts, now)],
+        RoutingEvent::AttemptEnded { number, result } => attempt_ended(state, number, result, now),
+        RoutingEvent::RequestEnded(number) => request_ended(state, number),
+        RoutingEvent::StopAsked => {
+            state.is_stopping = true;
+            believe(vec![BeliefChange::Stopping])
+        }
+    }
+}
+
+fn catalog_read(
+    state: &mut RoutingState,
+    source: SourceName,
+    catalog: RouteCatalog,
+) -> Vec<RoutingEffect> {
+    let version = catalog.version();
+    // Whatever a peer or a slow read brings, nothing returns to an older version.
+    if state.catalog.as_ref().is_some_and(|it| it.version() >= version) {
+        return Vec::new();
+    }
+    state.catalog = Some(catalog);
+    vec![RoutingEffect::Believe(BeliefChange::Catalog { version, source })]
+}
+
+fn forget_gone(state: &mut RoutingState) {
+    let servers = &state.servers;
+    state.cold_gates.retain(|id, _| servers.server(id).is_some());
+    let listed: Vec<SocketAddr> = servers.servers().map(|it| it.record.address).collect();
+    state.loads.retain(|address, load| load.outstanding > 0 || listed.contains(address));
+}
+
+fn load_reported(
+    state: &mut RoutingState,
+    address: SocketAddr,
+    report: LoadReport,
+    gateways: u32,
+    now: Moment,
+) {
+    state.loads.entry(address).or_default().record_report(report, now);
+    let is_old = state.gateways.is_none_or(|(_, at)| now.since(at) > GATEWAYS_MEMORY);
+    if is_old || state.gateways.is_some_and(|(most, _)| gateways >= most) {
+        state.gateways = Some((gateways, now));
+    }
+}
+
+fn request_arrived(state: &mut RoutingState, facts: CallerFacts, now: Moment) -> RoutingEffect {
+    let number = facts.number;
+    let refuse = |code| RoutingEffect::Refuse(number, Refusal::not_run(code));
+    let Some(catalog) = state.catalog.as_ref() else {
+        let refusal = Refusal::not_run(RefusalCode::NoConfiguration);
+        return RoutingEffect::Refuse(number, refusal.retry_after(Duration::from_millis(500)));
+    };
+    let Some(route) = catalog.route(&facts.host, &facts.path) else {
+        return refuse(RefusalCode::UnknownPath);
+    };
+    let account = match &facts.api_key {
+        _ if !catalog.has_accounts() => None,
+        Some(key) => catalog.account_of(key).cloned(),
+        None => None,
+    };
+    if catalog.has_accounts() && !route.is_public && account.is_none() {
+        return refuse(match facts.api_key {
+            Some(_) => RefusalCode::UnknownAccount,
+            None => RefusalCode::MissingKey,
+        });
+    }
+    let Some(service) = route.draw_service(&mut state.rng).cloned() else {
+        return refuse(RefusalCode::NoServer);
+    };
+    let patience = facts.patience.unwrap_or(state.settings.default_patience);
+    let request = RequestState {
+        request_id: facts.request_id,
+        deadline: now.after(patience.min(route.timeout)),
+        route: route.clone(),
+        service,
+        account,
+        tried: Vec::new(),
+        failed_groups: Vec::new(),
+        sent: 0,
+        unreachable: 0,
+        may_have_run: false,
+        at: None,
+    };
+    let fleet = state.fleet();
+    let budget = budget_of(state, &request.service);
+    budget.0.deposit(&budget.1, fleet);
+    state.requests.insert(number, request);
+    place(state, number, now)
+}
+
+fn budget_of<'a>(
+    state: &'a mut RoutingState,
+    service: &ServiceName,
+) -> (&'a mut AttemptBudget, BudgetSettings) {
+    let (settings, fleet) = (state.settings.budget, state.fleet());
+    if !state.budgets.contains_key(service) {
+        state.budgets.insert(service.clone(), AttemptBudget::new(&settings, fleet));
+    }
+    let budget = state.budgets.entry(service.clone());
+    (budget.or_insert_with(|| AttemptBudget::new(&settings, fleet)), settings)
+}
+
+/// Chooses a server for a request in progress.
+fn place(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
+    // Lapsed entries are dropped here too: the directory may not be read for a while.
+    state.servers.expire(now);
+    let Some(request) = state.requests.get(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    let choice = choose(state, request, now);
+    match choice {
+        (PlacementChoice::Server(id), rng) => {
+            state.rng = rng;
+            send_to(state, number, &id, now)
+        }
+        (PlacementChoice::Full { retry_after }, rng) => {
+            state.rng = rng;
+            refuse(state, number, RefusalCode::Overloaded, Some(retry_after))
+        }
+        (PlacementChoice::Nowhere { retry_after, .. }, rng) => {
+            state.rng = rng;
+            refuse(state, number, RefusalCode::NoServer, Some(retry_after))
+        }
+    }
+}
+
+fn choose(
+    state: &RoutingState,
+    request: &RequestState,
+    now: Moment,
+) -> (PlacementChoice, SmallRng) {
+    let fleet = state.fleet();
+    let usable: Vec<&KnownServer> = state
+        .servers
+        .usable(&request.service)
+        .filter(|it| !request.tried.contains(&it.record.id))
+        .filter(|it| bears_one_more(state, it, now))
+        .collect();
+    let healthy = |it: &&&KnownServer| {
+        let address = it.record.address;
+        !state.loads.get(&address).is_some_and(|load| load.is_paused(now))
+    };
+    let elsewhere = |it: &&&KnownServer| {
+        it.record.group.as_ref().is_none_or(|it| !request.failed_groups.contains(&it.name))
+    };
+    // Each further condition holds only where it leaves a choice.
+    let mut chosen: Vec<&KnownServer> = usable.iter().filter(healthy).copied().collect();
+    if chosen.is_empty() {
+        chosen = usable;
+    }
+    let other_groups: Vec<&KnownServer> = chosen.iter().filter(elsewhere).copied().collect();
+    if !other_groups.is_empty() {
+        chosen = other_groups;
+    }
+    let candidates: Vec<Candidate<'_>> = chosen
+        .iter()
+        .map(|it| Candidate {
+            id: &it.record.id,
+            load: state.loads.get(&it.record.address).map_or(0.0, |load| load.estimate(fleet, now)),
+            slots: it.record.slots,
+            is_near: it.record.failure_domain == state.settings.failure_domain,
+        })
+        .collect();
+    let mut rng = state.rng.clone();
+    let choice = choose_candidate(&candidates, &state.settings.admission, &mut rng);
+    (choice, rng)
+}
+
+/// Whether the server's group works and, where it is cold, its rate allows one more request.
+fn bears_one_more(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
+    let record = &server.record;
+    let report = state.loads.get(&record.address).and_then(|it| it.report(now));
+    let listed = record.group.as_ref().is_none_or(|it| it.is_open);
+    // The agent's word is newer than the directory's.
+    if !report.map_or(listed, |it| it.is_open) {
+        return false;
+    }
+    if now >= server.cold_until {
+        return true;
+    }
+    let catalog = state.catalog.as_ref();
+    let cold_rate =
+        catalog.and_then(|it| it.service(&record.service)).map_or(0.0, |it| it.cold_rate);
+    if cold_rate <= 0.0 {
+        return true;
+    }
+    let mut gate = state.cold_gates.get(&record.id).cloned().unwrap_or_default();
+    gate.is_open(&state.settings.budget, cold_rate, state.fleet(), now)
+}
+
+fn send_to(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    id: &ServerId,
+    now: Moment,
+) -> RoutingEffect {
+    let fleet = state.fleet();
+    let Some(record) = state.servers.server(id).map(|it| it.record.clone()) else {
+        return refuse(state, number, RefusalCode::NoServer, None);
+    };
+    let load = state.loads.entry(record.address).or_default();
+    let estimate = load.estimate(fleet, now);
+    load.begin();
+    state.cold_gates.entry(id.clone()).or_default().record(now);
+    let Some(request) = state.requests.get_mut(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    request.tried.push(id.clone());
+    request.at = Some((id.clone(), record.address));
+    let order = AttemptOrder {
+        server: id.clone(),
+        address: record.address,
+        service: request.service.clone(),
+        route: request.route.name.clone(),
+        account: request.account.clone(),
+        kind: request.route.kind,
+        deadline: request.deadline,
+        latency_objective: request.route.latency_objective,
+        attempt: request.sent + request.unreachable + 1,
+        load: estimate,
+    };
+    RoutingEffect::Attempt(number, Box::new(order))
+}
+
+fn refuse(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    code: RefusalCode,
+    retry_after: Option<Duration>,
+) -> RoutingEffect {
+    let may_have_run = state.requests.get(&number).is_some_and(|it| it.may_have_run);
+    let refusal = match may_have_run {
+        // A status that promises "not run" would be untrue.
+        true => Refusal::unknown(RefusalCode::OutcomeUnknown),
+        false => Refusal { retry_after, ..Refusal::not_run(code) },
+    };
+    RoutingEffect::Refuse(number, refusal)
+}
+
+fn attempt_ended(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    result: AttemptResult,
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
+    let Some((id, address)) = request.at.take() else { return Vec::new() };
+    request.may_have_run |= result.may_have_run();
+    let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
+    match result {
+        AttemptResult::NeverSent => request.unreachable += 1,
+        AttemptResult::Lost | AttemptResult::Stalled | AttemptResult::NotRun => {
+            request.sent += 1;
+            request.failed_groups.extend(group.map(|it| it.name.clone()));
+        }
+        AttemptResult::Answered
+        | AttemptResult::ServerError
+        | AttemptResult::WrongServer
+        | AttemptResult::Abandoned => request.sent += 1,
+    }
+    let mut effects: Vec<RoutingEffect> =
+        note_health(state, &id, address, result, now).map(RoutingEffect::Believe).into_iter().collect();
+    effects.push(next_step(state, number, result, now));
+    effects
+}
+
+/// Brings the server's record up to date.
+fn note_health(
+    state: &mut RoutingState,
+    id: &ServerId,
+    address: SocketAddr,
+    result: AttemptResult,
+    now: Moment,
+) -> Option<BeliefChange> {
+    let load = state.loads.entry(address).or_default();
+    load.end();
+    let is_paused = match result {
+        AttemptResult::NeverSent => {
+            load.record_unreachable(now);
+            true
+        }
+        AttemptResult::Lost | AttemptResult::Stalled => load.record_end(true, now),
+        AttemptResult::ServerError | AttemptResult::NotRun => load.record_end(true, now),
+        AttemptResult::Answered => load.record_end(false, now),
+        AttemptResult::WrongServer => {
+            load.record_unreachable(now);
+            true
+        }
+        AttemptResult::Abandoned => false,
+    };
+    is_paused.then(|| BeliefChange::ServerPaused { server: id.clone(), result })
+}
+
+fn next_step(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    result: AttemptResult,
+    now: Moment,
+) -> RoutingEffect {
+    let Some(request) = state.requests.get(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    let kind = request.route.kind;
+    let has_time = now.after(LEAST_TIME_LEFT) < request.deadline;
+    let has_attempts = request.sent < request.route.max_attempts.max(1);
+    match result {
+        AttemptResult::Answered | AttemptResult::Abandoned => RoutingEffect::Finished(number),
+        AttemptResult::NeverSent if !has_time => {
+            refuse(state, number, RefusalCode::DeadlinePassed, None)
+        }
+        AttemptResult::NeverSent if request.unreachable >= MAX_UNREACHABLE => {
+            refuse(state, number, RefusalCode::NoServer, None)
+        }
+        AttemptResult::NeverSent => place(state, number, now),
+        AttemptResult::NotRun | AttemptResult::WrongServer => {
+            if has_time && has_attempts && spend(state, number) {
+                return place(state, number, now);
+            }
+            refuse(state, number, RefusalCode::Overloaded, Some(Duration::from_millis(500)))
+        }
+        AttemptResult::ServerError => {
+            if kind == RouteKind::Idempotent && has_time && has_attempts && spend(state, number) {
+                return place(state, number, now);
+            }
+            RoutingEffect::Finished(number)
+        }
+        AttemptResult::Lost | AttemptResult::Stalled => {
+            if kind.is_idempotent() && has_time && has_attempts && spend(state, number) {
+                return place(state, number, now);
+            }
+            let code = match has_time {
+                true => RefusalCode::OutcomeUnknown,
+                false => RefusalCode::DeadlineDuringRun,
+            };
+            RoutingEffect::Refuse(number, Refusal::unknown(code))
+        }
+    }
+}
+
+/// Takes a repeated attempt from the service's budget.
+fn spend(state: &mut RoutingState, number: RequestNumber) -> bool {
+    let Some(service) = state.requests.get(&number).map(|it| it.service.clone()) else {
+        return false;
+    };
+    budget_of(state, &service).0.withdraw()
+}
+
+fn request_ended(state: &mut RoutingState, number: RequestNumber) -> Vec<RoutingEffect> {
+    let Some(request) = state.requests.remove(&number) else { return Vec::new() };
+    // The caller left in the middle of an attempt.
+    if let Some((_, address)) = request.at
+        && let Some(load) = state.loads.get_mut(&address)
+    {
+        load.end();
+    }
+    log::debug!(request:% = request.request_id; "request ended");
+    Vec::new()
+}
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,6 +1,16 @@
-//! Logs as JSON lines on standard error, one object an event.
-
-use std::io::{self, Write};
+//! Logs as JSON lines on standard output, one object an event.
+//!
+//! Lines pass through a bounded queue to a thread of their own: a reader that takes nothing costs
+//! lines, which are counted, and never holds a request up.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+};
 
 use log::{
     Level, LevelFilter, Log, Metadata, Record, SetLoggerError,
@@ -13,23 +23,41 @@
 use super::wall_clock_ms;
 use crate::{options::LogLevel, units::VmId};
 
+/// Lines that may wait for the reader of the log.
+const QUEUED_LINES: usize = 4_096;
+
 /// Why logging could not be started.
 #[derive(Debug)]
 #[derive(Error)]
-#[error("starting the log: {0}")]
-pub struct LogError(#[from] SetLoggerError);
+pub enum LogError {
+    /// Logging was started before.
+    #[error("starting the log: {0}")]
+    Started(#[from] SetLoggerError),
+    /// The writing thread could not be started.
+    #[error("starting the thread of the log: {0}")]
+    Thread(#[from] io::Error),
+}
 
 /// Starts logging at `level`; every line names the VM.
 ///
 /// # Errors
 ///
-/// Logging was started before.
+/// Logging was started before, or no thread can be started.
 pub fn start_logs(level: LogLevel, vm: VmId) -> Result<(), LogError> {
-    let level = level_filter(level);
-    CombinedLogger::init(vec![Box::new(JsonLogger { level, vm })])?;
+    let (lines, queue) = sync_channel(QUEUED_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let counter = dropped.clone();
+    std::thread::Builder::new().name("log".into()).spawn(move || write_lines(&queue, &counter))?;
+    CombinedLogger::init(vec![Box::new(JsonLogger { vm, lines, dropped })])?;
+    set_log_level(level);
     Ok(())
 }
 
+/// Changes the least severe level that is logged.
+pub fn set_log_level(level: LogLevel) {
+    log::set_max_level(level_filter(level));
+}
+
 fn level_filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Error => LevelFilter::Error,
@@ -40,19 +68,50 @@
     }
 }
 
+/// What the writing thread is told.
+enum LogLine {
+    /// Write this.
+    Text(String),
+    /// Say when all before is written.
+    Flush(SyncSender<()>),
+}
+
+fn write_lines(queue: &Receiver<LogLine>, dropped: &AtomicU64) {
+    let mut output = io::stdout();
+    while let Ok(line) = queue.recv() {
+        // There is nowhere to report that the log itself cannot be written.
+        match line {
+            LogLine::Text(text) => {
+                let _ = output.write_all(text.as_bytes());
+            }
+            LogLine::Flush(done) => {
+                let _ = output.flush();
+                let _ = done.send(());
+            }
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let text = format!("{{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":{lost}}}\n");
+            let _ = output.write_all(text.as_bytes());
+        }
+    }
+}
+
 /// Writes each record as one JSON object: `at_ms`, `level`, `vm`, `module`, `message`, and the
 /// record's own fields.
 struct JsonLogger {
-    level: LevelFilter,
     vm: VmId,
+    lines: SyncSender<LogLine>,
+    dropped: Arc<AtomicU64>,
 }
 
 impl JsonLogger {
     /// Libraries speak only of what goes wrong, unless everything is asked for.
     fn passes(&self, metadata: &Metadata<'_>) -> bool {
+        let level = log::max_level();
         let own = metadata.target().starts_with("alderbay");
-        metadata.level() <= self.level
-            && (own || metadata.level() <= Level::Warn || self.level == LevelFilter::Trace)
+        metadata.level() <= level
+            && (own || metadata.level() <= Level::Warn || level == LevelFilter::Trace)
     }
 }
 
@@ -74,18 +133,22 @@
         let _ = record.key_values().visit(&mut FieldVisitor(&mut line));
         let mut text = serde_json::Value::Object(line).to_string();
         text.push('\n');
-        // There is nowhere to report that the log itself cannot be written.
-        let _ = io::stderr().write_all(text.as_bytes());
+        if self.lines.try_send(LogLine::Text(text)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
     }
 
     fn flush(&self) {
-        let _ = io::stderr().flush();
+        let (done, written) = sync_channel(1);
+        if self.lines.send(LogLine::Flush(done)).is_ok() {
+            let _ = written.recv();
+        }
     }
 }
 
 impl SharedLogger for JsonLogger {
     fn level(&self) -> LevelFilter {
-        self.level
+        LevelFilter::Trace
     }
 
     fn config(&self) -> Option<&Config> {
--- a/src/units.rs
+++ b/src/units.rs
@@ -6,8 +6,8 @@
 mod quantities;
 
 pub use ids::{
-    ClientAccount, EditId, FailureDomain, IdError, OperatorName, PlanId, RequestId, ServiceName,
-    VmId,
+    ClientAccount, EditId, FailureDomain, GroupName, IdError, OperatorName, PlanId, RequestId,
+    RouteName, ServerId, ServiceName, VmId,
 };
 pub use quantities::{
     ByteCount, ConcurrencyLimit, ConfigDigest, ConfigVersion, IncarnationId, LogOffset, Moment,
--- a/src/units/ids.rs
+++ b/src/units/ids.rs
@@ -118,6 +118,12 @@
     EditId;
     /// The person or program that made an edit.
     OperatorName;
+    /// One life of a backend server, as the platform's directory names it.
+    ServerId;
+    /// A route of the catalog, by which requests reach services.
+    RouteName;
+    /// A group of backend servers that run in lock-step as ranks.
+    GroupName;
 }
 
 macro_rules! ids_of_uuids {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,9 +4,11 @@
 //! [`PeerNotice`]s. Each request travels on a stream of its own: one [`WorkOrder`], then
 //! [`WorkReply`]s up to an explicit end.
 
+mod datagrams;
 mod framing;
 mod messages;
 
+pub use datagrams::{Datagram, GroupMember, MAX_DATAGRAM, Subscription};
 pub use framing::{FrameError, read_frame, write_frame};
 pub use messages::{
     AgentReport, HeaderPair, PeerHello, PeerNotice, PeerRole, RefusalReason, RunKey, RunMode,
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -458,7 +458,8 @@
 fn launch(launcher: &Launcher, process: &mut FleetProcess) {
     let log = File::options().create(true).append(true).open(&process.log).unwrap();
     let mut command = Command::new(&launcher.program);
-    command.args(&launcher.arguments).arg("--settings").arg(&process.settings).stderr(log);
+    command.args(&launcher.arguments).arg("--settings").arg(&process.settings);
+    command.stdout(log.try_clone().unwrap()).stderr(log);
     let child = spawn(&mut command);
     process.child = Some(child);
 }
