--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -73,7 +73,7 @@
     }
 
     /// Serves the routes until the phase is [`ListenerPhase::Closed`] and the last connection has
-    /// ended.
+    /// ended; for good where nobody can change the phase any more.
     pub async fn serve(self, router: Router, phase: watch::Receiver<ListenerPhase>) {
         let router = Arc::new(router);
         let max_head = self.limits.max_head_bytes;
@@ -90,7 +90,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = self.accept() => accepted,
-                _ = phase.wait_for(|it| *it == ListenerPhase::Closed) => break,
+                Ok(_) = phase.wait_for(|it| *it == ListenerPhase::Closed) => break,
             };
             let Some((stream, peer, permit)) = accepted else { continue };
             let connection =
@@ -149,7 +149,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
-        _ = phase.wait_for(|it| *it == ListenerPhase::Closed) => None,
+        Ok(_) = phase.wait_for(|it| *it == ListenerPhase::Closed) => None,
     };
     let ended = match ended {
         Some(ended) => ended,
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -140,7 +140,7 @@
     ///
     /// The engine is unreachable, slow, or answers with an error.
     pub async fn held_experts(&self) -> Result<(MapNumber, Vec<Vec<u16>>), PlatformError> {
-        let uri = format!("http://{}/v1/picked?lists", self.address);
+        let uri = format!("http://{}/v1/picked?lists=1", self.address);
         let wire: WireLists = get_json(&self.client, uri, ENGINE_TIMEOUT).await?;
         Ok((MapNumber(wire.map.version), wire.map.experts))
     }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -106,12 +106,13 @@
 }
 
 impl JsonLogger {
-    /// Libraries speak only of what goes wrong, unless everything is asked for.
+    /// Libraries speak only of their errors, unless everything is asked for: what goes wrong with a
+    /// connection is in our own lines, once.
     fn passes(&self, metadata: &Metadata<'_>) -> bool {
         let level = log::max_level();
         let own = metadata.target().starts_with("alderbay");
         metadata.level() <= level
-            && (own || metadata.level() <= Level::Warn || level == LevelFilter::Trace)
+            && (own || metadata.level() <= Level::Error || level == LevelFilter::Trace)
     }
 }
 
