Catch SIGHUP in both direct roles

Change: one follower of SIGHUP, shared by gateways and rank agents: checks the settings, takes over the log level.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod config_follower;
 mod control_stream;
+mod hangups;
 mod shell;
 mod status;
 mod vm_follower;
@@ -14,6 +15,7 @@
 pub use audit_trail::AuditRecord;
 pub use clock::ProcessClock;
 pub use control_stream::{ControlError, exchange_hellos, run_control};
+pub use hangups::follow_hangups;
 pub use shell::{
     AttemptNote, DaemonError, DemandMessage, ExplainedRequest, PeerCommand, ProcessShell,
     RequestCommand, ShellInbox, WorkCommand,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,9 +16,9 @@
 use tokio::sync::watch;
 
 use crate::{
-    daemon::{DaemonError, stop_signal},
+    daemon::{DaemonError, follow_hangups, stop_signal},
     http::{HttpListener, ListenerPhase},
-    options::{DaemonArguments, DaemonSettings, DirectRole, DirectSettings, GatewaySettings, merge},
+    options::{DaemonArguments, DirectRole, DirectSettings, GatewaySettings},
     platform::StoreClient,
     routing::RoutingEvent,
     telemetry::{MetricSink, serve_metrics, start_logs},
@@ -54,7 +54,7 @@
     tokio::spawn(sources::follow_operator(shell.clone(), store.clone()));
     tokio::spawn(sources::follow_directory(shell.clone(), store));
     tokio::spawn(reports::exchange(shell.clone(), settings.datagrams).await?);
-    tokio::spawn(reload(arguments));
+    tokio::spawn(follow_hangups(arguments));
     stop_signal().await?;
     stop(&shell, &settings, &phase, served).await;
     let cut_off = shell.in_progress();
@@ -97,29 +97,3 @@
         log::warn!(in_progress = shell.in_progress(); "grace is over with requests in progress");
     }
 }
-
-/// Checks the settings again on SIGHUP and says what is new. What a running process can take over
-/// is the log level; the rest comes into force with its next start.
-async fn reload(arguments: DaemonArguments) {
-    use tokio::signal::unix::{SignalKind, signal};
-
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(error) => {
-            log::error!(error:% = error; "SIGHUP cannot be caught");
-            return;
-        }
-    };
-    while hangups.recv().await.is_some() {
-        match merge(&arguments) {
-            Ok(DaemonSettings::Direct(settings)) => {
-                crate::telemetry::set_log_level(settings.telemetry.log_level);
-                log::info!(level:% = settings.telemetry.log_level; "settings read again");
-            }
-            Ok(DaemonSettings::Fleet(_)) => {
-                log::error!("the settings name another role; the old ones stay in force");
-            }
-            Err(error) => log::error!(error:% = error; "settings refused; the old ones stay"),
-        }
-    }
-}
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -18,13 +18,13 @@
 };
 
 use crate::{
-    daemon::{DaemonError, ProcessClock, stop_signal},
+    daemon::{DaemonError, ProcessClock, follow_hangups, stop_signal},
     experts::{
         MemberStatus, RankOrder, RankReport, RankUse, RolloutEffect, RolloutNote, RolloutState,
         STATUS_LISTENERS,
     },
     http::ListenerError,
-    options::{DirectRole, DirectSettings},
+    options::{DaemonArguments, DirectRole, DirectSettings},
     platform::{EngineClient, OrderOutcome, PlatformError},
     routing::LoadReport,
     telemetry::{MetricSink, serve_metrics, start_logs},
@@ -52,7 +52,10 @@
 /// # Errors
 ///
 /// An address cannot be used.
-pub async fn run(settings: DirectSettings) -> Result<usize, DaemonError> {
+pub async fn run(
+    settings: DirectSettings,
+    arguments: DaemonArguments,
+) -> Result<usize, DaemonError> {
     start_logs(settings.telemetry.log_level, settings.identity.vm.clone())?;
     let metrics = MetricSink::open(&settings.telemetry)?;
     let DirectRole::RankAgent(role) = &settings.role else { return Ok(0) };
@@ -78,6 +81,7 @@
         due: DueTimes::default(),
         is_reachable: true,
     };
+    tokio::spawn(follow_hangups(arguments));
     log::info!(version = env!("CARGO_PKG_VERSION"), engine:% = role.engine; "started");
     tokio::select! {
         () = agent.work() => {}
