Repeat unanswered orders at once; spread returning callers over the time they have

Change: orders time out after 40 ms, the switch is set further ahead, more so while orders go unanswered; Retry-After is a part of the time left, late for outages, spread for overload.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -27,10 +27,15 @@
 
 /// Age from which a status says nothing any more.
 const STATUS_LIFE: Duration = Duration::from_millis(700);
-/// Steps between the present one and the one at which ranks switch.
-const STEPS_AHEAD: u64 = 2;
+/// Steps between the present one and the one at which ranks switch: time to arm them all, so that
+/// the group need not wait.
+const STEPS_AHEAD: u64 = 3;
+/// The same while orders go unanswered.
+const STEPS_AHEAD_UNANSWERED: u64 = 7;
+/// How long an order without an answer is remembered.
+const UNANSWERED_MEMORY: Duration = Duration::from_secs(4);
 /// Pause before an order is repeated whose effect does not show.
-const ORDER_PAUSE: Duration = Duration::from_millis(120);
+const ORDER_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before a prepare is repeated; copies take longer than other orders.
 const PREPARE_PAUSE: Duration = Duration::from_millis(900);
 /// Pause between messages of a rollout.
@@ -125,6 +130,8 @@
     pub armed: Option<(MapNumber, StepNumber)>,
     /// Highest map number that this agent knows of.
     pub highest: MapNumber,
+    /// Whether an order to the rank was not answered lately.
+    pub has_unanswered: bool,
     /// Experts of the rank by layer, as of the map in use.
     pub experts: Vec<Vec<u16>>,
     /// Number of the sample of counts; a sample is taken in once.
@@ -208,6 +215,8 @@
     highest: MapNumber,
     last_order: Option<(OrderKind, Moment)>,
     last_message: Option<Moment>,
+    /// When an order was last not answered, here or at another rank.
+    unanswered_at: Option<Moment>,
     next_round: Moment,
     /// What engines of ranks with silent agents said themselves.
     asked: BTreeMap<u16, (RankReport, Moment)>,
@@ -237,6 +246,7 @@
             highest: MapNumber(0),
             last_order: None,
             last_message: None,
+            unanswered_at: None,
             next_round: Moment(0),
             asked: BTreeMap::new(),
             rng,
@@ -311,6 +321,17 @@
         }
     }
 
+    /// Notes that an order was not answered: it is repeated at once.
+    pub fn note_unanswered(&mut self, now: Moment) {
+        self.unanswered_at = Some(now);
+        self.last_order = None;
+    }
+
+    /// Whether an order was not answered lately.
+    pub fn has_unanswered(&self, now: Moment) -> bool {
+        self.unanswered_at.is_some_and(|at| now.since(at) < UNANSWERED_MEMORY)
+    }
+
     /// Takes over what the coordinator wants.
     pub fn learn_rollout(&mut self, rollout: MapRollout, now: Moment) {
         if self.place().map(|it| it.epoch) != Some(rollout.epoch) {
@@ -430,7 +451,10 @@
             return self.broadcast(rollout.clone(), now).into_iter().collect();
         }
         if self.all_fresh(report, now, |it| it.prepared == Some(rollout.version)) {
-            let step = StepNumber(report.step.0 + STEPS_AHEAD);
+            let is_unsure = self.has_unanswered(now)
+                || self.statuses.values().any(|(it, _)| it.has_unanswered);
+            let ahead = if is_unsure { STEPS_AHEAD_UNANSWERED } else { STEPS_AHEAD };
+            let step = StepNumber(report.step.0 + ahead);
             return self
                 .order(OrderKind::Hold(step), RankOrder::Hold(step), now)
                 .into_iter()
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -9,8 +9,11 @@
 use super::{PlatformError, directory::WireGroup, exchange, get_json};
 use crate::experts::{MapNumber, RankOrder, RankReport, RankUse, StepNumber};
 
-/// Time for one call of the engine on the own VM.
+/// Time for one question to an engine.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for one order to an engine: some of its usual answer times of 1 to 3 ms, so that an order
+/// whose answer is lost is soon repeated.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(40);
 
 #[derive(Deserialize)]
 struct WireReport {
@@ -158,7 +161,7 @@
             .post(uri)
             .header(http::header::CONTENT_TYPE, "application/json")
             .data(body);
-        let (parts, _) = exchange(request, ENGINE_TIMEOUT).await?;
+        let (parts, _) = exchange(request, ORDER_TIMEOUT).await?;
         match parts.status.as_u16() {
             200 | 202 => Ok(OrderOutcome::Taken),
             status => Ok(OrderOutcome::Refused(status)),
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -276,6 +276,7 @@
             prepared: report.prepared,
             armed: report.armed,
             highest: self.rollout.highest(),
+            has_unanswered: self.rollout.has_unanswered(now),
             experts: match &self.experts {
                 Some((map, experts)) if *map == report.map => experts.clone(),
                 Some(_) | None => Vec::new(),
@@ -326,7 +327,10 @@
                     let to: Vec<SocketAddr> = others.map(|it| self.agent_of(it)).collect();
                     self.send(&Datagram::Rollout(rollout), &to).await;
                 }
-                RolloutEffect::Order(order) => self.give_order(&self.engine.clone(), &order).await,
+                RolloutEffect::Order(order) => {
+                    let engine = self.engine.clone();
+                    self.give_order(&engine, &order).await;
+                }
                 RolloutEffect::OrderRank(rank, order) => {
                     if let Some(engine) = self.engine_of(rank) {
                         self.give_order(&engine, &order).await;
@@ -356,7 +360,7 @@
         }
     }
 
-    async fn give_order(&self, engine: &EngineClient, order: &RankOrder) {
+    async fn give_order(&mut self, engine: &EngineClient, order: &RankOrder) {
         let Some(epoch) = self.rollout.place().map(|it| it.epoch) else { return };
         let (name, detail) = describe(order);
         let outcome: Result<OrderOutcome, PlatformError> = engine.order(epoch, order).await;
@@ -369,6 +373,7 @@
                 log::info!(order = name, detail = detail, epoch = epoch, status = status; "order refused");
             }
             Err(error) => {
+                self.rollout.note_unanswered(self.clock.now());
                 log::info!(order = name, detail = detail, epoch = epoch, error:% = error; "order not answered");
             }
         }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -13,7 +13,9 @@
 mod servers;
 mod state;
 
-pub use admission::{AdmissionSettings, Candidate, PlacementChoice, choose_candidate};
+pub use admission::{
+    AdmissionSettings, Candidate, PlacementChoice, ReturnCause, choose_candidate, retry_after,
+};
 pub use budget::{AttemptBudget, BudgetSettings, ColdGate};
 pub use catalog::{
     AccountRecord, CallerLimits, CatalogVersion, EngineModel, ExpertLayout, RouteCatalog,
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -8,7 +8,6 @@
 
 use rand::{Rng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 
 use crate::units::ServerId;
 
@@ -22,10 +21,13 @@
     /// Part of a place by which equal servers are told apart at random, so that gateways with the
     /// same lagged reports choose differently.
     pub spread: f64,
-    /// Shortest time after which a refused caller is told to come back, in milliseconds.
-    pub retry_after_ms: u64,
-    /// Spread of that time, in milliseconds.
-    pub retry_after_spread_ms: u64,
+    /// Part of the time that a caller has left after which it is told to come back, at most: callers
+    /// wait no longer for another attempt.
+    pub max_wait: f64,
+    /// Part of that wait over which callers that found all servers full are spread.
+    pub full_spread: f64,
+    /// The same for callers that found none; their return is best late, since outages last.
+    pub outage_spread: f64,
 }
 
 impl Default for AdmissionSettings {
@@ -33,8 +35,9 @@
         Self {
             max_pressure: 1.15,
             spread: 0.08,
-            retry_after_ms: 600,
-            retry_after_spread_ms: 900,
+            max_wait: 0.33,
+            full_spread: 0.6,
+            outage_spread: 0.12,
         }
     }
 }
@@ -64,17 +67,9 @@
     /// This server.
     Server(ServerId),
     /// All are full.
-    Full {
-        /// When to ask again.
-        retry_after: Duration,
-    },
+    Full,
     /// There is none.
-    Nowhere {
-        /// When to ask again.
-        retry_after: Duration,
-        /// Why none of the known servers may be used.
-        reason: SmolStr,
-    },
+    Nowhere,
 }
 
 /// Chooses the least loaded server.
@@ -102,13 +97,47 @@
             best = Some((score, candidate));
         }
     }
-    let spread = rng.random_range(0..=settings.retry_after_spread_ms);
-    let retry_after = Duration::from_millis(settings.retry_after_ms + spread);
-    let Some((_, best)) = best else {
-        return PlacementChoice::Nowhere { retry_after, reason: "no server".into() };
-    };
+    let Some((_, best)) = best else { return PlacementChoice::Nowhere };
     if best.pressure() >= settings.max_pressure {
-        return PlacementChoice::Full { retry_after };
+        return PlacementChoice::Full;
     }
     PlacementChoice::Server(best.id.clone())
 }
+
+/// Why a caller is told to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReturnCause {
+    /// All servers were full.
+    Full,
+    /// No server could be used.
+    Outage,
+}
+
+/// When a refused caller is told to come back.
+///
+/// An answer to a refused request is late in any case, so what counts is that the caller finds room
+/// within the time it has: it returns after at most a part of that time, spread so that those
+/// refused together do not return together.
+///
+/// ```
+/// use std::time::Duration;
+/// use alderbay::routing::{AdmissionSettings, ReturnCause, retry_after};
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let left = Duration::from_secs(6);
+/// let wait = retry_after(left, ReturnCause::Outage, &AdmissionSettings::default(), &mut rng);
+/// assert!(wait > left / 4 && wait < left / 3);
+/// ```
+pub fn retry_after(
+    time_left: Duration,
+    cause: ReturnCause,
+    settings: &AdmissionSettings,
+    rng: &mut SmallRng,
+) -> Duration {
+    let spread = match cause {
+        ReturnCause::Full => settings.full_spread,
+        ReturnCause::Outage => settings.outage_spread,
+    };
+    let part = settings.max_wait * (1.0 - rng.random_range(0.0..=spread.clamp(0.0, 1.0)));
+    time_left.mul_f64(part.clamp(0.0, 1.0))
+}
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -11,9 +11,9 @@
 
 use super::{
     AdmissionSettings, AttemptBudget, AttemptOrder, AttemptResult, BeliefChange, BudgetSettings,
-    CallerFacts, Candidate, ColdGate, KnownServer, LoadReport, PlacementChoice, RequestNumber,
+    CallerFacts, Candidate, ColdGate, KnownServer, LoadReport, PlacementChoice, RequestNumber, ReturnCause,
     RouteCatalog, RouteKind, RouteRecord, RoutingEffect, RoutingEvent, ServerLoad, ServerTable,
-    SourceName, choose_candidate,
+    SourceName, choose_candidate, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode},
@@ -263,13 +263,13 @@
             state.rng = rng;
             send_to(state, number, &id, now)
         }
-        (PlacementChoice::Full { retry_after }, rng) => {
+        (PlacementChoice::Full, rng) => {
             state.rng = rng;
-            refuse(state, number, RefusalCode::Overloaded, Some(retry_after))
+            refuse(state, number, RefusalCode::Overloaded, now)
         }
-        (PlacementChoice::Nowhere { retry_after, .. }, rng) => {
+        (PlacementChoice::Nowhere, rng) => {
             state.rng = rng;
-            refuse(state, number, RefusalCode::NoServer, Some(retry_after))
+            refuse(state, number, RefusalCode::NoServer, now)
         }
     }
 }
@@ -346,7 +346,7 @@
 ) -> RoutingEffect {
     let fleet = state.fleet();
     let Some(record) = state.servers.server(id).map(|it| it.record.clone()) else {
-        return refuse(state, number, RefusalCode::NoServer, None);
+        return refuse(state, number, RefusalCode::NoServer, now);
     };
     let load = state.loads.entry(record.address).or_default();
     let estimate = load.estimate(fleet, now);
@@ -376,15 +376,28 @@
     state: &mut RoutingState,
     number: RequestNumber,
     code: RefusalCode,
-    retry_after: Option<Duration>,
+    now: Moment,
 ) -> RoutingEffect {
-    let may_have_run = state.requests.get(&number).is_some_and(|it| it.may_have_run);
-    let refusal = match may_have_run {
+    let Some(request) = state.requests.get(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    let refusal = match request.may_have_run {
         // A status that promises "not run" would be untrue.
-        true => Refusal::unknown(RefusalCode::OutcomeUnknown),
-        false => Refusal { retry_after, ..Refusal::not_run(code) },
+        true => Refusal::unknown(match code {
+            RefusalCode::DeadlinePassed => RefusalCode::DeadlineDuringRun,
+            _ => RefusalCode::OutcomeUnknown,
+        }),
+        false => Refusal::not_run(code),
+    };
+    // Whoever may not ask again is not told when to.
+    let may_return = !request.may_have_run || request.route.kind.is_idempotent();
+    let cause = match code {
+        RefusalCode::Overloaded => ReturnCause::Full,
+        _ => ReturnCause::Outage,
     };
-    RoutingEffect::Refuse(number, refusal)
+    let (left, settings) = (request.deadline.since(now), state.settings.admission);
+    let wait = may_return.then(|| retry_after(left, cause, &settings, &mut state.rng));
+    RoutingEffect::Refuse(number, Refusal { retry_after: wait, ..refusal })
 }
 
 fn attempt_ended(
@@ -456,17 +469,17 @@
     match result {
         AttemptResult::Answered | AttemptResult::Abandoned => RoutingEffect::Finished(number),
         AttemptResult::NeverSent if !has_time => {
-            refuse(state, number, RefusalCode::DeadlinePassed, None)
+            refuse(state, number, RefusalCode::DeadlinePassed, now)
         }
         AttemptResult::NeverSent if request.unreachable >= MAX_UNREACHABLE => {
-            refuse(state, number, RefusalCode::NoServer, None)
+            refuse(state, number, RefusalCode::NoServer, now)
         }
         AttemptResult::NeverSent => place(state, number, now),
         AttemptResult::NotRun | AttemptResult::WrongServer => {
             if has_time && has_attempts && spend(state, number) {
                 return place(state, number, now);
             }
-            refuse(state, number, RefusalCode::Overloaded, Some(Duration::from_millis(500)))
+            refuse(state, number, RefusalCode::Overloaded, now)
         }
         AttemptResult::ServerError => {
             if kind == RouteKind::Idempotent && has_time && has_attempts && spend(state, number) {
@@ -480,9 +493,9 @@
             }
             let code = match has_time {
                 true => RefusalCode::OutcomeUnknown,
-                false => RefusalCode::DeadlineDuringRun,
+                false => RefusalCode::DeadlinePassed,
             };
-            RoutingEffect::Refuse(number, Refusal::unknown(code))
+            refuse(state, number, code, now)
         }
     }
 }
