Leave out replaced entries and unreachable domains; tell stalled groups early; sample counts faster

Cause: after a restart of all servers the old entries shared addresses with the new ones and drew 421s; servers behind a cut were tried every second by each gateway; a group stalls 1.5 s before it is marked broken. Change: of entries with one address only the latest is used; pauses double; a domain whose servers mostly accept no connection is left out; agents report a group without steps for 300 ms; counts every 150 ms, 2 copies a round.

--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -26,7 +26,7 @@
 };
 
 /// Time for a connection to a server: many times the way there and back.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without an event after which a stream is continued elsewhere: before callers give up, which
 /// they do after two seconds at the earliest.
 const EVENT_STALL: Duration = Duration::from_millis(1_000);
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -21,7 +21,7 @@
     daemon::{DaemonError, ProcessClock, follow_hangups, stop_signal},
     experts::{
         MemberStatus, RankOrder, RankReport, RankUse, RolloutEffect, RolloutNote, RolloutState,
-        STATUS_LISTENERS,
+        STATUS_LISTENERS, StepNumber,
     },
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
@@ -37,15 +37,18 @@
 /// Pause between looks at the engine otherwise.
 const CALM_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between samples of expert counts.
-const SAMPLE_PAUSE: Duration = Duration::from_millis(300);
+const SAMPLE_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between statuses to the coordinator where nothing changes.
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between looks at which experts the rank holds, where no map came into force.
 const EXPERTS_PAUSE: Duration = Duration::from_secs(2);
+/// Time without a step, with work at hand, after which the group counts as stalled: some times the
+/// usual length of a step.
+const STALL_TIME: Duration = Duration::from_millis(300);
 /// Time after which a gateway that does not subscribe anew is forgotten.
 const SUBSCRIPTION_LIFE: Duration = Duration::from_secs(3);
 /// Experts that one round copies to a rank at most, over all layers.
-const MAX_COPIES: usize = 3;
+const MAX_COPIES: usize = 2;
 
 /// Runs a rank agent until it is told to stop.
 ///
@@ -79,6 +82,7 @@
         fresh_counts: Vec::new(),
         experts: None,
         due: DueTimes::default(),
+        stepped: (StepNumber(0), Moment(0)),
         is_reachable: true,
     };
     tokio::spawn(follow_hangups(arguments));
@@ -117,6 +121,8 @@
     /// Experts that the rank holds, as of this map.
     experts: Option<(crate::experts::MapNumber, Vec<Vec<u16>>)>,
     due: DueTimes,
+    /// The last step seen, and when it was first seen or there was no work.
+    stepped: (StepNumber, Moment),
     is_reachable: bool,
 }
 
@@ -202,6 +208,9 @@
         let effects = self.rollout.learn_report(report.clone());
         self.carry_out(effects).await;
         let now = self.clock.now();
+        if report.step != self.stepped.0 || report.running == 0 {
+            self.stepped = (report.step, now);
+        }
         if now >= self.due.load {
             self.due.load = now.after(CALM_PAUSE);
             self.report_load(&report, now).await;
@@ -221,13 +230,14 @@
     }
 
     async fn report_load(&mut self, report: &RankReport, now: Moment) {
+        let is_stalled = now.since(self.stepped.1) >= STALL_TIME;
         self.gateways.retain(|_, (_, at)| now.since(*at) < SUBSCRIPTION_LIFE);
         let message = Datagram::Load {
             server: self.engine.address(),
             report: LoadReport {
                 running: report.running,
                 waiting: report.waiting,
-                is_open: report.group.as_ref().is_none_or(|it| it.is_open),
+                is_open: !is_stalled && report.group.as_ref().is_none_or(|it| it.is_open),
             },
             gateways: self.gateways.values().map(|it| it.0).collect(),
         };
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -19,8 +19,11 @@
 const SUSPECT_SHARE: f64 = 0.34;
 /// How long a server that fails requests is given nothing.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(2_500);
-/// How long a server that accepts no connection is given nothing.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long a server that accepts no connection is given nothing; doubled each time it is found so
+/// again.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(800);
+/// Most doublings of that pause.
+const MAX_DOUBLINGS: u32 = 2;
 
 /// What an agent reports of its server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,6 +48,8 @@
     begun: u32,
     /// Ends of recent attempts, and whether they failed.
     recent: VecDeque<(Moment, bool)>,
+    /// Times in a row that it accepted no connection.
+    unreachable: u32,
     /// Given nothing until then.
     paused_until: Option<Moment>,
 }
@@ -86,6 +91,7 @@
 
     /// Notes how an attempt ended. True where the server is paused for it.
     pub fn record_end(&mut self, has_failed: bool, now: Moment) -> bool {
+        self.unreachable = 0;
         self.recent.retain(|(at, _)| now.since(*at) < ATTEMPT_MEMORY);
         self.recent.push_back((now, has_failed));
         if self.recent.len() > REMEMBERED_ATTEMPTS {
@@ -102,7 +108,14 @@
 
     /// Notes that the server accepts no connection.
     pub fn record_unreachable(&mut self, now: Moment) {
-        self.pause(now.after(UNREACHABLE_PAUSE));
+        let doublings = self.unreachable.min(MAX_DOUBLINGS);
+        self.unreachable += 1;
+        self.pause(now.after(UNREACHABLE_PAUSE * (1 << doublings)));
+    }
+
+    /// Whether the last attempt found no connection.
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable > 0
     }
 
     /// Gives the server nothing until `end`.
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -67,6 +67,8 @@
     pub cold_until: Moment,
     /// Set where its entry lapsed during an outage of the store: gone for good then.
     pub lapses_at: Option<Moment>,
+    /// Whether another server was found at its address: the entry outlived its server.
+    pub is_replaced: bool,
 }
 
 /// All servers.
@@ -141,9 +143,31 @@
                 Some(_) | None => changes.push(BeliefChange::ServerGone(id)),
             }
         }
+        self.mark_replaced();
         changes
     }
 
+    /// Notes that another server was found at a server's address.
+    pub fn note_replaced(&mut self, id: &ServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.is_replaced = true;
+        }
+    }
+
+    /// Of entries that name one address, only the server started last can be there.
+    fn mark_replaced(&mut self) {
+        let mut newest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+        for server in self.servers.values() {
+            let started = server.record.started_ms.unwrap_or(0);
+            let latest = newest.entry(server.record.address).or_default();
+            *latest = started.max(*latest);
+        }
+        for server in self.servers.values_mut() {
+            let started = server.record.started_ms.unwrap_or(0);
+            server.is_replaced |= newest.get(&server.record.address).is_some_and(|it| started < *it);
+        }
+    }
+
     /// Drops servers whose lapsed entries did not come back in time.
     pub fn expire(&mut self, now: Moment) -> Vec<BeliefChange> {
         let due: Vec<ServerId> = self
@@ -182,6 +206,7 @@
             let record = &it.record;
             record.service == *service
                 && !record.is_draining
+                && !it.is_replaced
                 && !self.evacuated.contains(&record.failure_domain)
         })
     }
@@ -206,6 +231,7 @@
         .as_ref()
         .is_some_and(|it| it.record.started_ms == record.started_ms && it.record.id == record.id);
     let stated = now.after(record.warm_up_left);
+    let is_replaced = is_same_life && known.as_ref().is_some_and(|it| it.is_replaced);
     let cold_until = match known {
         // The same entry read again must not start its warm-up anew.
         Some(known) if is_same_life && known.record == record => known.cold_until,
@@ -214,5 +240,5 @@
         }
         Some(_) | None => stated.max(now.after(UNSEEN_COLD)),
     };
-    KnownServer { record, cold_until, lapses_at: None }
+    KnownServer { record, cold_until, lapses_at: None, is_replaced }
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -290,6 +290,7 @@
         let address = it.record.address;
         !state.loads.get(&address).is_some_and(|load| load.is_paused(now))
     };
+    let reachable = |it: &&&KnownServer| !is_domain_unreachable(state, &it.record.failure_domain, now);
     let elsewhere = |it: &&&KnownServer| {
         it.record.group.as_ref().is_none_or(|it| !request.failed_groups.contains(&it.name))
     };
@@ -298,6 +299,10 @@
     if chosen.is_empty() {
         chosen = usable;
     }
+    let near_or_open: Vec<&KnownServer> = chosen.iter().filter(reachable).copied().collect();
+    if !near_or_open.is_empty() {
+        chosen = near_or_open;
+    }
     let other_groups: Vec<&KnownServer> = chosen.iter().filter(elsewhere).copied().collect();
     if !other_groups.is_empty() {
         chosen = other_groups;
@@ -316,6 +321,22 @@
     (choice, rng)
 }
 
+/// Whether most servers of another failure domain accept no connection: the rest is taken to be cut
+/// off, too, until the pause of one is over and its next attempt succeeds.
+fn is_domain_unreachable(state: &RoutingState, domain: &FailureDomain, now: Moment) -> bool {
+    if *domain == state.settings.failure_domain {
+        return false;
+    }
+    let mut total = 0;
+    let mut unreachable = 0;
+    for server in state.servers.servers().filter(|it| it.record.failure_domain == *domain) {
+        total += 1;
+        let load = state.loads.get(&server.record.address);
+        unreachable += usize::from(load.is_some_and(|it| it.is_unreachable() && it.is_paused(now)));
+    }
+    unreachable > 1 && unreachable * 2 >= total
+}
+
 /// Whether the server's group works and, where it is cold, its rate allows one more request.
 fn bears_one_more(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
     let record = &server.record;
@@ -446,8 +467,8 @@
         AttemptResult::ServerError | AttemptResult::NotRun => load.record_end(true, now),
         AttemptResult::Answered => load.record_end(false, now),
         AttemptResult::WrongServer => {
-            load.record_unreachable(now);
-            true
+            state.servers.note_replaced(id);
+            false
         }
         AttemptResult::Abandoned => false,
     };
