Send callers of an isolated domain to its neighbours; refuse at 0.95 of a server's places

Cause: during a cut the gateways of the isolated domain refused what the others could serve; with one group left, batches over 0.95 of the places made streams late that fewer would have kept timely. Change: a gateway that hears no agent of any other domain and has no usable server of a service is not ready; max_pressure 1.15 -> 0.95.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -15,7 +15,7 @@
     core::{Refusal, RefusalCode},
     http::{BodyError, read_body, text_answer},
     platform::{CallerHeaders, READY_PATH, echo_request_id, set_retry_after},
-    routing::{CallerFacts, RoutingState},
+    routing::CallerFacts,
     units::{ByteCount, RequestId},
 };
 
@@ -46,7 +46,7 @@
     shell: Arc<GatewayShell>,
 ) -> impl Fn(SocketAddr, http::Request<Incoming>) -> std::future::Ready<Response> + Clone {
     move |_, request| {
-        let is_ready = request.uri().path() == READY_PATH && shell.read(RoutingState::is_ready);
+        let is_ready = request.uri().path() == READY_PATH && shell.is_ready();
         let (status, text) = match is_ready {
             true => (StatusCode::OK, "ready\n"),
             false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
@@ -74,13 +74,18 @@
     };
     let (sender, answer) = oneshot::channel();
     let request_headers = head.headers.clone();
+    let closer = shell.clone();
     let request = CallerRequest { head, headers, request_id, body, arrived };
     let (alive, presence) = oneshot::channel();
     tokio::spawn(Flight::new(shell, request, sender).run(presence));
     match answer.await {
-        Ok(answer) => {
+        Ok(mut answer) => {
             // The flight may be over already.
             let _ = alive.send(());
+            // A new connection reaches a gateway that can serve.
+            if !closer.is_ready() {
+                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             answer
         }
         // The flight always answers, unless it panicked.
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -33,6 +33,7 @@
     /// Other gateways, and when they were last heard of; seeds are kept for good.
     peers: Mutex<BTreeMap<SocketAddr, Option<Moment>>>,
     next_request: AtomicU64,
+    was_ready: AtomicBool,
     /// Bounds on HTTP.
     pub(super) limits: HttpLimits,
     /// Where other gateways reach this one.
@@ -65,6 +66,7 @@
             view: Mutex::default(),
             peers: Mutex::new(others.map(|it| (*it, None)).collect()),
             next_request: AtomicU64::new(0),
+            was_ready: AtomicBool::new(false),
             limits: settings.http,
             peer_address: gateway.peer_listen,
             clock: ProcessClock::start(),
@@ -96,6 +98,16 @@
         read(&lock(&self.state))
     }
 
+    /// Whether the gateway takes callers.
+    pub(super) fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        let is_ready = self.read(|it| it.is_ready(now));
+        if self.was_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
+            log::info!(ready = is_ready, directory_age_ms = self.directory_age_ms(); "readiness changed");
+        }
+        is_ready
+    }
+
     /// What was read of the platform.
     pub(super) fn view(&self) -> MutexGuard<'_, PlatformView> {
         lock(&self.view)
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -33,7 +33,7 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            max_pressure: 1.15,
+            max_pressure: 0.95,
             spread: 0.08,
             max_wait: 0.33,
             full_spread: 0.6,
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -266,6 +266,11 @@
         self.services.get(name)
     }
 
+    /// The services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// The account that holds a key.
     pub fn account_of(&self, api_key: &str) -> Option<&ClientAccount> {
         self.accounts.get(api_key)
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -9,6 +9,8 @@
 
 /// Age at which a report says nothing any more: some missed reports.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// Silence of an agent that counts as one: some missed reports.
+const SILENCE: Duration = Duration::from_millis(700);
 /// Attempts that are remembered of a server.
 const REMEMBERED_ATTEMPTS: usize = 8;
 /// How long an attempt's end is remembered.
@@ -66,6 +68,16 @@
         self.report.filter(|(_, at)| now.since(*at) < REPORT_LIFE).map(|it| it.0)
     }
 
+    /// Whether its agent reported once and is silent now.
+    pub fn is_silent(&self, now: Moment) -> bool {
+        self.report.is_some_and(|(_, at)| now.since(at) >= SILENCE)
+    }
+
+    /// Whether its agent reports.
+    pub fn is_heard(&self, now: Moment) -> bool {
+        self.report.is_some_and(|(_, at)| now.since(at) < SILENCE)
+    }
+
     /// Counts an attempt.
     pub fn begin(&mut self) {
         self.outstanding += 1;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -109,9 +109,14 @@
         &self.servers
     }
 
-    /// Whether the gateway takes callers.
-    pub fn is_ready(&self) -> bool {
-        self.catalog.is_some() && !self.servers.is_empty() && !self.is_stopping
+    /// Whether the gateway takes callers. One that is cut off from all other failure domains and
+    /// cannot serve by itself does not: callers are better off with the gateways of the others.
+    pub fn is_ready(&self, now: Moment) -> bool {
+        let Some(catalog) = &self.catalog else { return false };
+        if self.servers.is_empty() || self.is_stopping {
+            return false;
+        }
+        !is_isolated(self, now) || catalog.services().all(|it| has_usable(self, it, now))
     }
 
     /// Requests in progress.
@@ -321,20 +326,41 @@
     (choice, rng)
 }
 
-/// Whether most servers of another failure domain accept no connection: the rest is taken to be cut
-/// off, too, until the pause of one is over and its next attempt succeeds.
+/// Whether all other failure domains are taken to be cut off.
+fn is_isolated(state: &RoutingState, now: Moment) -> bool {
+    let own = &state.settings.failure_domain;
+    let mut others: Vec<&FailureDomain> =
+        state.servers.servers().map(|it| &it.record.failure_domain).filter(|it| *it != own).collect();
+    others.sort_unstable();
+    others.dedup();
+    !others.is_empty() && others.iter().all(|it| is_domain_unreachable(state, it, now))
+}
+
+/// Whether a service has a server that can be used from here, or none anywhere.
+fn has_usable(state: &RoutingState, service: &ServiceName, now: Moment) -> bool {
+    let mut listed = state.servers.usable(service).peekable();
+    listed.peek().is_none()
+        || listed.any(|it| {
+            bears_one_more(state, it, now)
+                && !is_domain_unreachable(state, &it.record.failure_domain, now)
+        })
+}
+
+/// Whether another failure domain is taken to be cut off: all its agents are silent, or most of its
+/// servers accept no connection.
 fn is_domain_unreachable(state: &RoutingState, domain: &FailureDomain, now: Moment) -> bool {
     if *domain == state.settings.failure_domain {
         return false;
     }
-    let mut total = 0;
-    let mut unreachable = 0;
+    let (mut total, mut unreachable, mut silent, mut heard) = (0, 0, 0, 0);
     for server in state.servers.servers().filter(|it| it.record.failure_domain == *domain) {
         total += 1;
-        let load = state.loads.get(&server.record.address);
-        unreachable += usize::from(load.is_some_and(|it| it.is_unreachable() && it.is_paused(now)));
+        let Some(load) = state.loads.get(&server.record.address) else { continue };
+        unreachable += usize::from(load.is_unreachable() && load.is_paused(now));
+        silent += usize::from(load.is_silent(now));
+        heard += usize::from(load.is_heard(now));
     }
-    unreachable > 1 && unreachable * 2 >= total
+    heard == 0 && silent > 1 || unreachable > 1 && unreachable * 2 >= total
 }
 
 /// Whether the server's group works and, where it is cold, its rate allows one more request.
