Tell maps by their changes and counts in a byte; read the store at half the bound

Cause: on 32 ranks a whole map for each of 31 agents every 60 ms filled the 8 Mbit/s links, so no map was ever prepared everywhere (busiest rank 3.67 times the mean); 36 gateways made 132 store calls a second. Change: rollouts go only to ranks that are not done, as changes to the map in force; counts scaled to a byte and only to the coordinator; the directory is read at half of the leave bound, the operator's stream polled for 3 s.

--- a/src/experts.rs
+++ b/src/experts.rs
@@ -14,8 +14,8 @@
 pub use placement::{ExpertId, ExpertMap, MapError, RankId, SlotMove};
 pub use popularity::{LoadEstimate, PopularityDay};
 pub use rollout::{
-    MapRollout, MemberStatus, RankOrder, RankReport, RankUse, RolloutEffect, RolloutNote,
-    RolloutState, STATUS_LISTENERS,
+    MapNews, MapRollout, MemberStatus, RankOrder, RankReport, RankUse, RolloutEffect, RolloutNote,
+    RolloutState, STATUS_LISTENERS, UseSample,
 };
 pub use rounds::{GroupMap, MapRound, RoundSettings, group_skew, plan_round};
 pub use switch::{
--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -40,6 +40,8 @@
 const PREPARE_PAUSE: Duration = Duration::from_millis(900);
 /// Pause between messages of a rollout.
 const MESSAGE_PAUSE: Duration = Duration::from_millis(60);
+/// Whole maps that are sent at a time, so that they do not fill the link.
+const MAX_WHOLE_MAPS: usize = 6;
 /// Time after which a rollout that is not prepared everywhere is replaced by another.
 const PREPARE_LIMIT: Duration = Duration::from_secs(6);
 /// Pause between rounds.
@@ -132,12 +134,54 @@
     pub highest: MapNumber,
     /// Whether an order to the rank was not answered lately.
     pub has_unanswered: bool,
+    /// The map that this agent knows for all ranks, so that changes to it are enough.
+    pub known: Option<MapNumber>,
     /// Experts of the rank by layer, as of the map in use.
     pub experts: Vec<Vec<u16>>,
-    /// Number of the sample of counts; a sample is taken in once.
-    pub sample: u64,
-    /// Choices of each expert since the sample before.
-    pub counts: Vec<u32>,
+    /// Choices of each expert since the sample before; none where there is no new sample.
+    pub counts: Option<UseSample>,
+}
+
+/// Choices of each expert in a while, in few bytes.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct UseSample {
+    /// Power of two by which the counts are to be multiplied.
+    shift: u8,
+    /// The counts, layer after layer.
+    scaled: Vec<u8>,
+}
+
+/// Largest scaled count: it takes one byte.
+const MAX_SCALED: u64 = 127;
+
+impl UseSample {
+    /// Scales the choices since an earlier reading.
+    ///
+    /// ```
+    /// use alderbay::experts::UseSample;
+    /// let sample = UseSample::between(&[0, 10], &[5, 1010]);
+    /// assert_eq!(sample.counts().collect::<Vec<f64>>(), [0.0, 1000.0]);
+    /// ```
+    pub fn between(before: &[u64], after: &[u64]) -> Self {
+        // An engine that has restarted counts anew.
+        let counts: Vec<u64> =
+            after.iter().zip(before).map(|(new, old)| new.saturating_sub(*old)).collect();
+        let mut shift = 0;
+        let highest = counts.iter().copied().max().unwrap_or(0);
+        while highest >> shift > MAX_SCALED {
+            shift += 1;
+        }
+        // The shift brings each count below the largest that a byte holds.
+        let scaled = counts.iter().map(|it| u8::try_from(it >> shift).unwrap_or(u8::MAX)).collect();
+        Self { shift, scaled }
+    }
+
+    /// The counts, rounded down to the scale.
+    pub fn counts(&self) -> impl Iterator<Item = f64> + '_ {
+        let factor = f64::from(self.shift).exp2();
+        self.scaled.iter().map(move |it| f64::from(*it) * factor)
+    }
 }
 
 /// What the coordinator wants of all ranks.
@@ -148,12 +192,59 @@
     pub epoch: u64,
     /// The map's number.
     pub version: MapNumber,
-    /// The map; empty once it is prepared everywhere.
-    pub map: GroupMap,
+    /// What makes the map; nothing once it is prepared everywhere.
+    pub map: MapNews,
     /// The step from which on it is used; none before all ranks have prepared it.
     pub step: Option<StepNumber>,
 }
 
+/// How a rollout tells its map.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum MapNews {
+    /// Whole.
+    Whole(GroupMap),
+    /// By its changes to a map that the receiver knows.
+    Changes {
+        /// The map that is changed.
+        base: MapNumber,
+        /// Layer, rank, and what the rank holds of the layer from now on.
+        ranks: Vec<(u16, u16, Vec<u16>)>,
+    },
+    /// Not at all.
+    Nothing,
+}
+
+impl MapNews {
+    fn changes(base: MapNumber, old: &GroupMap, new: &GroupMap) -> Self {
+        let mut ranks = Vec::new();
+        for (layer, (old, new)) in (0_u16..).zip(old.iter().zip(new)) {
+            for (rank, (old, new)) in (0_u16..).zip(old.iter().zip(new)) {
+                if old != new {
+                    ranks.push((layer, rank, new.clone()));
+                }
+            }
+        }
+        Self::Changes { base, ranks }
+    }
+
+    /// The map; none where it cannot be made from what is known.
+    fn apply(&self, known: Option<&(MapNumber, GroupMap)>) -> Option<GroupMap> {
+        match self {
+            Self::Whole(map) => Some(map.clone()),
+            Self::Nothing => None,
+            Self::Changes { base, ranks } => {
+                let mut map = known.filter(|it| it.0 == *base)?.1.clone();
+                for (layer, rank, experts) in ranks {
+                    *map.get_mut(usize::from(*layer))?.get_mut(usize::from(*rank))? =
+                        experts.clone();
+                }
+                Some(map)
+            }
+        }
+    }
+}
+
 /// Something to be done by the agent.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RolloutEffect {
@@ -163,8 +254,8 @@
     OrderRank(u16, RankOrder),
     /// Ask the engine of another rank for a report, because its agent is silent.
     AskRank(u16),
-    /// Send the rollout to all others.
-    Broadcast(MapRollout),
+    /// Send the rollout to these ranks.
+    Broadcast(Vec<u16>, MapRollout),
     /// Say what was decided.
     Note(RolloutNote),
 }
@@ -195,7 +286,14 @@
 
 #[derive(Clone, Debug)]
 struct ActiveRollout {
-    rollout: MapRollout,
+    epoch: u64,
+    version: MapNumber,
+    /// The map; none at an agent that learned of it only after it was prepared.
+    map: Option<GroupMap>,
+    /// The map that it changes, at the coordinator.
+    base: Option<(MapNumber, GroupMap)>,
+    /// The step from which on it is used; none before all ranks have prepared it.
+    step: Option<StepNumber>,
     begun: Moment,
 }
 
@@ -210,7 +308,8 @@
     /// Choices by layer and expert, smoothed.
     loads: Vec<Vec<f64>>,
     fresh_counts: Vec<f64>,
-    samples: BTreeMap<u16, u64>,
+    /// The map that this agent knows for all ranks.
+    known: Option<(MapNumber, GroupMap)>,
     active: Option<ActiveRollout>,
     highest: MapNumber,
     last_order: Option<(OrderKind, Moment)>,
@@ -241,7 +340,7 @@
             statuses: BTreeMap::new(),
             loads: Vec::new(),
             fresh_counts: Vec::new(),
-            samples: BTreeMap::new(),
+            known: None,
             active: None,
             highest: MapNumber(0),
             last_order: None,
@@ -268,6 +367,11 @@
         self.highest
     }
 
+    /// The map that is known for all ranks.
+    pub fn known_map(&self) -> Option<MapNumber> {
+        self.known.as_ref().map(|it| it.0)
+    }
+
     /// Takes over how the group's experts may be placed.
     pub fn learn_layout(&mut self, layout: ExpertLayout) {
         self.layout = Some(layout);
@@ -286,6 +390,7 @@
         }
         // What was prepared, armed and held is gone with the earlier forming.
         self.active = None;
+        self.known = None;
         self.statuses.clear();
         self.asked.clear();
         self.last_order = None;
@@ -306,18 +411,18 @@
             return;
         }
         self.highest = self.highest.max(status.highest);
-        if self.samples.insert(status.rank, status.sample) != Some(status.sample) {
-            self.add_counts(&status.counts);
+        if let Some(sample) = &status.counts {
+            self.add_counts(sample);
         }
         self.statuses.insert(status.rank, (status, now));
     }
 
-    fn add_counts(&mut self, counts: &[u32]) {
-        if self.fresh_counts.len() != counts.len() {
-            self.fresh_counts = vec![0.0; counts.len()];
+    fn add_counts(&mut self, sample: &UseSample) {
+        if self.fresh_counts.len() != sample.scaled.len() {
+            self.fresh_counts = vec![0.0; sample.scaled.len()];
         }
-        for (sum, count) in self.fresh_counts.iter_mut().zip(counts) {
-            *sum += f64::from(*count);
+        for (sum, count) in self.fresh_counts.iter_mut().zip(sample.counts()) {
+            *sum += count;
         }
     }
 
@@ -338,17 +443,22 @@
             return;
         }
         self.highest = self.highest.max(rollout.version);
-        let is_news = match &self.active {
-            None => true,
+        if self.report.as_ref().is_some_and(|it| it.map >= rollout.version) {
+            return;
+        }
+        let map = rollout.map.apply(self.known.as_ref());
+        match &mut self.active {
+            Some(active) if active.version == rollout.version => {
+                active.step = active.step.or(rollout.step);
+                active.map = active.map.take().or(map);
+            }
             // Only an agent without a step may be given another map.
-            Some(active) if active.rollout.version == rollout.version => {
-                active.rollout.step.is_none()
+            Some(active) if active.step.is_some() || active.version > rollout.version => {}
+            Some(_) | None => {
+                let MapRollout { epoch, version, step, .. } = rollout;
+                self.active =
+                    Some(ActiveRollout { epoch, version, map, base: None, step, begun: now });
             }
-            Some(active) => active.rollout.version < rollout.version,
-        };
-        let is_done = self.report.as_ref().is_some_and(|it| it.map >= rollout.version);
-        if is_news && !is_done {
-            self.active = Some(ActiveRollout { rollout, begun: now });
         }
     }
 
@@ -384,11 +494,11 @@
         let Some(report) = self.report.clone() else { return Vec::new() };
         let Some(place) = report.group.clone().filter(|it| it.is_open) else { return Vec::new() };
         let mut effects = Vec::new();
-        if let Some(active) = &self.active
-            && report.map >= active.rollout.version
-        {
-            let version = active.rollout.version;
-            self.active = None;
+        if let Some(active) = self.active.take_if(|it| report.map >= it.version) {
+            let version = active.version;
+            if report.map == version {
+                self.known = active.map.map(|it| (version, it));
+            }
             effects.push(RolloutEffect::Note(RolloutNote::InForce(version)));
         }
         effects.extend(self.follow_orders(&report, now));
@@ -402,15 +512,18 @@
 
     /// Brings the own rank to where the rollout wants it.
     fn follow_orders(&mut self, report: &RankReport, now: Moment) -> Option<RolloutEffect> {
-        let rollout = self.active.as_ref()?.rollout.clone();
-        let version = rollout.version;
-        match rollout.step {
+        let active = self.active.as_ref()?;
+        let version = active.version;
+        match active.step {
             None if report.prepared == Some(version) => None,
-            None => self.order(
-                OrderKind::Prepare(version),
-                RankOrder::Prepare { version, map: rollout.map },
-                now,
-            ),
+            None => {
+                let map = active.map.clone()?;
+                self.order(
+                    OrderKind::Prepare(version),
+                    RankOrder::Prepare { version, map },
+                    now,
+                )
+            }
             Some(step) if report.armed == Some((version, step)) => None,
             Some(step) if report.step >= step => None,
             Some(step) => {
@@ -444,13 +557,12 @@
             return self.finish_switch(report, place, step, now);
         }
         let Some(active) = self.active.clone() else { return self.begin_round(report, place, now) };
-        let rollout = &active.rollout;
-        if rollout.step.is_some() {
+        if active.step.is_some() {
             // Let go: the map comes into force with the step, which may be a while if there is no
             // work. Until then nothing new is begun.
-            return self.broadcast(rollout.clone(), now).into_iter().collect();
+            return self.broadcast(now);
         }
-        if self.all_fresh(report, now, |it| it.prepared == Some(rollout.version)) {
+        if self.all_fresh(report, now, |it| it.prepared == Some(active.version)) {
             let is_unsure = self.has_unanswered(now)
                 || self.statuses.values().any(|(it, _)| it.has_unanswered);
             let ahead = if is_unsure { STEPS_AHEAD_UNANSWERED } else { STEPS_AHEAD };
@@ -462,9 +574,9 @@
         }
         if now.since(active.begun) > PREPARE_LIMIT {
             self.active = None;
-            return vec![RolloutEffect::Note(RolloutNote::Abandoned(rollout.version))];
+            return vec![RolloutEffect::Note(RolloutNote::Abandoned(active.version))];
         }
-        self.broadcast(rollout.clone(), now).into_iter().collect()
+        self.broadcast(now)
     }
 
     /// Rank 0 holds a step: arm all ranks, then let go.
@@ -477,36 +589,35 @@
     ) -> Vec<RolloutEffect> {
         let Some(version) = self.version_at(report, step, now) else {
             // Statuses are missing, or a map is still being prepared.
-            let preparing = self.active.clone().filter(|it| it.rollout.step.is_none());
-            let message = preparing.and_then(|it| self.broadcast(it.rollout, now));
-            return message.into_iter().collect();
+            return self.broadcast(now);
         };
-        let known = self.active.as_ref().map(|it| (it.rollout.version, it.rollout.step));
+        let known = self.active.as_ref().map(|it| (it.version, it.step));
         if known != Some((version, Some(step))) {
-            let rollout =
-                MapRollout { epoch: place.epoch, version, map: Vec::new(), step: Some(step) };
-            self.active = Some(ActiveRollout { rollout, begun: now });
+            let map = self.active.take().filter(|it| it.version == version).and_then(|it| it.map);
+            self.active = Some(ActiveRollout {
+                epoch: place.epoch,
+                version,
+                map,
+                base: None,
+                step: Some(step),
+                begun: now,
+            });
             self.last_message = None;
         }
         if report.armed != Some((version, step)) {
             let mut effects: Vec<RolloutEffect> =
                 self.follow_orders(report, now).into_iter().collect();
-            effects.extend(self.repeat_rollout(now));
+            effects.extend(self.broadcast(now));
             return effects;
         }
         let Some(mut effects) = self.arm_others(report, place.rank, (version, step), now) else {
             let release = RankOrder::Release(step);
             return self.order(OrderKind::Release(step), release, now).into_iter().collect();
         };
-        effects.extend(self.repeat_rollout(now));
+        effects.extend(self.broadcast(now));
         effects
     }
 
-    fn repeat_rollout(&mut self, now: Moment) -> Option<RolloutEffect> {
-        let rollout = self.active.as_ref()?.rollout.clone();
-        self.broadcast(rollout, now)
-    }
-
     /// What is to be done for ranks that are not armed and whose agents are silent; none where all
     /// ranks but `own` are armed.
     fn arm_others(
@@ -553,9 +664,8 @@
     /// The map that is to be used from a held step on: the one that ranks are armed with, else the
     /// one that all have prepared.
     fn version_at(&self, report: &RankReport, step: StepNumber, now: Moment) -> Option<MapNumber> {
-        let active = self.active.as_ref().map(|it| &it.rollout);
-        if let Some(rollout) = active.filter(|it| it.step == Some(step)) {
-            return Some(rollout.version);
+        if let Some(active) = self.active.as_ref().filter(|it| it.step == Some(step)) {
+            return Some(active.version);
         }
         let armed = |it: Option<(MapNumber, StepNumber)>| it.filter(|it| it.1 == step).map(|it| it.0);
         let others = self.statuses.values().filter_map(|(it, _)| armed(it.armed));
@@ -580,12 +690,49 @@
         }) && report.group_size > 0
     }
 
-    fn broadcast(&mut self, rollout: MapRollout, now: Moment) -> Option<RolloutEffect> {
-        if self.last_message.is_some_and(|at| now.since(at) < MESSAGE_PAUSE) {
-            return None;
+    /// Tells the ranks that have not come as far as the rollout wants them. A whole map is long and
+    /// goes only to agents that do not know the one that it changes.
+    fn broadcast(&mut self, now: Moment) -> Vec<RolloutEffect> {
+        let is_early = self.last_message.is_some_and(|at| now.since(at) < MESSAGE_PAUSE);
+        let (Some(active), Some(report)) = (&self.active, &self.report) else { return Vec::new() };
+        if is_early {
+            return Vec::new();
         }
         self.last_message = Some(now);
-        Some(RolloutEffect::Broadcast(rollout))
+        let own = report.group.as_ref().map(|it| it.rank);
+        let (mut informed, mut uninformed) = (Vec::new(), Vec::new());
+        for rank in (0..report.group_size).filter(|it| Some(*it) != own) {
+            let status = self.statuses.get(&rank).map(|it| &it.0);
+            let is_done = status.is_some_and(|it| match active.step {
+                None => it.prepared == Some(active.version),
+                Some(step) => it.armed == Some((active.version, step)),
+            });
+            let base = active.base.as_ref().map(|it| it.0);
+            let is_informed =
+                active.step.is_some() || status.is_some_and(|it| base.is_some() && it.known == base);
+            match (is_done, is_informed) {
+                (true, _) => {}
+                (false, true) => informed.push(rank),
+                (false, false) => uninformed.push(rank),
+            }
+        }
+        let message = |map: MapNews| {
+            let ActiveRollout { epoch, version, step, .. } = *active;
+            MapRollout { epoch, version, map, step }
+        };
+        let mut effects = Vec::new();
+        if !informed.is_empty() {
+            let news = match (active.step, &active.base, &active.map) {
+                (None, Some((base, old)), Some(new)) => MapNews::changes(*base, old, new),
+                (Some(_), _, _) | (None, _, _) => MapNews::Nothing,
+            };
+            effects.push(RolloutEffect::Broadcast(informed, message(news)));
+        }
+        if let Some(map) = active.map.clone().filter(|_| !uninformed.is_empty()) {
+            uninformed.truncate(MAX_WHOLE_MAPS);
+            effects.push(RolloutEffect::Broadcast(uninformed, message(MapNews::Whole(map))));
+        }
+        effects
     }
 
     fn begin_round(
@@ -613,9 +760,15 @@
         let Some(round) = plan_round(&map, &self.loads, &settings) else { return Vec::new() };
         let version = MapNumber(self.highest.0 + 1 + self.rng.random_range(0..NUMBER_SPREAD));
         self.highest = version;
-        let rollout = MapRollout { epoch: place.epoch, version, map: round.map, step: None };
-        self.active = Some(ActiveRollout { rollout: rollout.clone(), begun: now });
-        self.last_message = Some(now);
+        self.active = Some(ActiveRollout {
+            epoch: place.epoch,
+            version,
+            map: Some(round.map),
+            base: Some((report.map, map)),
+            step: None,
+            begun: now,
+        });
+        self.last_message = None;
         let thousandths = |it: f64| (it * 1_000.0).round() as u32;
         let note = RolloutNote::Planned {
             version,
@@ -623,7 +776,9 @@
             skew_before: thousandths(round.skew_before),
             skew_after: thousandths(round.skew_after),
         };
-        vec![RolloutEffect::Note(note), RolloutEffect::Broadcast(rollout)]
+        let mut effects = vec![RolloutEffect::Note(note)];
+        effects.extend(self.broadcast(now));
+        effects
     }
 
     /// The map in use, from what each rank says that it holds.
@@ -655,12 +810,12 @@
         };
         let is_next = place.rank < STATUS_LISTENERS && (0..place.rank).all(is_silent);
         let Some(active) = self.active.clone().filter(|_| is_next) else { return Vec::new() };
-        let version = active.rollout.version;
+        let version = active.version;
         let asked = self.asked.get(&0).filter(|(_, at)| now.since(*at) < STATUS_LIFE);
         let Some((first, _)) = asked.cloned() else { return vec![RolloutEffect::AskRank(0)] };
         let Some(step) = first.held.filter(|it| *it > first.step) else {
             // Nothing is held: the coordinator goes on when it is back.
-            if active.rollout.step.is_none() && now.since(active.begun) > PREPARE_LIMIT {
+            if active.step.is_none() && now.since(active.begun) > PREPARE_LIMIT {
                 self.active = None;
             }
             self.asked.remove(&0);
@@ -671,14 +826,13 @@
             let at_step = Some((version, step));
             status.is_some_and(|it| it.prepared == Some(version) || it.armed == at_step)
         };
-        let is_known = active.rollout.step == Some(step) || first.armed == Some((version, step));
+        let is_known = active.step == Some(step) || first.armed == Some((version, step));
         if !is_known && !(1..report.group_size).all(has_prepared) {
             return Vec::new();
         }
         let mut effects = vec![RolloutEffect::Note(RolloutNote::Rescue(version, step))];
-        let rollout = MapRollout { step: Some(step), map: Vec::new(), ..active.rollout.clone() };
-        self.active = Some(ActiveRollout { rollout, begun: active.begun });
-        effects.extend(self.repeat_rollout(now));
+        self.active = Some(ActiveRollout { step: Some(step), ..active });
+        effects.extend(self.broadcast(now));
         effects.extend(self.follow_orders(report, now));
         if report.armed != Some((version, step)) {
             return effects;
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -36,6 +36,8 @@
     was_ready: AtomicBool,
     /// Bounds on HTTP.
     pub(super) limits: HttpLimits,
+    /// Time within which a server that leaves gets no new work.
+    pub(super) leave_time: Duration,
     /// Where other gateways reach this one.
     pub(super) peer_address: SocketAddr,
     /// The runtime's clock.
@@ -68,6 +70,7 @@
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
+            leave_time: Duration::from_millis(gateway.leave_ms),
             peer_address: gateway.peer_listen,
             clock: ProcessClock::start(),
             metrics,
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -24,9 +24,10 @@
 };
 
 /// Longest wait for a change of the operator's stream: bounds how late a silent connection shows.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1_500);
-/// Pause between reads of the directory, which changes many times a second.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(650);
+const OPERATOR_WAIT: Duration = Duration::from_millis(3_000);
+/// Reads of the directory in the time within which a server that leaves gets no new work: two, so
+/// that a slow one does no harm.
+const READS_PER_LEAVE: u32 = 2;
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -93,7 +94,7 @@
                 }
                 let view = directory_view(&shell, records, offset, is_whole);
                 take_directory(&shell, view);
-                tokio::time::sleep(DIRECTORY_PAUSE).await;
+                tokio::time::sleep(shell.leave_time / READS_PER_LEAVE).await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
--- a/src/options/direct.rs
+++ b/src/options/direct.rs
@@ -59,6 +59,10 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Time within which a server that leaves gets no new work, in milliseconds: the directory is
+    /// read some times as often.
+    #[serde(default = "default_leave_ms")]
+    pub leave_ms: u64,
     /// Bounds on repeated attempts and cold servers.
     #[serde(default)]
     pub budget: BudgetSettings,
@@ -67,6 +71,10 @@
     pub admission: AdmissionSettings,
 }
 
+fn default_leave_ms() -> u64 {
+    2_000
+}
+
 /// Settings of a rank agent.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -21,7 +21,7 @@
     daemon::{DaemonError, ProcessClock, follow_hangups, stop_signal},
     experts::{
         MemberStatus, RankOrder, RankReport, RankUse, RolloutEffect, RolloutNote, RolloutState,
-        STATUS_LISTENERS, StepNumber,
+        STATUS_LISTENERS, StepNumber, UseSample,
     },
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
@@ -78,8 +78,7 @@
         rollout: RolloutState::new(MAX_COPIES, SmallRng::from_os_rng()),
         report: None,
         sampled: None,
-        sample: 0,
-        fresh_counts: Vec::new(),
+        fresh_counts: None,
         experts: None,
         due: DueTimes::default(),
         stepped: (StepNumber(0), Moment(0)),
@@ -116,8 +115,8 @@
     report: Option<RankReport>,
     /// The latest counts, from which the next sample is taken.
     sampled: Option<RankUse>,
-    sample: u64,
-    fresh_counts: Vec<u32>,
+    /// Choices since the sample before, until they are sent.
+    fresh_counts: Option<UseSample>,
     /// Experts that the rank holds, as of this map.
     experts: Option<(crate::experts::MapNumber, Vec<Vec<u16>>)>,
     due: DueTimes,
@@ -269,11 +268,7 @@
         let Some(before) = before.filter(|it| it.counts.len() == latest.counts.len()) else {
             return;
         };
-        let pairs = latest.counts.iter().zip(&before.counts);
-        // A restarted engine counts anew.
-        let since = |(new, old): (&u64, &u64)| u32::try_from(new.saturating_sub(*old)).unwrap_or(0);
-        self.fresh_counts = pairs.map(since).collect();
-        self.sample += 1;
+        self.fresh_counts = Some(UseSample::between(&before.counts, &latest.counts));
     }
 
     async fn send_status(&mut self, report: &RankReport, now: Moment) {
@@ -291,20 +286,22 @@
                 Some((map, experts)) if *map == report.map => experts.clone(),
                 Some(_) | None => Vec::new(),
             },
-            sample: self.sample,
-            counts: self.fresh_counts.clone(),
+            known: self.rollout.known_map(),
+            counts: None,
         };
         let own = place.rank;
-        let listeners: Vec<SocketAddr> = self
-            .group
-            .iter()
-            .filter(|it| it.rank < STATUS_LISTENERS && it.rank != own)
-            .map(|it| self.agent_of(it))
-            .collect();
+        // Counts are long, and only the coordinator plans by them.
+        let full = MemberStatus { counts: self.fresh_counts.take(), ..status.clone() };
+        let listeners = |ranks: std::ops::Range<u16>| -> Vec<SocketAddr> {
+            let others = self.group.iter().filter(|it| it.rank != own);
+            others.filter(|it| ranks.contains(&it.rank)).map(|it| self.agent_of(it)).collect()
+        };
+        let (coordinator, stand_ins) = (listeners(0..1), listeners(1..STATUS_LISTENERS));
+        self.send(&Datagram::Status(full.clone()), &coordinator).await;
+        self.send(&Datagram::Status(status), &stand_ins).await;
         if own < STATUS_LISTENERS {
-            self.rollout.learn_status(status.clone(), now);
+            self.rollout.learn_status(full, now);
         }
-        self.send(&Datagram::Status(status), &listeners).await;
     }
 
     fn agent_of(&self, member: &GroupMember) -> SocketAddr {
@@ -331,9 +328,8 @@
         for effect in effects {
             match effect {
                 RolloutEffect::Note(note) => self.log_note(&note),
-                RolloutEffect::Broadcast(rollout) => {
-                    let own = self.engine.address();
-                    let others = self.group.iter().filter(|it| it.server != own);
+                RolloutEffect::Broadcast(ranks, rollout) => {
+                    let others = self.group.iter().filter(|it| ranks.contains(&it.rank));
                     let to: Vec<SocketAddr> = others.map(|it| self.agent_of(it)).collect();
                     self.send(&Datagram::Rollout(rollout), &to).await;
                 }
