--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -362,16 +362,6 @@
         self.active.is_some()
     }
 
-    /// Highest map number known here.
-    pub fn highest(&self) -> MapNumber {
-        self.highest
-    }
-
-    /// The map that is known for all ranks.
-    pub fn known_map(&self) -> Option<MapNumber> {
-        self.known.as_ref().map(|it| it.0)
-    }
-
     /// Takes over how the group's experts may be placed.
     pub fn learn_layout(&mut self, layout: ExpertLayout) {
         self.layout = Some(layout);
@@ -426,6 +416,25 @@
         }
     }
 
+    /// What the agent tells the others, with the experts that its rank holds.
+    pub fn status(&self, experts: Vec<Vec<u16>>, now: Moment) -> Option<MemberStatus> {
+        let report = self.report.as_ref()?;
+        let place = report.group.as_ref()?;
+        Some(MemberStatus {
+            rank: place.rank,
+            epoch: place.epoch,
+            step: report.step,
+            map: report.map,
+            prepared: report.prepared,
+            armed: report.armed,
+            highest: self.highest,
+            has_unanswered: self.has_unanswered(now),
+            known: self.known.as_ref().map(|it| it.0),
+            experts,
+            counts: None,
+        })
+    }
+
     /// Notes that an order was not answered: it is repeated at once.
     pub fn note_unanswered(&mut self, now: Moment) {
         self.unanswered_at = Some(now);
@@ -433,7 +442,7 @@
     }
 
     /// Whether an order was not answered lately.
-    pub fn has_unanswered(&self, now: Moment) -> bool {
+    fn has_unanswered(&self, now: Moment) -> bool {
         self.unanswered_at.is_some_and(|at| now.since(at) < UNANSWERED_MEMORY)
     }
 
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -272,24 +272,12 @@
     }
 
     async fn send_status(&mut self, report: &RankReport, now: Moment) {
-        let Some(place) = &report.group else { return };
-        let status = MemberStatus {
-            rank: place.rank,
-            epoch: place.epoch,
-            step: report.step,
-            map: report.map,
-            prepared: report.prepared,
-            armed: report.armed,
-            highest: self.rollout.highest(),
-            has_unanswered: self.rollout.has_unanswered(now),
-            experts: match &self.experts {
-                Some((map, experts)) if *map == report.map => experts.clone(),
-                Some(_) | None => Vec::new(),
-            },
-            known: self.rollout.known_map(),
-            counts: None,
+        let experts = match &self.experts {
+            Some((map, experts)) if *map == report.map => experts.clone(),
+            Some(_) | None => Vec::new(),
         };
-        let own = place.rank;
+        let Some(status) = self.rollout.status(experts, now) else { return };
+        let own = status.rank;
         // Counts are long, and only the coordinator plans by them.
         let full = MemberStatus { counts: self.fresh_counts.take(), ..status.clone() };
         let listeners = |ranks: std::ops::Range<u16>| -> Vec<SocketAddr> {
--- /dev/null
+++ b/tests/map_rollout.rs
@@ -0,0 +1,349 @@
+//! Rollouts of expert maps against model engines whose answers are lost, whose orders are carried out
+//! late, and whose agents are killed, frozen and cut off: no step ever begins on two maps.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use alderbay::{
+    experts::{
+        GroupMap, MapNumber, MapRollout, MemberStatus, RankOrder, RankReport, RolloutEffect,
+        RolloutNote, RolloutState, StepNumber, UseSample,
+    },
+    routing::{ExpertLayout, GroupPlace},
+    units::Moment,
+};
+use googletest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const RANKS: usize = 4;
+const LAYERS: usize = 2;
+const EXPERTS: usize = 8;
+const TICK_MS: u64 = 10;
+const CHAOS_MS: u64 = 40_000;
+const CALM_MS: u64 = 20_000;
+const SEEDS: u64 = 150;
+
+/// One rank, as the platform describes it.
+#[derive(Clone, Default)]
+struct ModelRank {
+    map: u64,
+    experts: Vec<Vec<u16>>,
+    prepared: Option<(u64, GroupMap, u64)>,
+    armed: Option<(u64, u64)>,
+    held: Option<u64>,
+    highest: u64,
+}
+
+struct ModelGroup {
+    ranks: Vec<ModelRank>,
+    step: u64,
+    epoch: u64,
+    /// Contents by number: no number may be used twice.
+    maps: BTreeMap<u64, GroupMap>,
+}
+
+impl ModelGroup {
+    fn new(epoch: u64) -> Self {
+        let on_rank = |rank| (0..EXPERTS).filter(move |it| it % RANKS == rank).map(|it| it as u16);
+        let rank = |n| ModelRank {
+            experts: vec![on_rank(n).collect(); LAYERS],
+            ..ModelRank::default()
+        };
+        Self { ranks: (0..RANKS).map(rank).collect(), step: 0, epoch, maps: BTreeMap::new() }
+    }
+
+    /// Begins the next step, unless a rank holds it. Gives what is wrong, if anything.
+    fn begin_step(&mut self) -> Option<String> {
+        let next = self.step + 1;
+        if self.ranks.iter().any(|it| it.held == Some(next)) {
+            return None;
+        }
+        self.step = next;
+        for (n, rank) in self.ranks.iter_mut().enumerate() {
+            if let Some((version, step)) = rank.armed
+                && step == next
+            {
+                rank.map = version;
+                rank.experts =
+                    self.maps[&version].iter().map(|layer| layer[n].clone()).collect();
+                rank.armed = None;
+                rank.prepared = None;
+            }
+        }
+        let maps: Vec<u64> = self.ranks.iter().map(|it| it.map).collect();
+        maps.iter().any(|it| *it != maps[0]).then(|| format!("step {next} begins on {maps:?}"))
+    }
+
+    fn carry_out(&mut self, rank: usize, epoch: u64, order: &RankOrder, now: u64) -> bool {
+        if epoch != self.epoch {
+            return false;
+        }
+        let step = self.step;
+        let it = &mut self.ranks[rank];
+        match order {
+            RankOrder::Prepare { version, map } => {
+                if it.prepared.as_ref().is_some_and(|it| it.0 == version.0) {
+                    return true;
+                }
+                if version.0 <= it.highest || it.armed.is_some() {
+                    return false;
+                }
+                let known = self.maps.entry(version.0).or_insert_with(|| map.clone());
+                assert_eq!(known, map, "map {version:?} has two contents");
+                it.highest = version.0;
+                it.prepared = Some((version.0, map.clone(), now + 150));
+                true
+            }
+            RankOrder::Arm { version, step: at } => {
+                let is_prepared =
+                    it.prepared.as_ref().is_some_and(|it| it.0 == version.0 && it.2 <= now);
+                if !is_prepared || at.0 <= step {
+                    return false;
+                }
+                it.armed = Some((version.0, at.0));
+                true
+            }
+            RankOrder::Hold(at) => {
+                if at.0 <= step || it.held.is_some_and(|it| it != at.0 && it > step) {
+                    return false;
+                }
+                it.held = Some(at.0);
+                true
+            }
+            RankOrder::Release(at) => {
+                if it.held == Some(at.0) {
+                    it.held = None;
+                }
+                true
+            }
+        }
+    }
+
+    fn report(&self, rank: usize, now: u64) -> RankReport {
+        let it = &self.ranks[rank];
+        let prepared = it.prepared.as_ref().filter(|it| it.2 <= now).map(|it| MapNumber(it.0));
+        RankReport {
+            running: 1,
+            waiting: 0,
+            pace: 1.0,
+            step: StepNumber(self.step),
+            map: MapNumber(it.map),
+            prepared,
+            armed: it.armed.map(|(version, step)| (MapNumber(version), StepNumber(step))),
+            held: it.held.filter(|it| *it > self.step).map(StepNumber),
+            group: Some(GroupPlace {
+                name: "g".parse().unwrap(),
+                epoch: self.epoch,
+                rank: rank as u16,
+                is_open: true,
+            }),
+            group_size: RANKS as u16,
+        }
+    }
+}
+
+#[derive(Clone)]
+enum Message {
+    Status(MemberStatus),
+    Rollout(MapRollout),
+}
+
+/// The whole group with its agents, its network and its faults.
+struct Simulation {
+    rng: SmallRng,
+    group: ModelGroup,
+    agents: Vec<RolloutState>,
+    frozen_until: Vec<u64>,
+    messages: Vec<(u64, usize, Message)>,
+    late_orders: VecDeque<(u64, usize, u64, RankOrder)>,
+    now: u64,
+    has_faults: bool,
+    in_force: usize,
+    rescues: usize,
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let agents = (0..RANKS).map(|_| new_agent(&mut rng)).collect();
+        Self {
+            rng,
+            group: ModelGroup::new(1),
+            agents,
+            frozen_until: vec![0; RANKS],
+            messages: Vec::new(),
+            late_orders: VecDeque::new(),
+            now: 0,
+            has_faults: true,
+            in_force: 0,
+            rescues: 0,
+        }
+    }
+
+    fn moment(&self) -> Moment {
+        Moment(self.now * 1_000)
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        self.has_faults && self.rng.random_bool(share)
+    }
+
+    fn run(&mut self, until: u64) -> Option<String> {
+        while self.now < until {
+            self.now += TICK_MS;
+            self.strike();
+            self.deliver();
+            for n in 0..RANKS {
+                if self.frozen_until[n] <= self.now && self.now % 30 == (n as u64 % 3) * 10 {
+                    self.tick(n);
+                }
+            }
+            if self.now % 50 == 0
+                && let Some(fault) = self.group.begin_step()
+            {
+                return Some(fault);
+            }
+        }
+        None
+    }
+
+    /// Kills or freezes an agent, or forms the group anew.
+    fn strike(&mut self) {
+        let n = self.rng.random_range(0..RANKS);
+        if self.chance(0.002) {
+            self.agents[n] = new_agent(&mut self.rng);
+        }
+        if self.chance(0.002) {
+            self.frozen_until[n] = self.now + self.rng.random_range(100..4_000);
+        }
+        if self.chance(0.000_5) {
+            self.group = ModelGroup { maps: self.group.maps.clone(), ..ModelGroup::new(self.group.epoch + 1) };
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = self.messages.drain(..).partition(|it| it.0 <= now);
+        self.messages = later;
+        let due: Vec<(u64, usize, Message)> = due;
+        for (_, to, message) in due {
+            let at = self.moment();
+            match message {
+                Message::Status(status) => self.agents[to].learn_status(status, at),
+                Message::Rollout(rollout) => self.agents[to].learn_rollout(rollout, at),
+            }
+        }
+        let (due, later): (VecDeque<_>, VecDeque<_>) =
+            self.late_orders.drain(..).partition(|it| it.0 <= now);
+        self.late_orders = later;
+        for (_, rank, epoch, order) in due {
+            self.group.carry_out(rank, epoch, &order, now);
+        }
+    }
+
+    fn send(&mut self, to: usize, message: Message) {
+        if self.chance(0.1) {
+            return;
+        }
+        let delay = if self.chance(0.05) { self.rng.random_range(100..1_500) } else { 1 };
+        self.messages.push((self.now + delay, to, message));
+    }
+
+    fn tick(&mut self, n: usize) {
+        let at = self.moment();
+        let report = self.group.report(n, self.now);
+        let effects = self.agents[n].learn_report(report);
+        self.carry_out(n, effects);
+        let experts = self.group.ranks[n].experts.clone();
+        if let Some(mut status) = self.agents[n].status(experts, at) {
+            let counts: Vec<u64> = (0..LAYERS * EXPERTS)
+                .map(|it| if it as u64 % 8 == self.now / 2_000 % 8 { 900 } else { 10 })
+                .collect();
+            status.counts = Some(UseSample::between(&vec![0; counts.len()], &counts));
+            for to in 0..3 {
+                match to == n {
+                    true => self.agents[n].learn_status(status.clone(), at),
+                    false => self.send(to, Message::Status(status.clone())),
+                }
+            }
+        }
+        self.agents[n].close_interval();
+        let effects = self.agents[n].settle(at);
+        self.carry_out(n, effects);
+    }
+
+    fn carry_out(&mut self, n: usize, effects: Vec<RolloutEffect>) {
+        for effect in effects {
+            match effect {
+                RolloutEffect::Note(RolloutNote::InForce(_)) => self.in_force += 1,
+                RolloutEffect::Note(RolloutNote::Rescue(..)) => self.rescues += 1,
+                RolloutEffect::Note(_) => {}
+                RolloutEffect::Broadcast(ranks, rollout) => {
+                    for rank in ranks {
+                        self.send(usize::from(rank), Message::Rollout(rollout.clone()));
+                    }
+                }
+                RolloutEffect::Order(order) => self.order(n, n, order),
+                RolloutEffect::OrderRank(rank, order) => self.order(n, usize::from(rank), order),
+                RolloutEffect::AskRank(rank) => {
+                    let report = self.group.report(usize::from(rank), self.now);
+                    let at = self.moment();
+                    self.agents[n].learn_answer(rank, report, at);
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, from: usize, rank: usize, order: RankOrder) {
+        // The agent puts the epoch that it knows into its orders.
+        let epoch = self.agents[from].place().map_or(0, |it| it.epoch);
+        if self.chance(0.3) {
+            let at = self.moment();
+            self.agents[from].note_unanswered(at);
+            match self.chance(0.5) {
+                true => {
+                    self.group.carry_out(rank, epoch, &order, self.now);
+                }
+                false => {
+                    let late = self.now + self.rng.random_range(2_000..12_000);
+                    self.late_orders.push_back((late, rank, epoch, order));
+                }
+            }
+            return;
+        }
+        self.group.carry_out(rank, epoch, &order, self.now);
+    }
+}
+
+fn new_agent(rng: &mut SmallRng) -> RolloutState {
+    let mut agent = RolloutState::new(2, SmallRng::seed_from_u64(rng.random()));
+    agent.learn_layout(ExpertLayout {
+        layers: LAYERS,
+        experts: EXPERTS,
+        rank_slots: 4,
+        max_new: 2,
+        copy_seconds: 0.15,
+        expert_share: 0.85,
+    });
+    agent
+}
+
+#[gtest]
+fn no_step_on_two_maps() {
+    let (mut in_force, mut rescues) = (0, 0);
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed);
+        let fault = simulation.run(CHAOS_MS);
+        expect_that!(fault, none(), "seed {seed}");
+        simulation.has_faults = false;
+        let fault = simulation.run(CHAOS_MS + CALM_MS - 3_000);
+        expect_that!(fault, none(), "seed {seed}, after the faults");
+        let step = simulation.group.step;
+        simulation.run(CHAOS_MS + CALM_MS);
+        expect_that!(simulation.group.step, gt(step + 20), "seed {seed}: the group is stuck");
+        in_force += simulation.in_force;
+        rescues += simulation.rescues;
+    }
+    println!("{in_force} maps in force, {rescues} rescues");
+    expect_that!(in_force, gt(1_000));
+    expect_that!(rescues, gt(0));
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -11,6 +11,7 @@
 mod domain_drain;
 mod fan_out;
 mod graceful_stop;
+mod map_rollout;
 mod map_switch;
 mod naive_router;
 mod operator_tool;
--- a/tests/support/engine.rs
+++ b/tests/support/engine.rs
@@ -190,12 +190,12 @@
                 }
                 self.token().await;
                 let chunk = serde_json::json!({ "choices": [{ "index": 0, "text": token_text(&prompt, n) }] });
-                if sender.send(Bytes::from(format!("data: {chunk}\n\n"))).await.is_err() {
+                if sender.send(Ok(Bytes::from(format!("data: {chunk}\n\n")))).await.is_err() {
                     return;
                 }
             }
             if !self.truncates.load(Ordering::SeqCst) {
-                let _ = sender.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
+                let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
             }
             self.finished.fetch_add(1, Ordering::SeqCst);
         });
