--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -89,15 +89,17 @@
         self.outstanding = self.outstanding.saturating_sub(1);
     }
 
-    /// Requests that the server is thought to have. Without a fresh report, `fleet` gateways are
-    /// taken to send it as much as this one.
+    /// Requests that the server is thought to have. Where its agent has fallen silent, `fleet`
+    /// gateways are taken to send it as much as this one; of a server that has no agent only what
+    /// this gateway sends is known, and the server itself refuses what is too much.
     pub fn estimate(&self, fleet: u32, now: Moment) -> f64 {
-        match self.report(now) {
-            Some(report) => {
+        match (self.report(now), self.report) {
+            (Some(report), _) => {
                 let reported = report.running + report.waiting + self.begun;
                 f64::from(reported.max(self.outstanding))
             }
-            None => f64::from(self.outstanding) * f64::from(fleet.max(1)),
+            (None, Some(_)) => f64::from(self.outstanding) * f64::from(fleet.max(1)),
+            (None, None) => f64::from(self.outstanding),
         }
     }
 
