Test a gateway as a process against the platform's protocol

Change: stand-ins of the store and of servers that misbehave; tests/gateway_path.rs: 10 tests (whole and crossed answers, repeats, streams that go on elsewhere, callers that leave, stops, peers, changes).

--- /dev/null
+++ b/tests/gateway_path.rs
@@ -0,0 +1,295 @@
+//! A gateway as a process, in front of servers that misbehave and beside a store that goes away.
+
+use std::{
+    net::SocketAddr,
+    process::{Child, Command},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde_json::json;
+use tokio::{net::TcpStream, time::Instant};
+
+use crate::support::{
+    platform_store::PlatformStore,
+    ports::{free_address, spawn},
+    scripted_server::{self, ServerLog},
+};
+
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+struct GatewayProcess {
+    child: Child,
+    listen: SocketAddr,
+    ready: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl GatewayProcess {
+    fn start(store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let [listen, ready, peer, admin, datagrams] = [(); 5].map(|()| free_address());
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("gateway.json");
+        let settings = json!({
+            "identity": {"vm": "g-1", "failure_domain": "a", "admin_listen": admin},
+            "role": {"gateway": {
+                "listen": listen, "ready_listen": ready, "peer_listen": peer, "seeds": seeds,
+                "store": store, "budget": {"retry_ratio": 0.2, "retry_burst": 90.0,
+                    "retry_window_s": 10.0, "cold_factor": 1.5, "cold_burst": 5.0}
+            }},
+            "datagrams": datagrams,
+            "grace_s": 8
+        });
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let log = std::fs::File::create(folder.path().join("log")).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_alderbayd"));
+        command.arg("--settings").arg(&path).stdout(log);
+        Self { child: spawn(&mut command), listen, ready, peer, admin, _folder: folder }
+    }
+
+    async fn wait_ready(&self) {
+        let deadline = Instant::now() + READY_LIMIT;
+        while get(self.ready, "/v1/readyz").await.map(|it| it.0) != Some(StatusCode::OK) {
+            assert!(Instant::now() < deadline, "the gateway does not become ready");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = spawn(Command::new("kill").args(["-TERM", &id])).wait().unwrap();
+        assert!(status.success());
+    }
+
+    fn log_text(&self) -> String {
+        std::fs::read_to_string(self._folder.path().join("log")).unwrap_or_default()
+    }
+}
+
+/// A gateway, two servers and the store.
+struct Site {
+    store: PlatformStore,
+    log: ServerLog,
+    gateway: GatewayProcess,
+}
+
+fn route(prefix: &str, kind: &str) -> serde_json::Value {
+    json!({"name": format!("r-{kind}"), "hostname": "h.example", "path-prefix": prefix,
+        "kind": kind, "timeout-ms": 6000, "target-latency-ms": 300, "service": "s",
+        "max-attempts": 2, "public": false, "resumable": true})
+}
+
+async fn site(kind: &str) -> Site {
+    let store = PlatformStore::start(free_address()).await;
+    let log = ServerLog::default();
+    for id in ["i-1", "i-2"] {
+        let address = free_address();
+        scripted_server::start(address, id, log.clone()).await;
+        let entry = json!({"service": "s", "address": address, "zone": "a", "version": "v1",
+            "slots": 12, "state": "ready", "warmup-left-ms": 0, "sequence": 1, "born": 1});
+        store.put("keyed.servers", id, Some(&entry));
+    }
+    // Entries of other writers name no server and harm nothing.
+    store.put("keyed.servers", "i-3", Some(&json!({"service": 7})));
+    let manifest = json!({"version": 3, "routes": [route("/a/", kind)],
+        "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
+        "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
+    store.put("keyed.op", "config", Some(&manifest));
+    let gateway = GatewayProcess::start(store.stand_in.address, &[]);
+    gateway.wait_ready().await;
+    Site { store, log, gateway }
+}
+
+async fn connect(address: SocketAddr) -> Option<hyper::client::conn::http1::SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
+    let request = Request::get(path).header("host", "x").body(Full::default()).unwrap();
+    read(connect(address).await?.send_request(request).await.ok()?).await
+}
+
+async fn read(answer: Response<hyper::body::Incoming>) -> Option<(StatusCode, String)> {
+    let status = answer.status();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn call(path: &str) -> Request<Full<Bytes>> {
+    Request::post(path)
+        .header("host", "h.example")
+        .header("request-id", "q-1")
+        .header("time-budget-ms", "5000")
+        .header("authorization", "Token k1")
+        .header("tenant", "forged")
+        .body(Full::from("a body"))
+        .unwrap()
+}
+
+impl Site {
+    async fn ask(&self, path: &str) -> Option<(StatusCode, String)> {
+        read(connect(self.gateway.listen).await?.send_request(call(path)).await.ok()?).await
+    }
+}
+
+fn whole() -> Option<(StatusCode, String)> {
+    Some((StatusCode::OK, "an answer".into()))
+}
+
+#[gtest]
+#[tokio::test]
+async fn whole_answers_pass() {
+    let site = site("safe").await;
+    expect_that!(site.ask("/a/x").await, eq(&whole()));
+    let run = site.log.runs("/a/x").remove(0);
+    expect_that!(run.headers.get("tenant").map(String::as_str), some(eq("acc")));
+    expect_that!(run.headers.get("authorization"), none());
+    let left: u64 = run.headers["time-budget-ms"].parse().unwrap();
+    expect_that!(left, all!(gt(3_000), le(5_000)));
+    // An extra answer behind the first is nobody's.
+    expect_that!(site.ask("/a/extra").await, eq(&whole()));
+    expect_that!(site.ask("/a/x").await, eq(&whole()));
+    let (status, text) = get(site.gateway.admin, "/metrics").await.unwrap();
+    expect_that!(status, eq(StatusCode::OK));
+    expect_that!(text, contains_substring("alderbay_requests_arrived 3"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn broken_answers_are_repeated() {
+    let site = site("safe").await;
+    expect_that!(site.ask("/a/cut").await, eq(&whole()));
+    expect_that!(site.log.runs("/a/cut").len(), eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn shed_requests_go_elsewhere() {
+    let site = site("safe").await;
+    expect_that!(site.ask("/a/shed").await, eq(&whole()));
+    let runs = site.log.runs("/a/shed");
+    expect_that!(runs.len(), eq(2));
+    expect_that!(runs[0].server, not(eq(&runs[1].server)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn single_runs_stay_single() {
+    let site = site("unsafe").await;
+    for path in ["/a/cut", "/a/crossed"] {
+        let status = site.ask(path).await.map(|it| it.0);
+        expect_that!(status, some(eq(StatusCode::BAD_GATEWAY)), "{path}");
+        expect_that!(site.log.runs(path).len(), eq(1), "{path}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn shed_single_goes_elsewhere() {
+    let site = site("unsafe").await;
+    // A server that says it did not run it allows another.
+    expect_that!(site.ask("/a/shed").await, eq(&whole()));
+    expect_that!(site.log.runs("/a/shed").len(), eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn streams_go_on_elsewhere() {
+    let site = site("streaming").await;
+    let (status, text) = site.ask("/a/stream").await.unwrap();
+    expect_that!(status, eq(StatusCode::OK));
+    let events: String = (1..=4).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect();
+    expect_that!(text, eq(&events));
+    let runs = site.log.runs("/a/stream");
+    expect_that!(runs.len(), eq(2));
+    expect_that!(runs[1].headers.get("last-event-id").map(String::as_str), some(eq("2")));
+    expect_that!(runs[0].server, not(eq(&runs[1].server)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn leaving_callers_cancel() {
+    let site = site("streaming").await;
+    let mut sender = connect(site.gateway.listen).await.unwrap();
+    let pending = tokio::spawn(async move { sender.send_request(call("/a/hang")).await.map(drop) });
+    let deadline = Instant::now() + READY_LIMIT;
+    while site.log.runs("/a/hang").is_empty() {
+        assert!(Instant::now() < deadline);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    pending.abort();
+    while site.log.closed_early() == 0 {
+        assert!(Instant::now() < deadline, "the server still works");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn stops_cut_off_nothing() {
+    let mut site = site("streaming").await;
+    let mut sender = connect(site.gateway.listen).await.unwrap();
+    let stream = sender.send_request(call("/a/slow")).await.unwrap();
+    site.gateway.terminate();
+    let deadline = Instant::now() + READY_LIMIT;
+    while get(site.gateway.ready, "/v1/readyz").await.map(|it| it.0) == Some(StatusCode::OK) {
+        assert!(Instant::now() < deadline);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Callers that the balancer has sent meanwhile are served.
+    expect_that!(site.ask("/a/slow").await.map(|it| it.0), some(eq(StatusCode::OK)));
+    let (_, text) = read(stream).await.unwrap();
+    expect_that!(text, contains_substring("piece 4"));
+    let status = tokio::task::spawn_blocking(move || {
+        let status = site.gateway.child.wait().unwrap();
+        (status, site.gateway.log_text())
+    });
+    let (status, log) = status.await.unwrap();
+    expect_that!(status.code(), some(eq(0)), "{log}");
+    expect_that!(log, contains_substring("\"message\":\"stopped\""));
+}
+
+#[gtest]
+#[tokio::test]
+async fn peers_tell_the_catalog() {
+    let site = site("safe").await;
+    site.store.set_down(true);
+    let second = GatewayProcess::start(site.store.stand_in.address, &[site.gateway.peer]);
+    second.wait_ready().await;
+    let answer = connect(second.listen).await.unwrap().send_request(call("/a/x")).await.unwrap();
+    expect_that!(read(answer).await, eq(&whole()));
+    // And the first one goes on with what it knows.
+    expect_that!(site.ask("/a/x").await, eq(&whole()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn changes_come_into_force() {
+    let site = site("safe").await;
+    let moved = json!({"version": 9, "routes": [route("/b/", "safe")],
+        "services": [{"name": "s"}], "tenants": [{"name": "acc", "api-keys": ["k1"]}]});
+    site.store.put("keyed.op", "config", Some(&moved));
+    let deadline = Instant::now() + READY_LIMIT;
+    while site.ask("/b/x").await != whole() {
+        assert!(Instant::now() < deadline, "the catalog does not come into force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let gone = site.ask("/a/x").await.map(|it| it.0);
+    expect_that!(gone, some(eq(StatusCode::NOT_FOUND)));
+}
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -17,10 +17,14 @@
 pub mod load;
 #[path = "support/log_service.rs"]
 pub mod log_service;
+#[path = "support/platform_store.rs"]
+pub mod platform_store;
 #[path = "support/ports.rs"]
 pub mod ports;
 #[path = "support/proxy.rs"]
 pub mod proxy;
+#[path = "support/scripted_server.rs"]
+pub mod scripted_server;
 #[path = "support/stand_in.rs"]
 pub mod stand_in;
 #[path = "support/vm_list.rs"]
