--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -193,7 +193,12 @@
 
 #[gtest]
 fn sample_settings_are_good() {
-    for sample in ["settings-entry.json", "settings-agent.json"] {
+    for sample in [
+        "settings-entry.json",
+        "settings-agent.json",
+        "settings-gateway.json",
+        "settings-rank-agent.json",
+    ] {
         let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(sample);
         let output = check_settings(&path);
         expect_that!(
