Use one call of a server for agents and gateways; satisfy the linter

Cause: connecting, sending on a connection of its own and closing it stood twice. Change: src/http/call.rs serves both roles. Conclusion: no behaviour changes.

--- a/src/agent/backend.rs
+++ b/src/agent/backend.rs
@@ -1,21 +1,15 @@
-//! Calls of the backend server, each on a connection of its own.
-//!
-//! `hyper`'s connection is used as it is, below `volo-http`'s client, because the promise "not run"
-//! needs to know whether any byte of a request may have reached the server. A connection that could
-//! not be made proves that none did.
+//! Calls of the backend server, each on a connection of its own ([`crate::http::call_once`]).
 
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Uri, header::HOST};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use thiserror::Error;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 use crate::{
-    http::{REQUEST_ID, RESUME_AFTER},
+    http::{ConnectionGuard, OpenCall, REQUEST_ID, RESUME_AFTER, call_once, connect},
     wire::{HeaderPair, WorkOrder},
 };
 
@@ -56,24 +50,11 @@
     _connection: ConnectionGuard,
 }
 
-#[derive(Debug)]
-struct ConnectionGuard(AbortHandle);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Calls the backend server and waits for the head of its answer.
 pub(super) async fn call(backend: SocketAddr, order: &WorkOrder) -> Result<BackendCall, CallError> {
     let request = request_of(backend, order)?;
-    let stream = connect(backend).await.map_err(CallError::Connect)?;
-    // The handshake sends nothing; only `send_request` does.
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
-    let response = sender.send_request(request).await?;
-    let (parts, body) = response.into_parts();
+    let stream = connect(backend, CONNECT_TIMEOUT).await.map_err(CallError::Connect)?;
+    let OpenCall { head: parts, body, guard } = call_once(stream, request).await?;
     check_id(&parts.headers, order)?;
     let headers = parts
         .headers
@@ -84,12 +65,6 @@
     Ok(BackendCall { status: parts.status.as_u16(), headers, body, _connection: guard })
 }
 
-async fn connect(backend: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(backend)).await??;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
-
 fn request_of(
     backend: SocketAddr,
     order: &WorkOrder,
--- a/src/bin/alderbayd.rs
+++ b/src/bin/alderbayd.rs
@@ -3,8 +3,7 @@
 use std::process::ExitCode;
 
 use alderbay::{
-    daemon,
-    gateway,
+    daemon, gateway,
     options::{
         DaemonArguments, DaemonSettings, DirectRole, DirectSettings, daemon_arguments, merge,
     },
@@ -41,7 +40,9 @@
         .context("starting the runtime")?;
     let cut_off = match settings.role {
         DirectRole::Gateway(_) => runtime.block_on(gateway::run(settings, arguments.clone()))?,
-        DirectRole::RankAgent(_) => runtime.block_on(rank_agent::run(settings, arguments.clone()))?,
+        DirectRole::RankAgent(_) => {
+            runtime.block_on(rank_agent::run(settings, arguments.clone()))?
+        }
     };
     Ok(cut_off)
 }
--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -527,11 +527,7 @@
             None if report.prepared == Some(version) => None,
             None => {
                 let map = active.map.clone()?;
-                self.order(
-                    OrderKind::Prepare(version),
-                    RankOrder::Prepare { version, map },
-                    now,
-                )
+                self.order(OrderKind::Prepare(version), RankOrder::Prepare { version, map }, now)
             }
             Some(step) if report.armed == Some((version, step)) => None,
             Some(step) if report.step >= step => None,
@@ -572,8 +568,8 @@
             return self.broadcast(now);
         }
         if self.all_fresh(report, now, |it| it.prepared == Some(active.version)) {
-            let is_unsure = self.has_unanswered(now)
-                || self.statuses.values().any(|(it, _)| it.has_unanswered);
+            let is_unsure =
+                self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
             let ahead = if is_unsure { STEPS_AHEAD_UNANSWERED } else { STEPS_AHEAD };
             let step = StepNumber(report.step.0 + ahead);
             return self
@@ -676,7 +672,8 @@
         if let Some(active) = self.active.as_ref().filter(|it| it.step == Some(step)) {
             return Some(active.version);
         }
-        let armed = |it: Option<(MapNumber, StepNumber)>| it.filter(|it| it.1 == step).map(|it| it.0);
+        let armed =
+            |it: Option<(MapNumber, StepNumber)>| it.filter(|it| it.1 == step).map(|it| it.0);
         let others = self.statuses.values().filter_map(|(it, _)| armed(it.armed));
         if let Some(version) = armed(report.armed).into_iter().chain(others).next() {
             return Some(version);
@@ -717,8 +714,8 @@
                 Some(step) => it.armed == Some((active.version, step)),
             });
             let base = active.base.as_ref().map(|it| it.0);
-            let is_informed =
-                active.step.is_some() || status.is_some_and(|it| base.is_some() && it.known == base);
+            let is_informed = active.step.is_some()
+                || status.is_some_and(|it| base.is_some() && it.known == base);
             match (is_done, is_informed) {
                 (true, _) => {}
                 (false, true) => informed.push(rank),
--- a/src/experts/rounds.rs
+++ b/src/experts/rounds.rs
@@ -80,8 +80,11 @@
     loads: &[Vec<f64>],
     settings: &RoundSettings,
 ) -> Option<MapRound> {
-    let mut layers: Vec<LayerSearch<'_>> =
-        map.iter().zip(loads).map(|(ranks, loads)| LayerSearch::new(ranks.clone(), loads)).collect();
+    let mut layers: Vec<LayerSearch<'_>> = map
+        .iter()
+        .zip(loads)
+        .map(|(ranks, loads)| LayerSearch::new(ranks.clone(), loads))
+        .collect();
     let mean: f64 = layers.iter().map(|it| it.mean).sum();
     if mean <= 0.0 {
         return None;
@@ -219,7 +222,8 @@
             }
         }
         for rank in (0..self.ranks.len()).filter(|it| *it != hot) {
-            let is_full = copies[rank] >= settings.max_copies || self.gained(rank) >= settings.max_new;
+            let is_full =
+                copies[rank] >= settings.max_copies || self.gained(rank) >= settings.max_new;
             if is_full || self.rank_loads[rank] >= self.rank_loads[hot] {
                 continue;
             }
@@ -313,7 +317,7 @@
     use super::*;
 
     fn initial(layers: usize, ranks: usize, experts: usize) -> GroupMap {
-        let on_rank = |rank| (0..experts).filter(|it| it % ranks == rank).map(|it| it as u16);
+        let on_rank = |rank| (0..experts).filter(move |it| it % ranks == rank).map(|it| it as u16);
         vec![(0..ranks).map(|rank| on_rank(rank).collect()).collect(); layers]
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -44,8 +44,7 @@
         let view = shell.view().clone();
         let mut gateways: Vec<SocketAddr> = shell.peers().into_iter().collect();
         gateways.push(shell.peer_address);
-        let message =
-            ViewMessage { operator: view.operator, directory: view.directory, gateways };
+        let message = ViewMessage { operator: view.operator, directory: view.directory, gateways };
         std::future::ready(json_answer(StatusCode::OK, &message))
     }
 }
@@ -68,7 +67,6 @@
 }
 
 async fn fetch_view(peer: SocketAddr) -> Result<ViewMessage, PlatformError> {
-    let client =
-        volo_http::client::Client::builder().build().map_err(PlatformError::Client)?;
+    let client = volo_http::client::Client::builder().build().map_err(PlatformError::Client)?;
     get_json(&client, format!("http://{peer}{VIEW_PATH}"), PEER_TIMEOUT).await
 }
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -94,8 +94,7 @@
             Some(Datagram::Load { server, report, gateways }) => {
                 let count = u32::try_from(gateways.len()).unwrap_or(u32::MAX);
                 shell.note_peers(gateways);
-                let event =
-                    RoutingEvent::LoadReported { address: server, report, gateways: count };
+                let event = RoutingEvent::LoadReported { address: server, report, gateways: count };
                 shell.dispatch(event);
             }
             Some(Datagram::Subscribe(_) | Datagram::Status(_) | Datagram::Rollout(_)) => {
--- a/src/http.rs
+++ b/src/http.rs
@@ -7,9 +7,10 @@
 
 pub use answers::{ErrorBody, error_answer, error_event, json_answer, text_answer};
 pub use body::{
-    BodyError, RelayBody, RelayBroken, RelaySender, caller_gone, discard_body, read_body, relay_body,
+    BodyError, RelayBody, RelayBroken, RelaySender, caller_gone, discard_body, read_body,
+    relay_body,
 };
-pub use call::{CallError, ConnectionGuard, OpenCall, call_once, connect};
+pub use call::{ConnectionGuard, OpenCall, call_once, connect};
 pub use listener::{HttpListener, ListenerError, ListenerPhase};
 
 /// Name of the header that carries a request's id both ways.
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -12,21 +12,8 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-/// Why a call gave no answer.
-#[derive(Debug)]
-#[derive(Error)]
-pub enum CallError {
-    /// No connection could be made: nothing ran.
-    #[error("connecting to the backend server: {0}")]
-    Connect(#[from] io::Error),
-    /// The connection broke after the request may have left: it may have run.
-    #[error("calling the backend server: {0}")]
-    Lost(#[from] hyper::Error),
-}
-
 /// A call whose answer has begun. Dropping it closes the connection, which cancels the call.
 #[derive(Debug)]
 pub struct OpenCall {
@@ -63,11 +50,11 @@
 ///
 /// # Errors
 ///
-/// [`CallError::Lost`]: the request may have reached the server.
+/// The connection broke; the request may have reached the server.
 pub async fn call_once(
     stream: TcpStream,
     request: http::Request<Full<Bytes>>,
-) -> Result<OpenCall, CallError> {
+) -> hyper::Result<OpenCall> {
     // The handshake sends nothing; only `send_request` does.
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -134,7 +134,7 @@
         let wire: WireCounts = get_json(&self.client, uri, ENGINE_TIMEOUT).await?;
         let mut counts = Vec::new();
         flatten(&wire.counts, &mut counts);
-        Ok(RankUse { step: StepNumber(wire.step), epoch: wire.epoch, counts: counts })
+        Ok(RankUse { step: StepNumber(wire.step), epoch: wire.epoch, counts })
     }
 
     /// Which experts it holds by layer, and as of which map.
@@ -153,14 +153,15 @@
     /// # Errors
     ///
     /// There is no answer: the order may be carried out, also later.
-    pub async fn order(&self, epoch: u64, order: &RankOrder) -> Result<OrderOutcome, PlatformError> {
+    pub async fn order(
+        &self,
+        epoch: u64,
+        order: &RankOrder,
+    ) -> Result<OrderOutcome, PlatformError> {
         let body = encode_order(epoch, order)?;
         let uri = format!("http://{}/v1/order", self.address);
-        let request = self
-            .client
-            .post(uri)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .data(body);
+        let request =
+            self.client.post(uri).header(http::header::CONTENT_TYPE, "application/json").data(body);
         let (parts, _) = exchange(request, ORDER_TIMEOUT).await?;
         match parts.status.as_u16() {
             200 | 202 => Ok(OrderOutcome::Taken),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -63,7 +63,8 @@
                 .and_then(|it| it.strip_prefix(KEY_SCHEME))
                 .map(|it| it.trim().into()),
             resume_after: text(&RESUME_AFTER).map(SmolStr::new),
-            tokens: tokens.and_then(|it| Some((it.0.trim().parse().ok()?, it.1.trim().parse().ok()?))),
+            tokens: tokens
+                .and_then(|it| Some((it.0.trim().parse().ok()?, it.1.trim().parse().ok()?))),
         }
     }
 }
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -5,11 +5,7 @@
 //! orders given there are, too. What it knows of others comes in datagrams; it reads nothing of the
 //! platform's store.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -8,9 +8,7 @@
 use super::{LoadReport, RouteCatalog, RouteKind, ServerRecord};
 use crate::{
     core::Refusal,
-    units::{
-        ClientAccount, FailureDomain, Moment, RequestId, RouteName, ServerId, ServiceName,
-    },
+    units::{ClientAccount, FailureDomain, Moment, RequestId, RouteName, ServerId, ServiceName},
 };
 
 /// Number of a caller's request at this gateway, unique in its life.
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -164,7 +164,8 @@
         }
         for server in self.servers.values_mut() {
             let started = server.record.started_ms.unwrap_or(0);
-            server.is_replaced |= newest.get(&server.record.address).is_some_and(|it| started < *it);
+            server.is_replaced |=
+                newest.get(&server.record.address).is_some_and(|it| started < *it);
         }
     }
 
@@ -236,7 +237,11 @@
         // The same entry read again must not start its warm-up anew.
         Some(known) if is_same_life && known.record == record => known.cold_until,
         Some(known) if is_same_life => {
-            if record.warm_up_left.is_zero() { known.cold_until.min(stated) } else { stated }
+            if record.warm_up_left.is_zero() {
+                known.cold_until.min(stated)
+            } else {
+                stated
+            }
         }
         Some(_) | None => stated.max(now.after(UNSEEN_COLD)),
     };
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -11,9 +11,9 @@
 
 use super::{
     AdmissionSettings, AttemptBudget, AttemptOrder, AttemptResult, BeliefChange, BudgetSettings,
-    CallerFacts, Candidate, ColdGate, KnownServer, LoadReport, PlacementChoice, RequestNumber, ReturnCause,
-    RouteCatalog, RouteKind, RouteRecord, RoutingEffect, RoutingEvent, ServerLoad, ServerTable,
-    SourceName, choose_candidate, retry_after,
+    CallerFacts, Candidate, ColdGate, KnownServer, LoadReport, PlacementChoice, RequestNumber,
+    ReturnCause, RouteCatalog, RouteKind, RouteRecord, RoutingEffect, RoutingEvent, ServerLoad,
+    ServerTable, SourceName, choose_candidate, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode},
@@ -295,7 +295,8 @@
         let address = it.record.address;
         !state.loads.get(&address).is_some_and(|load| load.is_paused(now))
     };
-    let reachable = |it: &&&KnownServer| !is_domain_unreachable(state, &it.record.failure_domain, now);
+    let reachable =
+        |it: &&&KnownServer| !is_domain_unreachable(state, &it.record.failure_domain, now);
     let elsewhere = |it: &&&KnownServer| {
         it.record.group.as_ref().is_none_or(|it| !request.failed_groups.contains(&it.name))
     };
@@ -329,8 +330,12 @@
 /// Whether all other failure domains are taken to be cut off.
 fn is_isolated(state: &RoutingState, now: Moment) -> bool {
     let own = &state.settings.failure_domain;
-    let mut others: Vec<&FailureDomain> =
-        state.servers.servers().map(|it| &it.record.failure_domain).filter(|it| *it != own).collect();
+    let mut others: Vec<&FailureDomain> = state
+        .servers
+        .servers()
+        .map(|it| &it.record.failure_domain)
+        .filter(|it| *it != own)
+        .collect();
     others.sort_unstable();
     others.dedup();
     !others.is_empty() && others.iter().all(|it| is_domain_unreachable(state, it, now))
@@ -468,8 +473,10 @@
         | AttemptResult::WrongServer
         | AttemptResult::Abandoned => request.sent += 1,
     }
-    let mut effects: Vec<RoutingEffect> =
-        note_health(state, &id, address, result, now).map(RoutingEffect::Believe).into_iter().collect();
+    let mut effects: Vec<RoutingEffect> = note_health(state, &id, address, result, now)
+        .map(RoutingEffect::Believe)
+        .into_iter()
+        .collect();
     effects.push(next_step(state, number, result, now));
     effects
 }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -91,7 +91,9 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let text = format!("{{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":{lost}}}\n");
+            let text = format!(
+                "{{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":{lost}}}\n"
+            );
             let _ = output.write_all(text.as_bytes());
         }
     }
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -112,7 +112,9 @@
     Site { store, log, gateway }
 }
 
-async fn connect(address: SocketAddr) -> Option<hyper::client::conn::http1::SendRequest<Full<Bytes>>> {
+async fn connect(
+    address: SocketAddr,
+) -> Option<hyper::client::conn::http1::SendRequest<Full<Bytes>>> {
     let stream = TcpStream::connect(address).await.ok()?;
     let io = hyper_util::rt::TokioIo::new(stream);
     let (sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -38,8 +38,7 @@
     };
     let record =
         ServiceRecord { warm_up: Duration::from_secs(3), cold_rate: COLD_RATE, engine: None };
-    let account =
-        AccountRecord { account: "acc".parse().unwrap(), api_keys: vec!["key".into()] };
+    let account = AccountRecord { account: "acc".parse().unwrap(), api_keys: vec!["key".into()] };
     Box::new(RouteCatalog::new(
         CatalogVersion(version),
         vec![route],
--- a/tests/map_rollout.rs
+++ b/tests/map_rollout.rs
@@ -44,10 +44,8 @@
 impl ModelGroup {
     fn new(epoch: u64) -> Self {
         let on_rank = |rank| (0..EXPERTS).filter(move |it| it % RANKS == rank).map(|it| it as u16);
-        let rank = |n| ModelRank {
-            experts: vec![on_rank(n).collect(); LAYERS],
-            ..ModelRank::default()
-        };
+        let rank =
+            |n| ModelRank { experts: vec![on_rank(n).collect(); LAYERS], ..ModelRank::default() };
         Self { ranks: (0..RANKS).map(rank).collect(), step: 0, epoch, maps: BTreeMap::new() }
     }
 
@@ -63,8 +61,7 @@
                 && step == next
             {
                 rank.map = version;
-                rank.experts =
-                    self.maps[&version].iter().map(|layer| layer[n].clone()).collect();
+                rank.experts = self.maps[&version].iter().map(|layer| layer[n].clone()).collect();
                 rank.armed = None;
                 rank.prepared = None;
             }
@@ -197,7 +194,7 @@
                     self.tick(n);
                 }
             }
-            if self.now % 50 == 0
+            if self.now.is_multiple_of(50)
                 && let Some(fault) = self.group.begin_step()
             {
                 return Some(fault);
@@ -216,7 +213,10 @@
             self.frozen_until[n] = self.now + self.rng.random_range(100..4_000);
         }
         if self.chance(0.000_5) {
-            self.group = ModelGroup { maps: self.group.maps.clone(), ..ModelGroup::new(self.group.epoch + 1) };
+            self.group = ModelGroup {
+                maps: self.group.maps.clone(),
+                ..ModelGroup::new(self.group.epoch + 1)
+            };
         }
     }
 
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -88,7 +88,9 @@
         return;
     }
     if headers.get("expect-instance") != Some(&id) {
-        let _ = stream.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n").await;
+        let _ = stream
+            .write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+            .await;
         return;
     }
     let request = headers.get("request-id").cloned().unwrap_or_default();
@@ -111,7 +113,9 @@
         ("/a/crossed", _) => whole("another", "an answer"),
         ("/a/extra", _) => whole(&request, "an answer") + &whole("another", "an extra answer"),
         ("/a/shed", 0) => {
-            format!("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            format!(
+                "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            )
         }
         ("/a/stream" | "/a/slow", _) => {
             let pause = Duration::from_millis(if path == "/a/slow" { 400 } else { 5 });
