Set switches ahead by time; leave out rounds that gain little

Cause: 7 steps ahead took 0.7 s on slow steps, and rounds of 1 to 5 copies that took 2 to 4 in 100 off the skew blocked the answer to the next shift; first events were given up after 1.3 s in a server's queue (3,898 rejected arrivals). Change: steps ahead from the measured time of a step; a round must take 5 in 100 off; first events wait 1.6 s.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -14,7 +14,10 @@
 //! arms all ranks with the prepared map and lets go then, however often. Map numbers are never used
 //! twice, also by a coordinator that has forgotten earlier ones.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use rand::{Rng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
@@ -27,11 +30,19 @@
 
 /// Age from which a status says nothing any more.
 const STATUS_LIFE: Duration = Duration::from_millis(700);
-/// Steps between the present one and the one at which ranks switch: time to arm them all, so that
-/// the group need not wait.
-const STEPS_AHEAD: u64 = 3;
-/// The same while orders go unanswered.
-const STEPS_AHEAD_UNANSWERED: u64 = 7;
+/// Time to arm the ranks of a group, beside that for each of them: steps begin meanwhile, so that the
+/// group need not wait.
+const ARM_TIME: Duration = Duration::from_millis(60);
+/// Time for each rank.
+const ARM_TIME_PER_RANK: Duration = Duration::from_millis(2);
+/// Factor on both while orders go unanswered.
+const UNANSWERED_FACTOR: u32 = 2;
+/// Fewest and most steps between the present one and the one at which ranks switch.
+const STEPS_AHEAD: std::ops::RangeInclusive<u64> = 2..=12;
+/// Span over which the time of a step is measured.
+const PACE_SPAN: Duration = Duration::from_millis(800);
+/// Time of a step before one was measured.
+const USUAL_STEP: Duration = Duration::from_millis(50);
 /// How long an order without an answer is remembered.
 const UNANSWERED_MEMORY: Duration = Duration::from_secs(4);
 /// Pause before an order is repeated whose effect does not show.
@@ -46,6 +57,8 @@
 const PREPARE_LIMIT: Duration = Duration::from_secs(6);
 /// Pause between rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(150);
+/// Part of the skew that a round must take away.
+const LEAST_ROUND_GAIN: f64 = 0.05;
 /// Silence of rank 0 after which another agent finishes its switch.
 const RESCUE_SILENCE: Duration = Duration::from_millis(600);
 /// Agents that listen to statuses, by rank: the coordinator and its stand-ins.
@@ -317,6 +330,8 @@
     /// When an order was last not answered, here or at another rank.
     unanswered_at: Option<Moment>,
     next_round: Moment,
+    /// Steps lately, and when they were first seen.
+    steps: VecDeque<(StepNumber, Moment)>,
     /// What engines of ranks with silent agents said themselves.
     asked: BTreeMap<u16, (RankReport, Moment)>,
     rng: SmallRng,
@@ -347,6 +362,7 @@
             last_message: None,
             unanswered_at: None,
             next_round: Moment(0),
+            steps: VecDeque::new(),
             asked: BTreeMap::new(),
             rng,
         }
@@ -368,7 +384,11 @@
     }
 
     /// Takes over a report of the own engine.
-    pub fn learn_report(&mut self, report: RankReport) -> Vec<RolloutEffect> {
+    pub fn learn_report(&mut self, report: RankReport, now: Moment) -> Vec<RolloutEffect> {
+        if self.steps.back().is_none_or(|it| it.0 != report.step) {
+            self.steps.push_back((report.step, now));
+        }
+        self.steps.retain(|(_, at)| now.since(*at) < PACE_SPAN);
         let epoch = |it: &RankReport| it.group.as_ref().map(|it| it.epoch);
         let has_formed = self.report.as_ref().and_then(epoch) != epoch(&report);
         let known = [Some(report.map), report.prepared, report.armed.map(|it| it.0)];
@@ -383,6 +403,7 @@
         self.known = None;
         self.statuses.clear();
         self.asked.clear();
+        self.steps.clear();
         self.last_order = None;
         formed.map(|it| RolloutEffect::Note(RolloutNote::Formed(it))).into_iter().collect()
     }
@@ -570,8 +591,7 @@
         if self.all_fresh(report, now, |it| it.prepared == Some(active.version)) {
             let is_unsure =
                 self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
-            let ahead = if is_unsure { STEPS_AHEAD_UNANSWERED } else { STEPS_AHEAD };
-            let step = StepNumber(report.step.0 + ahead);
+            let step = StepNumber(report.step.0 + self.steps_ahead(report.group_size, is_unsure));
             return self
                 .order(OrderKind::Hold(step), RankOrder::Hold(step), now)
                 .into_iter()
@@ -584,6 +604,21 @@
         self.broadcast(now)
     }
 
+    /// Steps that the group begins while its ranks are armed.
+    fn steps_ahead(&self, group_size: u16, is_unsure: bool) -> u64 {
+        let factor = if is_unsure { UNANSWERED_FACTOR } else { 1 };
+        let needed = (ARM_TIME + ARM_TIME_PER_RANK * u32::from(group_size)) * factor;
+        let step = match (self.steps.front(), self.steps.back()) {
+            (Some((first, begun)), Some((last, ended))) if last > first => {
+                let count = u32::try_from(last.0 - first.0).unwrap_or(u32::MAX);
+                ended.since(*begun) / count
+            }
+            (None | Some(_), None | Some(_)) => USUAL_STEP,
+        };
+        let steps = needed.as_secs_f64() / step.as_secs_f64().max(f64::MIN_POSITIVE);
+        (steps.ceil() as u64 + 1).clamp(*STEPS_AHEAD.start(), *STEPS_AHEAD.end())
+    }
+
     /// Rank 0 holds a step: arm all ranks, then let go.
     fn finish_switch(
         &mut self,
@@ -764,6 +799,10 @@
             ..RoundSettings::default()
         };
         let Some(round) = plan_round(&map, &self.loads, &settings) else { return Vec::new() };
+        // A round in progress delays the answer to the next shift of popularity.
+        if round.skew_before - round.skew_after < LEAST_ROUND_GAIN * round.skew_before {
+            return Vec::new();
+        }
         let version = MapNumber(self.highest.0 + 1 + self.rng.random_range(0..NUMBER_SPREAD));
         self.highest = version;
         self.active = Some(ActiveRollout {
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -31,7 +31,7 @@
 /// they do after two seconds at the earliest.
 const EVENT_STALL: Duration = Duration::from_millis(1_000);
 /// Time without a first event after which another server is asked.
-const FIRST_EVENT_STALL: Duration = Duration::from_millis(1_300);
+const FIRST_EVENT_STALL: Duration = Duration::from_millis(1_600);
 /// Objectives after which an idempotent request is sent elsewhere.
 const STALL_OBJECTIVES: u32 = 2;
 /// Time after which an idempotent request without an objective is sent elsewhere.
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -200,7 +200,7 @@
             (it.map, it.prepared, it.armed) != (report.map, report.prepared, report.armed)
         });
         self.report = Some(report.clone());
-        let effects = self.rollout.learn_report(report.clone());
+        let effects = self.rollout.learn_report(report.clone(), self.clock.now());
         self.carry_out(effects).await;
         let now = self.clock.now();
         if report.step != self.stepped.0 || report.running == 0 {
--- a/tests/map_rollout.rs
+++ b/tests/map_rollout.rs
@@ -251,7 +251,7 @@
     fn tick(&mut self, n: usize) {
         let at = self.moment();
         let report = self.group.report(n, self.now);
-        let effects = self.agents[n].learn_report(report);
+        let effects = self.agents[n].learn_report(report, at);
         self.carry_out(n, effects);
         let experts = self.group.ranks[n].experts.clone();
         if let Some(mut status) = self.agents[n].status(experts, at) {
