Hold a step only on fresh statuses; try two unreachable servers at most

Change: statuses at most 150 ms old for a hold, sent each 50 ms during a rollout; two unreachable servers a request.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -30,6 +30,9 @@
 
 /// Age from which a status says nothing any more.
 const STATUS_LIFE: Duration = Duration::from_millis(700);
+/// Age of the statuses with which a step is held: an agent that has fallen silent since would keep
+/// the group waiting.
+const HOLD_FRESHNESS: Duration = Duration::from_millis(150);
 /// Time to arm the ranks of a group, beside that for each of them: steps begin meanwhile, so that the
 /// group need not wait.
 const ARM_TIME: Duration = Duration::from_millis(60);
@@ -592,7 +595,8 @@
             // work. Until then nothing new is begun.
             return self.broadcast(now);
         }
-        if self.all_fresh(report, now, |it| it.prepared == Some(active.version)) {
+        let is_prepared = |it: &MemberStatus| it.prepared == Some(active.version);
+        if self.all_within(HOLD_FRESHNESS, report, now, is_prepared) {
             let is_unsure =
                 self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
             let step = StepNumber(report.step.0 + self.steps_ahead(report.group_size, is_unsure));
@@ -728,11 +732,21 @@
         now: Moment,
         holds: impl Fn(&MemberStatus) -> bool,
     ) -> bool {
-        (0..report.group_size).all(|rank| {
-            self.statuses
-                .get(&rank)
-                .is_some_and(|(it, at)| now.since(*at) < STATUS_LIFE && holds(it))
-        }) && report.group_size > 0
+        self.all_within(STATUS_LIFE, report, now, holds)
+    }
+
+    fn all_within(
+        &self,
+        age: Duration,
+        report: &RankReport,
+        now: Moment,
+        holds: impl Fn(&MemberStatus) -> bool,
+    ) -> bool {
+        let is_met = |rank| {
+            let status = self.statuses.get(&rank);
+            status.is_some_and(|(it, at)| now.since(*at) < age && holds(it))
+        };
+        report.group_size > 0 && (0..report.group_size).all(is_met)
     }
 
     /// Tells the ranks that have not come as far as the rollout wants them. A whole map is long and
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -36,6 +36,8 @@
 const SAMPLE_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between statuses to the coordinator where nothing changes.
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
+/// The same while a map is rolled out: some times in the age that a held step asks for.
+const BUSY_STATUS_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between looks at which experts the rank holds, where no map came into force.
 const EXPERTS_PAUSE: Duration = Duration::from_secs(2);
 /// Time without a step, with work at hand, after which the group counts as stalled: some times the
@@ -215,7 +217,8 @@
             self.rollout.close_interval();
         }
         if is_change || now >= self.due.status {
-            self.due.status = now.after(STATUS_PAUSE);
+            let is_busy = self.rollout.is_busy();
+            self.due.status = now.after(if is_busy { BUSY_STATUS_PAUSE } else { STATUS_PAUSE });
             self.send_status(&report, now).await;
         }
         let effects = self.rollout.settle(now);
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -25,7 +25,7 @@
 /// Time for which the largest number of gateways that was reported holds.
 const GATEWAYS_MEMORY: Duration = Duration::from_secs(10);
 /// Servers that one request may find unreachable.
-const MAX_UNREACHABLE: u32 = 4;
+const MAX_UNREACHABLE: u32 = 2;
 /// Time left below which a further attempt cannot bring an answer.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(30);
 
