--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -1,83 +1,24 @@
 //! A gateway as a process, in front of servers that misbehave and beside a store that goes away.
 
-use std::{
-    net::SocketAddr,
-    process::{Child, Command},
-    time::Duration,
-};
+use std::time::Duration;
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use serde_json::json;
-use tokio::{net::TcpStream, time::Instant};
-
-use crate::support::{
-    platform_store::PlatformStore,
-    ports::{free_address, spawn},
-    scripted_server::{self, ServerLog},
+use tokio::time::Instant;
+
+use crate::{
+    launcher,
+    support::{
+        gateway::{GatewayProcess, READY_LIMIT, connect, get, read},
+        platform_store::PlatformStore,
+        ports::free_address,
+        scripted_server::{self, ServerLog},
+    },
 };
 
-const READY_LIMIT: Duration = Duration::from_secs(20);
-
-struct GatewayProcess {
-    child: Child,
-    listen: SocketAddr,
-    ready: SocketAddr,
-    peer: SocketAddr,
-    admin: SocketAddr,
-    _folder: tempfile::TempDir,
-}
-
-impl Drop for GatewayProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl GatewayProcess {
-    fn start(store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let [listen, ready, peer, admin, datagrams] = [(); 5].map(|()| free_address());
-        let folder = tempfile::tempdir().unwrap();
-        let path = folder.path().join("gateway.json");
-        let settings = json!({
-            "identity": {"vm": "g-1", "failure_domain": "a", "admin_listen": admin},
-            "role": {"gateway": {
-                "listen": listen, "ready_listen": ready, "peer_listen": peer, "seeds": seeds,
-                "store": store, "budget": {"retry_ratio": 0.2, "retry_burst": 90.0,
-                    "retry_window_s": 10.0, "cold_factor": 1.5, "cold_burst": 5.0}
-            }},
-            "datagrams": datagrams,
-            "grace_s": 8
-        });
-        std::fs::write(&path, settings.to_string()).unwrap();
-        let log = std::fs::File::create(folder.path().join("log")).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_alderbayd"));
-        command.arg("--settings").arg(&path).stdout(log);
-        Self { child: spawn(&mut command), listen, ready, peer, admin, _folder: folder }
-    }
-
-    async fn wait_ready(&self) {
-        let deadline = Instant::now() + READY_LIMIT;
-        while get(self.ready, "/v1/readyz").await.map(|it| it.0) != Some(StatusCode::OK) {
-            assert!(Instant::now() < deadline, "the gateway does not become ready");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-
-    fn terminate(&self) {
-        let id = self.child.id().to_string();
-        let status = spawn(Command::new("kill").args(["-TERM", &id])).wait().unwrap();
-        assert!(status.success());
-    }
-
-    fn log_text(&self) -> String {
-        std::fs::read_to_string(self._folder.path().join("log")).unwrap_or_default()
-    }
-}
-
 /// A gateway, two servers and the store.
 struct Site {
     store: PlatformStore,
@@ -107,32 +48,11 @@
         "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
         "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
     store.put("keyed.op", "config", Some(&manifest));
-    let gateway = GatewayProcess::start(store.stand_in.address, &[]);
+    let gateway = GatewayProcess::start(&launcher(), store.stand_in.address, &[]);
     gateway.wait_ready().await;
     Site { store, log, gateway }
 }
 
-async fn connect(
-    address: SocketAddr,
-) -> Option<hyper::client::conn::http1::SendRequest<Full<Bytes>>> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    let io = hyper_util::rt::TokioIo::new(stream);
-    let (sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
-    tokio::spawn(connection);
-    Some(sender)
-}
-
-async fn get(address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
-    let request = Request::get(path).header("host", "x").body(Full::default()).unwrap();
-    read(connect(address).await?.send_request(request).await.ok()?).await
-}
-
-async fn read(answer: Response<hyper::body::Incoming>) -> Option<(StatusCode, String)> {
-    let status = answer.status();
-    let body = answer.into_body().collect().await.ok()?.to_bytes();
-    Some((status, String::from_utf8_lossy(&body).into_owned()))
-}
-
 fn call(path: &str) -> Request<Full<Bytes>> {
     Request::post(path)
         .header("host", "h.example")
@@ -272,7 +192,7 @@
 async fn peers_tell_the_catalog() {
     let site = site("safe").await;
     site.store.set_down(true);
-    let second = GatewayProcess::start(site.store.stand_in.address, &[site.gateway.peer]);
+    let second = GatewayProcess::start(&launcher(), site.store.stand_in.address, &[site.gateway.peer]);
     second.wait_ready().await;
     let answer = connect(second.listen).await.unwrap().send_request(call("/a/x")).await.unwrap();
     expect_that!(read(answer).await, eq(&whole()));
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -10,6 +10,7 @@
 mod domain_cut;
 mod domain_drain;
 mod fan_out;
+mod fault_soak;
 mod gateway_path;
 mod gateway_routing;
 mod graceful_stop;
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -39,6 +39,16 @@
         state.runs.iter().filter(|it| it.path == path).cloned().collect()
     }
 
+    /// Runs by the id of their request.
+    pub fn runs_by_request(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for run in &self.inner.lock().unwrap().runs {
+            let id = run.headers.get("request-id").cloned().unwrap_or_default();
+            *counts.entry(id).or_default() += 1;
+        }
+        counts
+    }
+
     pub fn closed_early(&self) -> usize {
         self.inner.lock().unwrap().closed_early
     }
@@ -117,7 +127,7 @@
                 "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
             )
         }
-        ("/a/stream" | "/a/slow", _) => {
+        ("/a/stream" | "/a/slow" | "/st/x", _) => {
             let pause = Duration::from_millis(if path == "/a/slow" { 400 } else { 5 });
             let cut_at = (path == "/a/stream" && before == 0).then_some(2);
             stream_events(&mut stream, &request, after, cut_at, pause).await;
@@ -130,6 +140,7 @@
             }
             return;
         }
+        ("/sa/x" | "/un/x", _) => whole(&request, &format!("answer to {request}")),
         _ => whole(&request, "an answer"),
     };
     let _ = stream.write_all(answer.as_bytes()).await;
