--- a/src/experts/rounds.rs
+++ b/src/experts/rounds.rs
@@ -179,8 +179,7 @@
         let mean = loads.iter().sum::<f64>() / ranks.len().max(1) as f64;
         let before = ranks.clone();
         let rank_loads = Vec::new();
-        let mut search =
-            Self { ranks, before, loads, holders, rank_loads, power_sum: 0.0, mean };
+        let mut search = Self { ranks, before, loads, holders, rank_loads, power_sum: 0.0, mean };
         search.weigh();
         search
     }
@@ -238,8 +237,11 @@
             for instead in self.places(rank, settings) {
                 for &expert in self.ranks[hot].iter().filter(|it| !self.ranks[rank].contains(it)) {
                     // The first shift is left out where a slot is free.
-                    let shifts =
-                        [(instead.unwrap_or(0), rank, false), (expert, rank, true), (expert, hot, false)];
+                    let shifts = [
+                        (instead.unwrap_or(0), rank, false),
+                        (expert, rank, true),
+                        (expert, hot, false),
+                    ];
                     let from = usize::from(instead.is_none());
                     let copy = StepChange::Copy { rank, expert, instead };
                     offer(copy, &shifts[from..2]);
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -208,11 +208,7 @@
     let Some(route) = catalog.route(&facts.host, &facts.path) else {
         return refuse(RefusalCode::UnknownPath);
     };
-    let account = match &facts.api_key {
-        _ if !catalog.has_accounts() => None,
-        Some(key) => catalog.account_of(key).cloned(),
-        None => None,
-    };
+    let account = facts.api_key.as_ref().and_then(|key| catalog.account_of(key)).cloned();
     if catalog.has_accounts() && !route.is_public && account.is_none() {
         return refuse(match facts.api_key {
             Some(_) => RefusalCode::UnknownAccount,
@@ -435,18 +431,16 @@
     };
     let refusal = match request.may_have_run {
         // A status that promises "not run" would be untrue.
-        true => Refusal::unknown(match code {
-            RefusalCode::DeadlinePassed => RefusalCode::DeadlineDuringRun,
-            _ => RefusalCode::OutcomeUnknown,
-        }),
+        true if code == RefusalCode::DeadlinePassed => {
+            Refusal::unknown(RefusalCode::DeadlineDuringRun)
+        }
+        true => Refusal::unknown(RefusalCode::OutcomeUnknown),
         false => Refusal::not_run(code),
     };
     // Whoever may not ask again is not told when to.
     let may_return = !request.may_have_run || request.route.kind.is_idempotent();
-    let cause = match code {
-        RefusalCode::Overloaded => ReturnCause::Full,
-        _ => ReturnCause::Outage,
-    };
+    let is_full = code == RefusalCode::Overloaded;
+    let cause = if is_full { ReturnCause::Full } else { ReturnCause::Outage };
     let (left, settings) = (request.deadline.since(now), state.settings.admission);
     let wait = may_return.then(|| retry_after(left, cause, &settings, &mut state.rng));
     RoutingEffect::Refuse(number, Refusal { retry_after: wait, ..refusal })
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -115,10 +115,9 @@
             2 => self.gateways[n].signal("-CONT"),
             3 => self.proxies[server].faults.cut(true),
             4 => self.proxies[server].faults.to_client.lock().unwrap().is_cut = true,
-            5 => self.proxies[server].faults.set(LinkFaults {
-                max_delay: Duration::from_millis(120),
-                ..LinkFaults::default()
-            }),
+            5 => self.proxies[server]
+                .faults
+                .set(LinkFaults { max_delay: Duration::from_millis(120), ..LinkFaults::default() }),
             6 => self.proxies[server].faults.set(LinkFaults::default()),
             7 => {
                 let is_down = self.rng.random();
@@ -140,7 +139,11 @@
         self.store_proxy.faults.set(LinkFaults::default());
         for (n, proxy) in self.proxies.iter().enumerate() {
             proxy.faults.set(LinkFaults::default());
-            self.store.put("keyed.servers", &format!("i-{n}"), Some(&entry(proxy.address, "ready")));
+            self.store.put(
+                "keyed.servers",
+                &format!("i-{n}"),
+                Some(&entry(proxy.address, "ready")),
+            );
         }
     }
 }
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -192,7 +192,8 @@
 async fn peers_tell_the_catalog() {
     let site = site("safe").await;
     site.store.set_down(true);
-    let second = GatewayProcess::start(&launcher(), site.store.stand_in.address, &[site.gateway.peer]);
+    let second =
+        GatewayProcess::start(&launcher(), site.store.stand_in.address, &[site.gateway.peer]);
     second.wait_ready().await;
     let answer = connect(second.listen).await.unwrap().send_request(call("/a/x")).await.unwrap();
     expect_that!(read(answer).await, eq(&whole()));
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -91,7 +91,11 @@
 fn launch(launcher: &Launcher, folder: &Path) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(folder.join("log")).unwrap();
     let mut command = Command::new(&launcher.program);
-    command.args(&launcher.arguments).arg("--settings").arg(folder.join("gateway.json")).stdout(log);
+    command
+        .args(&launcher.arguments)
+        .arg("--settings")
+        .arg(folder.join("gateway.json"))
+        .stdout(log);
     spawn(&mut command)
 }
 
