Log the verdicts on edits that are taken over from a peer

Cause: racing_edits_end_same failed in 2 of 5 runs beside load: an agent that took versions 3 to 6 over from a peer never judged the edits, so its log did not say why they lost. Ruled out: a lost record; the state is the same, only the verdicts were not passed on. Measured: taken_over_edits_are_judged failed before (0 of 2 verdicts), passes after. Conclusion: an operator finds the reason at any process.

--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -206,8 +206,13 @@
             let before = state.ledger.version();
             // A snapshot that fails its checks changes nothing; the log or another peer will bring
             // the state.
-            let _ = state.ledger.restore(*snapshot);
-            after_config(state, before, now)
+            let is_taken = state.ledger.restore(*snapshot).unwrap_or(false);
+            // The edits between were judged elsewhere; why one lost is asked for here, too.
+            let judged =
+                state.ledger.verdicts().iter().filter(|it| is_taken && it.version > before);
+            let mut effects: Vec<Effect> = judged.cloned().map(Effect::EditJudged).collect();
+            effects.extend(after_config(state, before, now));
+            effects
         }
         Event::VmListRead(list) => {
             let effects = state.members.read_list(&state.settings.vm, list);
--- a/tests/config_race.rs
+++ b/tests/config_race.rs
@@ -53,10 +53,10 @@
     assert_all_same(&digests(&fleet).await);
     let agent = fleet.process(&"engine-south-a-0".parse().unwrap());
     expect_that!(agent.status().await.unwrap().state, eq(ServiceState::Out));
-    expect_that!(
-        agent.log_text(),
-        contains_substring("replaces revision 0, but revision 3 is in force")
-    );
+    // Whether the agent read the edits or took the state over from a peer, it says why they lost.
+    let reason = "replaces revision 0, but revision 3 is in force";
+    let is_logged = wait_until(SOON, || async { agent.log_text().contains(reason) }).await;
+    expect_that!(is_logged, eq(true), "{}", agent.log_text());
 }
 
 #[gtest]
--- a/tests/reducer_replay.rs
+++ b/tests/reducer_replay.rs
@@ -3,19 +3,22 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use alderbay::{
-    config::ServiceState,
+    config::{ConfigChange, ConfigLedger, ConfigRecord, EntryValue, ServiceState},
     core::{
         ClaimOwner, ClaimRecord, CoreSettings, Effect, Event, ProcessState, RampSettings,
         StoredAnswer, TimedEvent, WorkFacts, WorkId, WorkOutcome, reduce,
     },
-    units::{ConcurrencyLimit, IncarnationId, LogOffset, Moment, PriorityLevel, TokenCount},
+    units::{
+        ConcurrencyLimit, ConfigVersion, IncarnationId, LogOffset, Moment, PriorityLevel,
+        TokenCount,
+    },
     wire::{PeerRole, RunKey, RunMode},
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
 use uuid::Uuid;
 
-use crate::seeded;
+use crate::{seeded, support::fleet::edit_of};
 
 const COLD: u32 = 2;
 const WARM: u32 = 6;
@@ -271,7 +274,7 @@
         let _ = postcard::from_bytes::<alderbay::wire::WorkReply>(&bytes);
         let _ = postcard::from_bytes::<alderbay::wire::PeerNotice>(&bytes);
         let text = String::from_utf8_lossy(&bytes);
-        let mut ledger = alderbay::config::ConfigLedger::default();
+        let mut ledger = ConfigLedger::default();
         ledger.reduce_text(LogOffset(0), &text);
         prop_assert_eq!(ledger.version().0, 1);
     }
@@ -286,3 +289,28 @@
     expect_that!(driver.answered[&WorkId(0)], eq(1));
     expect_that!(driver.state.report().state, eq(ServiceState::Out));
 }
+
+#[gtest]
+fn taken_over_edits_are_judged() {
+    let mut ledger = ConfigLedger::default();
+    for n in 0..3 {
+        let change = ConfigChange {
+            key: "vm/b-9".parse().unwrap(),
+            replaces: ConfigVersion(0),
+            value: Some(EntryValue::State(ServiceState::Out)),
+        };
+        let edit = ConfigRecord::Edit(edit_of(&format!("operator-{n}"), vec![change]));
+        ledger.reduce_text(LogOffset(n), &serde_json::to_string(&edit).unwrap());
+    }
+    let mut state = agent();
+    let event = Event::SnapshotReceived(Box::new(ledger.snapshot()));
+    let effects = reduce(&mut state, TimedEvent { at: Moment(1), event });
+    let rejected = effects
+        .iter()
+        .filter(|it| matches!(it, Effect::EditJudged(verdict) if verdict.rejected.is_some()));
+    // Why the second and third lost is said by a process that only took the state over.
+    expect_that!(rejected.count(), eq(2));
+    let event = Event::SnapshotReceived(Box::new(ledger.snapshot()));
+    let again = reduce(&mut state, TimedEvent { at: Moment(2), event });
+    expect_that!(again.iter().any(|it| matches!(it, Effect::EditJudged(_))), eq(false));
+}
--- a/tests/support/ports.rs
+++ b/tests/support/ports.rs
@@ -11,6 +11,8 @@
 
 const FIRST: u16 = 12_000;
 const LAST: u16 = 32_000;
+/// Ports between those of two processes with ids side by side.
+const PORT_SPREAD: u32 = 797;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
@@ -35,7 +37,9 @@
 /// A loopback address that nothing listens on.
 pub fn free_address() -> SocketAddr {
     let _gate = GATE.lock().unwrap_or_else(PoisonError::into_inner);
-    let offset = u16::try_from(std::process::id() % u32::from(LAST - FIRST)).unwrap();
+    // Processes that start together have ids side by side: spread their first ports.
+    let spread = std::process::id().wrapping_mul(PORT_SPREAD) % u32::from(LAST - FIRST);
+    let offset = u16::try_from(spread).unwrap();
     for _ in 0..LAST - FIRST {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST + (offset.wrapping_add(step)) % (LAST - FIRST);
