Drop what nothing uses; refuse counts that are none

Cause: reading the diff: a setting without effect (retry_window_s), fields decoded and never read, counts of another type turned into zero, examples missing on public functions. Change: removed; counts are typed; tests for the engine's reports and orders; examples. Conclusion: no behaviour changes but for unreadable counts, which are an error now.

--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -14,8 +14,6 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
-    /// Slowness; over one where the engine is slower than usual.
-    pub pace: f64,
     /// The last step begun.
     pub step: StepNumber,
     /// The map in use.
@@ -35,10 +33,6 @@
 /// Which experts a rank's requests chose.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RankUse {
-    /// The step up to which it counts.
-    pub step: StepNumber,
-    /// Forming of the group.
-    pub epoch: u64,
     /// Choices of each expert, layer after layer.
     pub counts: Vec<u64>,
 }
--- a/src/experts/rounds.rs
+++ b/src/experts/rounds.rs
@@ -48,7 +48,7 @@
     pub skew_after: f64,
 }
 
-/// Time of a pass by the layers' most loaded ranks, over what it would be with even loads.
+/// Time of a step by the layers' most loaded ranks, over what it would be with even loads.
 ///
 /// ```
 /// use alderbay::experts::group_skew;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -21,9 +21,6 @@
     queued: u32,
     #[serde(default)]
     active: u32,
-    // Slowness of the server; over one where it is slower than usual.
-    #[serde(default)]
-    pace: Option<f64>,
     #[serde(default)]
     step: u64,
     // Versions of the maps in use, and copied.
@@ -52,10 +49,25 @@
 
 #[derive(Deserialize)]
 struct WireCounts {
-    step: u64,
-    epoch: u64,
-    #[serde(default)]
-    counts: serde_json::Value,
+    counts: CountTree,
+}
+
+/// Counts, nested by layer or flat.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum CountTree {
+    Count(u64),
+    List(Vec<CountTree>),
+}
+
+impl CountTree {
+    /// The counts of all layers one after the other.
+    fn flatten(&self, counts: &mut Vec<u64>) {
+        match self {
+            Self::Count(count) => counts.push(*count),
+            Self::List(list) => list.iter().for_each(|it| it.flatten(counts)),
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -133,8 +145,8 @@
         let uri = format!("http://{}/v1/picked", self.address);
         let wire: WireCounts = get_json(&self.client, uri, ENGINE_TIMEOUT).await?;
         let mut counts = Vec::new();
-        flatten(&wire.counts, &mut counts);
-        Ok(RankUse { step: StepNumber(wire.step), epoch: wire.epoch, counts })
+        wire.counts.flatten(&mut counts);
+        Ok(RankUse { counts })
     }
 
     /// Which experts it holds by layer, and as of which map.
@@ -201,7 +213,6 @@
         RankReport {
             running: self.active,
             waiting: self.queued,
-            pace: self.pace.unwrap_or(1.0),
             step: StepNumber(self.step),
             map: MapNumber(self.map.unwrap_or(0)),
             prepared: self.prepared.filter(|it| *it > 0).map(MapNumber),
@@ -213,10 +224,36 @@
     }
 }
 
-/// The counts of all layers one after the other, whether they come nested or flat.
-fn flatten(value: &serde_json::Value, counts: &mut Vec<u64>) {
-    match value {
-        serde_json::Value::Array(items) => items.iter().for_each(|it| flatten(it, counts)),
-        other => counts.push(other.as_u64().unwrap_or(0)),
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    #[gtest]
+    fn counts_are_flattened() {
+        for text in ["[1,2,3]", "[[1,2],[3]]"] {
+            let mut counts = Vec::new();
+            serde_json::from_str::<CountTree>(text).unwrap().flatten(&mut counts);
+            expect_that!(counts, eq(&vec![1, 2, 3]));
+        }
+        expect_that!(serde_json::from_str::<CountTree>("[1,-2]").is_err(), eq(true));
+    }
+
+    #[gtest]
+    fn report_is_decoded() {
+        let text = r#"{"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":8,"queued":1,
+            "active":3,"step":181,"map":7,"prepared":9,"armed":{"version":9,"step":183},"held":null}"#;
+        let report = serde_json::from_str::<WireReport>(text).unwrap().decode();
+        expect_that!(report.armed, some(eq((MapNumber(9), StepNumber(183)))));
+        expect_that!(report.held, none());
+        expect_that!(report.group_size, eq(8));
+    }
+
+    #[gtest]
+    fn orders_are_encoded() {
+        let order = RankOrder::Release(StepNumber(5));
+        let body = encode_order(2, &order).unwrap();
+        expect_that!(body.as_ref(), eq(br#"{"operation":"go","step":5,"epoch":2}"#.as_slice()));
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -11,7 +11,6 @@
 // How long the caller still waits, in milliseconds.
 const TIME_LEFT: HeaderName = HeaderName::from_static("time-budget-ms");
 const RESUME_AFTER: HeaderName = HeaderName::from_static("last-event-id");
-const TOKEN_COUNTS: HeaderName = HeaderName::from_static("token-counts");
 const ACCOUNT: HeaderName = HeaderName::from_static("tenant");
 const EXPECTED_SERVER: HeaderName = HeaderName::from_static("expect-instance");
 const URGENCY: HeaderName = HeaderName::from_static("request-priority");
@@ -47,15 +46,18 @@
     pub api_key: Option<SmolStr>,
     /// Id of the last event that it has of a stream.
     pub resume_after: Option<SmolStr>,
-    /// Tokens of the prompt and most tokens of the answer.
-    pub tokens: Option<(u32, u32)>,
 }
 
 impl CallerHeaders {
     /// Reads the headers.
+    ///
+    /// ```
+    /// use alderbay::platform::CallerHeaders;
+    /// let headers = CallerHeaders::decode(&http::HeaderMap::new());
+    /// assert_eq!(headers.api_key, None);
+    /// ```
     pub fn decode(headers: &HeaderMap) -> Self {
         let text = |name: &HeaderName| headers.get(name).and_then(|it| it.to_str().ok());
-        let tokens = text(&TOKEN_COUNTS).and_then(|it| it.split_once(','));
         Self {
             request_id: text(&REQUEST_ID).and_then(|it| it.parse().ok()),
             time_left: text(&TIME_LEFT).and_then(|it| it.parse().ok()).map(Duration::from_millis),
@@ -63,8 +65,6 @@
                 .and_then(|it| it.strip_prefix(KEY_SCHEME))
                 .map(|it| it.trim().into()),
             resume_after: text(&RESUME_AFTER).map(SmolStr::new),
-            tokens: tokens
-                .and_then(|it| Some((it.0.trim().parse().ok()?, it.1.trim().parse().ok()?))),
         }
     }
 }
@@ -136,6 +136,13 @@
 }
 
 /// Judges the head of an answer to `request`.
+///
+/// ```
+/// use alderbay::platform::{AnswerKind, classify_answer};
+/// use http::{HeaderMap, StatusCode};
+/// let kind = classify_answer(StatusCode::OK, &HeaderMap::new(), &HeaderMap::new());
+/// assert_eq!(kind, AnswerKind::Foreign, "a success without a signature");
+/// ```
 pub fn classify_answer(status: StatusCode, headers: &HeaderMap, request: &HeaderMap) -> AnswerKind {
     if status == StatusCode::MISDIRECTED_REQUEST {
         return AnswerKind::WrongServer;
@@ -162,6 +169,13 @@
 }
 
 /// Says when it is worth asking again, in seconds with a fraction.
+///
+/// ```
+/// use alderbay::platform::set_retry_after;
+/// let mut headers = http::HeaderMap::new();
+/// set_retry_after(&mut headers, std::time::Duration::from_millis(1_500));
+/// assert_eq!(headers["retry-after"], "1.500");
+/// ```
 pub fn set_retry_after(answer: &mut HeaderMap, delay: Duration) {
     if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64())) {
         answer.insert(header::RETRY_AFTER, value);
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -75,8 +75,6 @@
     #[serde(default)]
     target_latency_ms: Option<f64>,
     #[serde(default)]
-    gap_target_ms: Option<f64>,
-    #[serde(default)]
     service: Option<ServiceName>,
     #[serde(default)]
     traffic_split: Vec<WireShare>,
@@ -110,13 +108,6 @@
 // This table mixes names with '-' and with '_'.
 #[derive(Deserialize)]
 struct WireEngine {
-    slots: u32,
-    #[serde(default)]
-    stride: Option<u32>,
-    #[serde(default)]
-    step_ms: f64,
-    #[serde(default)]
-    per_seq_ms: f64,
     #[serde(default, rename = "link-mbps")]
     link_mbps: f64,
     #[serde(default)]
@@ -129,8 +120,6 @@
     max_new: usize,
     #[serde(default, rename = "expert-mb")]
     expert_mb: f64,
-    #[serde(default, rename = "expert-share")]
-    expert_share: f64,
 }
 
 #[derive(Deserialize)]
@@ -163,6 +152,12 @@
 
 /// Decodes the operator's manifest.
 ///
+/// ```
+/// let catalog = alderbay::platform::decode_catalog(br#"{"version": 7}"#)?;
+/// assert_eq!(catalog.version().0, 7);
+/// # Ok::<(), alderbay::platform::PlatformError>(())
+/// ```
+///
 /// # Errors
 ///
 /// The text is not JSON of the published shape.
@@ -196,7 +191,6 @@
         kind: decode_kind(&route.kind, route.resumable),
         timeout: Duration::from_millis(route.timeout_ms),
         latency_objective: route.target_latency_ms.map(millis),
-        pause_objective: route.gap_target_ms.map(millis),
         targets,
         max_attempts: route.max_attempts.max(1),
         is_public: route.public,
@@ -228,15 +222,8 @@
         rank_slots: engine.rank_slots,
         max_new: engine.max_new,
         copy_seconds: engine.expert_mb * 8.0 / engine.link_mbps.max(1.0),
-        expert_share: engine.expert_share,
     });
-    EngineModel {
-        slots: engine.slots,
-        steps_per_event: engine.stride.unwrap_or(1),
-        step_ms: engine.step_ms,
-        step_ms_per_request: engine.per_seq_ms,
-        layout,
-    }
+    EngineModel { layout }
 }
 
 fn millis(value: f64) -> Duration {
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -1,8 +1,8 @@
 //! The agent beside a rank: it reports its engine's load to gateways and keeps the expert maps of
 //! its group.
 //!
-//! It is no part of any request's way. Reports and counts are free on the engine's own VM, and
-//! orders given there are, too. What it knows of others comes in datagrams; it reads nothing of the
+//! No request passes through it. Asked on its own VM, an engine answers reports and counts without
+//! delaying its group. What the agent knows of others comes in datagrams; it reads nothing of the
 //! platform's store.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -51,8 +51,6 @@
     pub load: f64,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Whether it stands in the gateway's own failure domain.
-    pub is_near: bool,
 }
 
 impl Candidate<'_> {
@@ -78,7 +76,7 @@
 /// use alderbay::routing::{AdmissionSettings, Candidate, PlacementChoice, choose_candidate};
 /// use rand::{SeedableRng, rngs::SmallRng};
 /// let (a, b) = ("a".parse()?, "b".parse()?);
-/// let candidate = |id, load| Candidate { id, load, slots: 12, is_near: true };
+/// let candidate = |id, load| Candidate { id, load, slots: 12 };
 /// let mut rng = SmallRng::seed_from_u64(1);
 /// let settings = AdmissionSettings::default();
 /// let choice = choose_candidate(&[candidate(&a, 9.0), candidate(&b, 3.0)], &settings, &mut rng);
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -26,10 +26,8 @@
 pub struct BudgetSettings {
     /// Repeated attempts for each request, over all gateways.
     pub retry_ratio: f64,
-    /// Repeated attempts beside these in a window, over all gateways.
+    /// Repeated attempts beside these in the window over which they count, over all gateways.
     pub retry_burst: f64,
-    /// The window, in seconds.
-    pub retry_window_s: f64,
     /// Factor on the rate that a cold server is said to bear.
     pub cold_factor: f64,
     /// Requests that a cold server may get beside that in a second, over all gateways.
@@ -38,13 +36,7 @@
 
 impl Default for BudgetSettings {
     fn default() -> Self {
-        Self {
-            retry_ratio: 0.1,
-            retry_burst: 20.0,
-            retry_window_s: 10.0,
-            cold_factor: 1.0,
-            cold_burst: 0.0,
-        }
+        Self { retry_ratio: 0.1, retry_burst: 20.0, cold_factor: 1.0, cold_burst: 0.0 }
     }
 }
 
@@ -81,11 +73,6 @@
         self.balance -= 1.0;
         true
     }
-
-    /// Attempts at hand.
-    pub fn balance(&self) -> f64 {
-        self.balance
-    }
 }
 
 /// Requests that this gateway sent to one cold server lately.
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -93,8 +93,6 @@
     pub timeout: Duration,
     /// Time within which an answer, or the first event of a stream, is timely.
     pub latency_objective: Option<Duration>,
-    /// Longest pause between events of a timely stream.
-    pub pause_objective: Option<Duration>,
     /// Where the requests go.
     pub targets: Vec<RouteTarget>,
     /// Servers that may be asked for one request.
@@ -133,18 +131,10 @@
     pub engine: Option<EngineModel>,
 }
 
-/// How a model engine works through its requests.
+/// What is known of a model engine.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct EngineModel {
-    /// Requests that are generated at once.
-    pub slots: u32,
-    /// Token steps of one event.
-    pub steps_per_event: u32,
-    /// Time of a step, in milliseconds.
-    pub step_ms: f64,
-    /// Time added by each request that is generated, in milliseconds.
-    pub step_ms_per_request: f64,
     /// Layout of its experts; none for dense models.
     pub layout: Option<ExpertLayout>,
 }
@@ -163,8 +153,6 @@
     pub max_new: usize,
     /// Time to copy one expert to a rank, in seconds.
     pub copy_seconds: f64,
-    /// Part of a step's work that experts do.
-    pub expert_share: f64,
 }
 
 /// One client account and its keys.
@@ -253,6 +241,14 @@
     }
 
     /// The route of a request: of its host's routes, the one with the longest prefix of the path.
+    ///
+    /// ```
+    /// use alderbay::routing::{CallerLimits, CatalogVersion, RouteCatalog};
+    /// use alderbay::units::ByteCount;
+    /// let limits = CallerLimits { max_body: ByteCount(1) };
+    /// let empty = RouteCatalog::new(CatalogVersion(1), vec![], [].into(), vec![], limits);
+    /// assert!(empty.route("h.example", "/a/").is_none());
+    /// ```
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteRecord> {
         let of_host = |host: &str| {
             let routes = self.routes.get(host)?;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -315,7 +315,6 @@
             id: &it.record.id,
             load: state.loads.get(&it.record.address).map_or(0.0, |load| load.estimate(fleet, now)),
             slots: it.record.slots,
-            is_near: it.record.failure_domain == state.settings.failure_domain,
         })
         .collect();
     let mut rng = state.rng.clone();
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -31,7 +31,6 @@
         kind,
         timeout: Duration::from_secs(8),
         latency_objective: Some(Duration::from_millis(400)),
-        pause_objective: None,
         targets: vec![RouteTarget { service: service.clone(), weight: 1.0 }],
         max_attempts: 2,
         is_public: false,
@@ -285,13 +284,8 @@
 const FLEET: usize = 9;
 
 fn fleet(servers: &[ServerRecord], kind: RouteKind) -> Vec<Gateway> {
-    let budget = BudgetSettings {
-        retry_ratio: 0.2,
-        retry_burst: 94.0,
-        retry_window_s: 10.0,
-        cold_factor: 1.5,
-        cold_burst: 5.0,
-    };
+    let budget =
+        BudgetSettings { retry_ratio: 0.2, retry_burst: 94.0, cold_factor: 1.5, cold_burst: 5.0 };
     let gateway = |n| Gateway::with(settings(budget, n as u64), kind, servers.to_vec());
     (0..FLEET).map(gateway).collect()
 }
--- a/tests/map_rollout.rs
+++ b/tests/map_rollout.rs
@@ -121,7 +121,6 @@
         RankReport {
             running: 1,
             waiting: 0,
-            pace: 1.0,
             step: StepNumber(self.step),
             map: MapNumber(it.map),
             prepared,
@@ -322,7 +321,6 @@
         rank_slots: 4,
         max_new: 2,
         copy_seconds: 0.15,
-        expert_share: 0.85,
     });
     agent
 }
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -46,8 +46,7 @@
             "identity": {"vm": "g-1", "failure_domain": "a", "admin_listen": admin},
             "role": {"gateway": {
                 "listen": listen, "ready_listen": ready, "peer_listen": peer, "seeds": seeds,
-                "store": store, "budget": {"retry_ratio": 0.2, "retry_burst": 90.0,
-                    "retry_window_s": 10.0, "cold_factor": 1.5, "cold_burst": 5.0}
+                "store": store, "budget": {"retry_ratio": 0.2, "retry_burst": 90.0,  "cold_factor": 1.5, "cold_burst": 5.0}
             }},
             "datagrams": datagrams,
             "grace_s": 8
