Draw two servers at random instead of all taking the least loaded

The logs of five of 36 gateways show up to six of them choosing one server within 70 ms: each takes the least loaded by the same reports, some 100 ms old. Ruled out: single bad servers (the stalls spread over 44 of 64), a full service (median load 2). Change: of the servers with room, two are drawn at random and the less loaded is taken (setting admission.choices, in place of admission.spread).

--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use rand::{Rng, rngs::SmallRng};
+use rand::{Rng, rngs::SmallRng, seq::IteratorRandom};
 use serde::{Deserialize, Serialize};
 
 use crate::units::ServerId;
@@ -18,9 +18,9 @@
 pub struct AdmissionSettings {
     /// Load, in requests for each place of a server, from which it gets no more.
     pub max_pressure: f64,
-    /// Part of a place by which equal servers are told apart at random, so that gateways with the
-    /// same lagged reports choose differently.
-    pub spread: f64,
+    /// Servers that are drawn at random, of which the least loaded is taken. Gateways that all take
+    /// the least loaded of all servers overrun it before its next report.
+    pub choices: usize,
     /// Part of the time that a caller has left after which it is told to come back, at most: callers
     /// wait no longer for another attempt.
     pub max_wait: f64,
@@ -34,7 +34,7 @@
     fn default() -> Self {
         Self {
             max_pressure: 0.95,
-            spread: 0.08,
+            choices: 2,
             max_wait: 0.33,
             full_spread: 0.6,
             outage_spread: 0.12,
@@ -70,7 +70,7 @@
     Nowhere,
 }
 
-/// Chooses the least loaded server.
+/// Chooses the least loaded of a few servers that are drawn at random from those with room.
 ///
 /// ```
 /// use alderbay::routing::{AdmissionSettings, Candidate, PlacementChoice, choose_candidate};
@@ -88,18 +88,13 @@
     settings: &AdmissionSettings,
     rng: &mut SmallRng,
 ) -> PlacementChoice {
-    let mut best: Option<(f64, &Candidate<'_>)> = None;
-    for candidate in candidates {
-        let score = candidate.pressure() + rng.random_range(0.0..=settings.spread);
-        if best.is_none_or(|(lowest, _)| score < lowest) {
-            best = Some((score, candidate));
-        }
-    }
-    let Some((_, best)) = best else { return PlacementChoice::Nowhere };
-    if best.pressure() >= settings.max_pressure {
-        return PlacementChoice::Full;
+    if candidates.is_empty() {
+        return PlacementChoice::Nowhere;
     }
-    PlacementChoice::Server(best.id.clone())
+    let with_room = candidates.iter().filter(|it| it.pressure() < settings.max_pressure);
+    let drawn = with_room.choose_multiple(rng, settings.choices.max(1));
+    let least = drawn.into_iter().min_by(|a, b| a.pressure().total_cmp(&b.pressure()));
+    least.map_or(PlacementChoice::Full, |it| PlacementChoice::Server(it.id.clone()))
 }
 
 /// Why a caller is told to come back.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -11,6 +11,7 @@
 mod domain_drain;
 mod fan_out;
 mod fault_soak;
+mod gateway_herding;
 mod gateway_path;
 mod gateway_routing;
 mod graceful_stop;
