Answer shifts of popularity with the next map, and switch at the next step

A switch took 0.54 s from hold to force: steps were set 4 to 5 ahead (0.45 s), and the release waited 0.1 s behind one look at the engine for each of 31 statuses. Change: counts that are 0.15 (total variation) from the known popularity replace it, and the round waits for one more interval; intervals of 100 ms; the next step is held (the one after where orders go unanswered); agents look again at once after an order, and once for all datagrams that have come; a silent coordinator is stood in for after 0.3 s (0.6).

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -23,10 +23,7 @@
     UseSample,
 };
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use rand::rngs::SmallRng;
 
@@ -38,8 +35,6 @@
 
 /// Age from which a status says nothing any more.
 const STATUS_LIFE: Duration = Duration::from_millis(700);
-/// Span over which the time of a step is measured.
-const PACE_SPAN: Duration = Duration::from_millis(800);
 /// How long an order without an answer is remembered.
 const UNANSWERED_MEMORY: Duration = Duration::from_secs(4);
 /// Pause before an order is repeated whose effect does not show.
@@ -49,11 +44,17 @@
 /// Time after which a rollout that is not prepared everywhere is replaced by another.
 const PREPARE_LIMIT: Duration = Duration::from_secs(6);
 /// Silence of rank 0 after which another agent finishes its switch.
-const RESCUE_SILENCE: Duration = Duration::from_millis(600);
+const RESCUE_SILENCE: Duration = Duration::from_millis(300);
 /// Agents that listen to statuses, by rank: the coordinator and its stand-ins.
 pub const STATUS_LISTENERS: u16 = 3;
-/// Weight of the latest counts in the popularity of experts.
-const LATEST_WEIGHT: f64 = 0.6;
+/// Weight of the latest counts in the popularity of experts, while it drifts.
+const LATEST_WEIGHT: f64 = 0.4;
+/// Distance between the latest counts and the popularity known (total variation, from 0 to 1) from
+/// which the popularity has shifted: what was known before says nothing any more.
+const SHIFT_DISTANCE: f64 = 0.15;
+/// Intervals that are waited for after a shift before a map is planned: the one in which it fell
+/// mixes old and new popularity.
+const SETTLING_INTERVALS: u32 = 1;
 
 #[derive(Clone, Debug)]
 struct ActiveRollout {
@@ -78,6 +79,8 @@
     /// Choices by layer and expert, smoothed.
     loads: Vec<Vec<f64>>,
     fresh_counts: Vec<f64>,
+    /// Intervals still to be waited for after a shift of popularity.
+    settling: u32,
     /// The map that this agent knows for all ranks.
     known: Option<(MapNumber, GroupMap)>,
     active: Option<ActiveRollout>,
@@ -87,8 +90,6 @@
     /// When an order was last not answered, here or at another rank.
     unanswered_at: Option<Moment>,
     next_round: Moment,
-    /// Steps lately, and when they were first seen.
-    steps: VecDeque<(StepNumber, Moment)>,
     /// What engines of ranks with silent agents said themselves.
     asked: BTreeMap<u16, (RankReport, Moment)>,
     rng: SmallRng,
@@ -111,6 +112,7 @@
             statuses: BTreeMap::new(),
             loads: Vec::new(),
             fresh_counts: Vec::new(),
+            settling: 0,
             known: None,
             active: None,
             highest: MapNumber(0),
@@ -118,7 +120,6 @@
             last_message: None,
             unanswered_at: None,
             next_round: Moment(0),
-            steps: VecDeque::new(),
             asked: BTreeMap::new(),
             rng,
         }
@@ -140,11 +141,7 @@
     }
 
     /// Takes over a report of the own engine.
-    pub fn learn_report(&mut self, report: RankReport, now: Moment) -> Vec<RolloutEffect> {
-        if self.steps.back().is_none_or(|it| it.0 != report.step) {
-            self.steps.push_back((report.step, now));
-        }
-        self.steps.retain(|(_, at)| now.since(*at) < PACE_SPAN);
+    pub fn learn_report(&mut self, report: RankReport) -> Vec<RolloutEffect> {
         let epoch = |it: &RankReport| it.group.as_ref().map(|it| it.epoch);
         let has_formed = self.report.as_ref().and_then(epoch) != epoch(&report);
         let known = [Some(report.map), report.prepared, report.armed.map(|it| it.0)];
@@ -159,7 +156,6 @@
         self.known = None;
         self.statuses.clear();
         self.asked.clear();
-        self.steps.clear();
         self.last_order = None;
         formed.map(|it| RolloutEffect::Note(RolloutNote::Formed(it))).into_iter().collect()
     }
@@ -248,26 +244,36 @@
         }
     }
 
-    /// Closes an interval of counts: what came in is blended into the popularity of the experts.
-    pub fn close_interval(&mut self) {
-        let Some(layout) = self.layout else { return };
+    /// Closes an interval of counts: what came in is blended into the popularity of the experts, or
+    /// replaces it after a shift.
+    pub fn close_interval(&mut self) -> Option<RolloutEffect> {
+        let layout = self.layout?;
         if self.fresh_counts.len() != layout.layers * layout.experts {
-            return;
-        }
-        let total: f64 = self.fresh_counts.iter().sum();
-        if total <= 0.0 {
-            return;
+            return None;
         }
-        let fresh: Vec<Vec<f64>> =
-            self.fresh_counts.chunks(layout.experts).map(<[f64]>::to_vec).collect();
+        let fresh = popularity(&self.fresh_counts, layout.experts)?;
+        self.fresh_counts.iter_mut().for_each(|it| *it = 0.0);
         if self.loads.len() != fresh.len() {
             self.loads = fresh;
-        } else {
+            return None;
+        }
+        let distance = distance(&self.loads, &fresh);
+        if distance < SHIFT_DISTANCE {
+            self.settling = 0;
             for (old, new) in self.loads.iter_mut().flatten().zip(fresh.iter().flatten()) {
                 *old += (new - *old) * LATEST_WEIGHT;
             }
+            return None;
         }
-        self.fresh_counts.iter_mut().for_each(|it| *it = 0.0);
+        self.loads = fresh;
+        // The second interval of one shift differs from the first, too.
+        if self.settling > 0 {
+            self.settling -= 1;
+            return None;
+        }
+        self.settling = SETTLING_INTERVALS;
+        let distance = thousandths(distance);
+        Some(RolloutEffect::Note(RolloutNote::Shifted { distance }))
     }
 
     /// The group's skew under the present popularity.
@@ -329,3 +335,22 @@
         Some(RolloutEffect::Order(order))
     }
 }
+
+/// Shares of each layer's choices, from counts of all layers; none without choices.
+fn popularity(counts: &[f64], experts: usize) -> Option<Vec<Vec<f64>>> {
+    let shares = |layer: &[f64]| {
+        let total: f64 = layer.iter().sum();
+        (total > 0.0).then(|| layer.iter().map(|it| it / total).collect())
+    };
+    counts.chunks(experts).map(shares).collect()
+}
+
+/// Mean over the layers of the total variation distance between two popularities.
+fn distance(old: &[Vec<f64>], new: &[Vec<f64>]) -> f64 {
+    let changes = old.iter().flatten().zip(new.iter().flatten()).map(|(a, b)| (a - b).abs());
+    changes.sum::<f64>() / 2.0 / old.len().max(1) as f64
+}
+
+fn thousandths(value: f64) -> u32 {
+    (value * 1_000.0).round() as u32
+}
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -6,7 +6,7 @@
 
 use super::{
     ActiveRollout, MapNews, MapRollout, MemberStatus, OrderKind, PREPARE_LIMIT, RESCUE_SILENCE,
-    RankOrder, RankReport, RolloutEffect, RolloutNote, RolloutState, STATUS_LIFE,
+    RankOrder, RankReport, RolloutEffect, RolloutNote, RolloutState, STATUS_LIFE, thousandths,
 };
 use crate::{
     experts::{GroupMap, MapNumber, RoundSettings, StepNumber, plan_round},
@@ -17,17 +17,11 @@
 /// Age of the statuses with which a step is held: an agent that has fallen silent since would keep
 /// the group waiting.
 const HOLD_FRESHNESS: Duration = Duration::from_millis(150);
-/// Time to arm the ranks of a group, beside that for each of them: steps begin meanwhile, so that the
-/// group need not wait.
-const ARM_TIME: Duration = Duration::from_millis(60);
-/// Time for each rank.
-const ARM_TIME_PER_RANK: Duration = Duration::from_millis(2);
-/// Factor on both while orders go unanswered.
-const UNANSWERED_FACTOR: u32 = 2;
-/// Fewest and most steps between the present one and the one at which ranks switch.
-const STEPS_AHEAD: std::ops::RangeInclusive<u64> = 2..=12;
-/// Time of a step before one was measured.
-const USUAL_STEP: Duration = Duration::from_millis(50);
+/// Steps between the present one and the one at which ranks switch: they are armed while the present
+/// one runs, and the group seldom waits.
+const STEPS_AHEAD: u64 = 1;
+/// The same while orders go unanswered and have to be repeated.
+const STEPS_AHEAD_UNANSWERED: u64 = 2;
 /// Pause between messages of a rollout.
 const MESSAGE_PAUSE: Duration = Duration::from_millis(60);
 /// Whole maps that are sent at a time, so that they do not fill the link.
@@ -65,7 +59,8 @@
         if self.all_within(HOLD_FRESHNESS, report, now, is_prepared) {
             let is_unsure =
                 self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
-            let step = StepNumber(report.step.0 + self.steps_ahead(report.group_size, is_unsure));
+            let ahead = if is_unsure { STEPS_AHEAD_UNANSWERED } else { STEPS_AHEAD };
+            let step = StepNumber(report.step.0 + ahead);
             return self
                 .order(OrderKind::Hold(step), RankOrder::Hold(step), now)
                 .into_iter()
@@ -78,21 +73,6 @@
         self.broadcast(now)
     }
 
-    /// Steps that the group begins while its ranks are armed.
-    fn steps_ahead(&self, group_size: u16, is_unsure: bool) -> u64 {
-        let factor = if is_unsure { UNANSWERED_FACTOR } else { 1 };
-        let needed = (ARM_TIME + ARM_TIME_PER_RANK * u32::from(group_size)) * factor;
-        let step = match (self.steps.front(), self.steps.back()) {
-            (Some((first, begun)), Some((last, ended))) if last > first => {
-                let count = u32::try_from(last.0 - first.0).unwrap_or(u32::MAX);
-                ended.since(*begun) / count
-            }
-            (None | Some(_), None | Some(_)) => USUAL_STEP,
-        };
-        let steps = needed.as_secs_f64() / step.as_secs_f64().max(f64::MIN_POSITIVE);
-        (steps.ceil() as u64 + 1).clamp(*STEPS_AHEAD.start(), *STEPS_AHEAD.end())
-    }
-
     /// Rank 0 holds a step: arm all ranks, then let go.
     fn finish_switch(
         &mut self,
@@ -119,9 +99,9 @@
             self.last_message = None;
         }
         if report.armed != Some((version, step)) {
-            let mut effects: Vec<RolloutEffect> =
-                self.follow_orders(report, now).into_iter().collect();
-            effects.extend(self.broadcast(now));
+            // The other ranks first: they are armed while this one is.
+            let mut effects = self.broadcast(now);
+            effects.extend(self.follow_orders(report, now));
             return effects;
         }
         let Some(mut effects) = self.arm_others(report, place.rank, (version, step), now) else {
@@ -267,7 +247,7 @@
         now: Moment,
     ) -> Vec<RolloutEffect> {
         let Some(layout) = self.layout else { return Vec::new() };
-        if now < self.next_round || report.armed.is_some() {
+        if now < self.next_round || report.armed.is_some() || self.settling > 0 {
             return Vec::new();
         }
         let same_map = |it: &MemberStatus| it.map == report.map && it.armed.is_none();
@@ -298,7 +278,6 @@
             begun: now,
         });
         self.last_message = None;
-        let thousandths = |it: f64| (it * 1_000.0).round() as u32;
         let note = RolloutNote::Planned {
             version,
             copies: round.copies,
--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -225,6 +225,11 @@
         /// Skew that is expected, in thousandths.
         skew_after: u32,
     },
+    /// The popularity of experts shifted.
+    Shifted {
+        /// Distance between the popularity known and the latest, in thousandths.
+        distance: u32,
+    },
     /// All ranks use the map.
     InForce(MapNumber),
     /// A rollout was given up before any rank was armed.
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -31,9 +31,13 @@
 /// Pause between looks at the engine while a map is rolled out.
 const BUSY_PAUSE: Duration = Duration::from_millis(25);
 /// Pause between looks at the engine otherwise.
-const CALM_PAUSE: Duration = Duration::from_millis(100);
-/// Pause between samples of expert counts.
-const SAMPLE_PAUSE: Duration = Duration::from_millis(150);
+const CALM_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between reports to gateways.
+const LOAD_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between samples of expert counts: about a step, so that a shift soon shows.
+const SAMPLE_PAUSE: Duration = Duration::from_millis(100);
+/// Looks at the engine in a row, each because an order was given in the one before.
+const MAX_LOOKS: usize = 4;
 /// Pause between statuses to the coordinator where nothing changes.
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
 /// The same while a map is rolled out: some times in the age that a held step asks for.
@@ -131,8 +135,12 @@
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
-                        let urgent = self.receive(&buffer[..length], from);
-                        if urgent {
+                        let mut is_urgent = self.receive(&buffer[..length], from);
+                        // Statuses of a group come together: one look answers them all.
+                        while let Ok((length, from)) = self.socket.try_recv_from(&mut buffer) {
+                            is_urgent |= self.receive(&buffer[..length], from);
+                        }
+                        if is_urgent {
                             self.look().await;
                         }
                     }
@@ -180,19 +188,27 @@
         }
     }
 
-    /// Looks at the engine and does what follows.
+    /// Looks at the engine and does what follows, again while orders change it.
     async fn look(&mut self) {
-        match self.engine.report().await {
-            Ok(report) => self.learn(report).await,
-            Err(error) => {
-                if std::mem::replace(&mut self.is_reachable, false) {
-                    log::warn!(engine:% = self.engine.address(), error:% = error; "engine lost");
+        for _ in 0..MAX_LOOKS {
+            let has_changed = match self.engine.report().await {
+                Ok(report) => self.learn(report).await,
+                Err(error) => {
+                    if std::mem::replace(&mut self.is_reachable, false) {
+                        log::warn!(engine:% = self.engine.address(), error:% = error; "engine lost");
+                    }
+                    false
                 }
+            };
+            if !has_changed {
+                break;
             }
         }
     }
 
-    async fn learn(&mut self, report: RankReport) {
+    /// Takes in a report of the engine. True where the engine then took an order that changes its
+    /// next report at once.
+    async fn learn(&mut self, report: RankReport) -> bool {
         if !std::mem::replace(&mut self.is_reachable, true) {
             log::info!(engine:% = self.engine.address(); "engine regained");
         }
@@ -200,21 +216,22 @@
             (it.map, it.prepared, it.armed) != (report.map, report.prepared, report.armed)
         });
         self.report = Some(report.clone());
-        let effects = self.rollout.learn_report(report.clone(), self.clock.now());
-        self.carry_out(effects).await;
+        let effects = self.rollout.learn_report(report.clone());
+        let mut has_changed = self.carry_out(effects).await;
         let now = self.clock.now();
         if report.step != self.stepped.0 || report.running == 0 {
             self.stepped = (report.step, now);
         }
         if now >= self.due.load {
-            self.due.load = now.after(CALM_PAUSE);
+            self.due.load = now.after(LOAD_PAUSE);
             self.report_load(&report, now).await;
         }
         self.read_experts(&report, now).await;
         if now >= self.due.sample {
             self.due.sample = now.after(SAMPLE_PAUSE);
             self.read_counts().await;
-            self.rollout.close_interval();
+            let effects = self.rollout.close_interval();
+            has_changed |= self.carry_out(effects.into_iter().collect()).await;
         }
         if is_change || now >= self.due.status {
             let is_busy = self.rollout.is_busy();
@@ -222,7 +239,7 @@
             self.send_status(&report, now).await;
         }
         let effects = self.rollout.settle(now);
-        self.carry_out(effects).await;
+        has_changed | self.carry_out(effects).await
     }
 
     async fn report_load(&mut self, report: &RankReport, now: Moment) {
@@ -309,7 +326,9 @@
         }
     }
 
-    async fn carry_out(&mut self, effects: Vec<RolloutEffect>) {
+    /// Carries effects out. True where the own engine took an order that shows at once.
+    async fn carry_out(&mut self, effects: Vec<RolloutEffect>) -> bool {
+        let mut has_changed = false;
         for effect in effects {
             match effect {
                 RolloutEffect::Note(note) => self.log_note(&note),
@@ -320,7 +339,9 @@
                 }
                 RolloutEffect::Order(order) => {
                     let engine = self.engine.clone();
-                    self.give_order(&engine, &order).await;
+                    let is_taken = self.give_order(&engine, &order).await;
+                    // A copy takes a while, and does not show before it is complete.
+                    has_changed |= is_taken && !matches!(order, RankOrder::Prepare { .. });
                 }
                 RolloutEffect::OrderRank(rank, order) => {
                     if let Some(engine) = self.engine_of(rank) {
@@ -330,6 +351,7 @@
                 RolloutEffect::AskRank(rank) => self.ask_rank(rank).await,
             }
         }
+        has_changed
     }
 
     fn engine_of(&self, rank: u16) -> Option<EngineClient> {
@@ -351,21 +373,25 @@
         }
     }
 
-    async fn give_order(&mut self, engine: &EngineClient, order: &RankOrder) {
-        let Some(epoch) = self.rollout.place().map(|it| it.epoch) else { return };
+    /// Gives an order. True where the engine took it.
+    async fn give_order(&mut self, engine: &EngineClient, order: &RankOrder) -> bool {
+        let Some(epoch) = self.rollout.place().map(|it| it.epoch) else { return false };
         let (name, detail) = describe(order);
         let outcome: Result<OrderOutcome, PlatformError> = engine.order(epoch, order).await;
         self.metrics.count(&format!("orders.{name}"));
         match outcome {
             Ok(OrderOutcome::Taken) => {
                 log::info!(order = name, detail = detail, epoch = epoch; "order taken");
+                true
             }
             Ok(OrderOutcome::Refused(status)) => {
                 log::info!(order = name, detail = detail, epoch = epoch, status = status; "order refused");
+                false
             }
             Err(error) => {
                 self.rollout.note_unanswered(self.clock.now());
                 log::info!(order = name, detail = detail, epoch = epoch, error:% = error; "order not answered");
+                false
             }
         }
     }
@@ -380,6 +406,9 @@
                     "expert map planned"
                 );
             }
+            RolloutNote::Shifted { distance } => {
+                log::info!(distance_milli = distance; "popularity of experts shifted");
+            }
             RolloutNote::InForce(version) => {
                 log::info!(map = version.0; "expert map in force");
             }
--- a/tests/map_rollout.rs
+++ b/tests/map_rollout.rs
@@ -250,7 +250,7 @@
     fn tick(&mut self, n: usize) {
         let at = self.moment();
         let report = self.group.report(n, self.now);
-        let effects = self.agents[n].learn_report(report, at);
+        let effects = self.agents[n].learn_report(report);
         self.carry_out(n, effects);
         let experts = self.group.ranks[n].experts.clone();
         if let Some(mut status) = self.agents[n].status(experts, at) {
@@ -265,7 +265,8 @@
                 }
             }
         }
-        self.agents[n].close_interval();
+        let effects = self.agents[n].close_interval();
+        self.carry_out(n, effects.into_iter().collect());
         let effects = self.agents[n].settle(at);
         self.carry_out(n, effects);
     }
--- /dev/null
+++ b/tests/popularity_shift.rs
@@ -0,0 +1,156 @@
+//! After a shift of the experts' popularity, the next map answers the new popularity alone.
+
+use std::time::Duration;
+
+use alderbay::{
+    experts::{
+        GroupMap, MapNumber, MemberStatus, RankOrder, RankReport, RolloutEffect, RolloutNote,
+        RolloutState, StepNumber, UseSample, group_skew,
+    },
+    routing::{ExpertLayout, GroupPlace},
+    units::Moment,
+};
+use googletest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+
+const RANKS: u16 = 4;
+const EXPERTS: usize = 16;
+const INTERVAL: Duration = Duration::from_millis(100);
+/// A round's gain below which none begins is 0.05; what is left of it stays below this.
+const NEAR: f64 = 0.1;
+
+fn place(rank: u16) -> GroupPlace {
+    GroupPlace { name: "g".parse().unwrap(), epoch: 1, rank, is_open: true }
+}
+
+fn initial_map() -> GroupMap {
+    let on_rank = |rank: u16| (0..EXPERTS as u16).filter(|it| it % RANKS == rank).collect();
+    vec![(0..RANKS).map(on_rank).collect()]
+}
+
+/// Counts that favour the experts from `first` on.
+fn counts(first: usize) -> Vec<u64> {
+    let weight = |it: usize| 4_000 / ((it + EXPERTS - first) % EXPERTS + 1) as u64;
+    (0..EXPERTS).map(weight).collect()
+}
+
+struct Coordinator {
+    state: RolloutState,
+    now: Moment,
+}
+
+impl Coordinator {
+    fn new() -> Self {
+        let mut state = RolloutState::new(SmallRng::seed_from_u64(3));
+        state.learn_layout(ExpertLayout {
+            layers: 1,
+            experts: EXPERTS,
+            rank_slots: 6,
+            max_new: 2,
+            copy_seconds: 0.04,
+        });
+        Self { state, now: Moment(1_000_000) }
+    }
+
+    fn report(step: u64, held: Option<StepNumber>) -> RankReport {
+        RankReport {
+            running: 4,
+            waiting: 0,
+            step: StepNumber(step),
+            map: MapNumber(0),
+            prepared: None,
+            armed: None,
+            held,
+            group: Some(place(0)),
+            group_size: RANKS,
+        }
+    }
+
+    fn hear(&mut self, counts: &[u64], prepared: Option<MapNumber>) {
+        self.now = self.now.after(INTERVAL);
+        self.state.learn_report(RankReport { prepared, ..Self::report(9, None) });
+        for rank in 0..RANKS {
+            let sample = UseSample::between(&vec![0; counts.len()], counts);
+            let status = MemberStatus {
+                rank,
+                epoch: 1,
+                step: StepNumber(9),
+                map: MapNumber(0),
+                prepared,
+                armed: None,
+                highest: MapNumber(0),
+                has_unanswered: false,
+                known: None,
+                experts: vec![initial_map()[0][usize::from(rank)].clone()],
+                counts: Some(sample),
+            };
+            self.state.learn_status(status, self.now);
+        }
+    }
+
+    /// Closes an interval in which the group chose experts like this.
+    fn interval(&mut self, counts: &[u64]) -> Vec<RolloutEffect> {
+        self.hear(counts, None);
+        let mut effects: Vec<RolloutEffect> = self.state.close_interval().into_iter().collect();
+        effects.extend(self.state.settle(self.now));
+        effects
+    }
+}
+
+fn planned(effects: &[RolloutEffect]) -> Option<(MapNumber, f64)> {
+    effects.iter().find_map(|it| match it {
+        RolloutEffect::Note(RolloutNote::Planned { version, skew_before, .. }) => {
+            Some((*version, f64::from(*skew_before) / 1_000.0))
+        }
+        _ => None,
+    })
+}
+
+#[gtest]
+fn shift_replaces_history() {
+    let mut coordinator = Coordinator::new();
+    let even = vec![1_000; EXPERTS];
+    for _ in 0..20 {
+        assert_that!(planned(&coordinator.interval(&even)), none());
+    }
+    // The shift falls into the middle of an interval.
+    let favoured = counts(5);
+    let mixed: Vec<u64> = even.iter().zip(&favoured).map(|(a, b)| (a + b) / 2).collect();
+    let first = coordinator.interval(&mixed);
+    expect_that!(planned(&first), none());
+    let is_shift =
+        |it: &RolloutEffect| matches!(it, RolloutEffect::Note(RolloutNote::Shifted { .. }));
+    expect_that!(first.iter().filter(|it| is_shift(it)).count(), eq(1));
+    let effects = [coordinator.interval(&favoured), coordinator.interval(&favoured)].concat();
+    expect_that!(effects.iter().filter(|it| is_shift(it)).count(), eq(0), "one shift, one line");
+    let (_, skew) = planned(&effects).unwrap();
+    let loads: Vec<f64> = favoured.iter().map(|it| *it as f64).collect();
+    expect_that!(skew, near(group_skew(&initial_map(), &[loads]), NEAR));
+}
+
+#[gtest]
+fn drift_is_blended() {
+    let mut coordinator = Coordinator::new();
+    let base = counts(0);
+    coordinator.interval(&base);
+    for n in 1..10 {
+        // A tenth more or less from one interval to the next is no shift.
+        let drifted: Vec<u64> = base.iter().map(|it| it + it * (n % 2) / 10).collect();
+        let effects = coordinator.interval(&drifted);
+        let is_shift =
+            |it: &&RolloutEffect| matches!(it, RolloutEffect::Note(RolloutNote::Shifted { .. }));
+        expect_that!(effects.iter().filter(is_shift).count(), eq(0));
+    }
+}
+
+#[gtest]
+fn next_step_is_held() {
+    let mut coordinator = Coordinator::new();
+    let favoured = counts(5);
+    let effects = [coordinator.interval(&favoured), coordinator.interval(&favoured)].concat();
+    let (version, _) = planned(&effects).unwrap();
+    coordinator.hear(&favoured, Some(version));
+    let effects = coordinator.state.settle(coordinator.now);
+    let hold = RolloutEffect::Order(RankOrder::Hold(StepNumber(10)));
+    expect_that!(effects, contains(eq(&hold)));
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -20,6 +20,7 @@
 mod naive_router;
 mod operator_tool;
 mod plan_limits;
+mod popularity_shift;
 mod reducer_replay;
 mod retry_budget;
 mod run_once;
