Let callers that came back wait for a server, and first ones for the first catalog

Change: a request whose caller's patience is below 0.9 of its route's timeout has been tried before; where no server can be used it waits up to 0.45 of its time, looking each 0.1 s (effect Wait, event WaitEnded), at most 200 at a time. The rest of a broken-off stream waits 0.8 s. A process without a catalog lets requests wait 1.5 s. First attempts are told at once when to come back, as before. Each wait is logged ("request waits for a server") and counted (requests.waited).

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -15,7 +15,7 @@
     core::{Refusal, RefusalCode},
     http::{BodyError, read_body, text_answer},
     platform::{CallerHeaders, READY_PATH, echo_request_id, set_retry_after},
-    routing::CallerFacts,
+    routing::{CallerFacts, RequestNumber},
     units::{ByteCount, RequestId},
 };
 
@@ -104,14 +104,17 @@
 }
 
 /// What the reducer needs to know of a request.
-pub(super) fn facts_of(shell: &GatewayShell, request: &CallerRequest) -> CallerFacts {
+pub(super) fn facts_of(number: RequestNumber, request: &CallerRequest) -> CallerFacts {
+    let waited = request.arrived.elapsed();
     CallerFacts {
-        number: shell.next_number(),
+        number,
         request_id: request.request_id.clone(),
         host: host_of(&request.head),
         path: request.head.uri.path().into(),
         api_key: request.headers.api_key.clone(),
-        patience: request.headers.time_left,
+        patience: request.headers.time_left.map(|it| it.saturating_sub(waited)),
+        waited,
+        resumes: request.headers.resume_after.is_some(),
     }
 }
 
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -47,6 +47,16 @@
     Done,
 }
 
+impl CallerSide {
+    /// Ends when a caller that has a part of its answer is gone.
+    async fn closed(&self) {
+        match self {
+            Self::Streaming(sender) => sender.closed().await,
+            Self::Waiting(_) | Self::Done => std::future::pending().await,
+        }
+    }
+}
+
 /// One request on its way.
 pub(super) struct Flight {
     shell: Arc<GatewayShell>,
@@ -72,22 +82,69 @@
     /// Brings the request to its end. `alive` fires or is dropped when the caller is answered or
     /// gone.
     pub(super) async fn run(mut self, alive: oneshot::Receiver<()>) {
-        let facts = facts_of(&self.shell, &self.request);
-        let number = facts.number;
+        let number = self.shell.next_number();
         let mut gone = std::pin::pin!(caller_gone(alive));
+        let facts = facts_of(number, &self.request);
         let mut step = self.shell.dispatch(RoutingEvent::RequestArrived(facts));
-        while let Some(RoutingEffect::Attempt(_, order)) = step {
-            step = self.attempt(number, &order, gone.as_mut()).await;
+        let mut has_waited = false;
+        loop {
+            step = match step {
+                Some(RoutingEffect::Attempt(_, order)) => {
+                    self.attempt(number, &order, gone.as_mut()).await
+                }
+                Some(RoutingEffect::Wait(_, pause)) => {
+                    if !std::mem::replace(&mut has_waited, true) {
+                        self.log_wait();
+                    }
+                    self.wait(number, pause, gone.as_mut()).await
+                }
+                Some(
+                    RoutingEffect::Refuse(..)
+                    | RoutingEffect::Finished(_)
+                    | RoutingEffect::Believe(_),
+                )
+                | None => break,
+            };
         }
         match step {
             Some(RoutingEffect::Refuse(_, refusal)) => self.refuse(&refusal).await,
             Some(RoutingEffect::Finished(_)) | None => self.pass_error_on(),
-            Some(RoutingEffect::Attempt(..) | RoutingEffect::Believe(_)) => {}
+            Some(
+                RoutingEffect::Attempt(..) | RoutingEffect::Wait(..) | RoutingEffect::Believe(_),
+            ) => {}
         }
         self.shell.metrics.time("request.duration", self.request.arrived.elapsed());
         self.shell.dispatch(RoutingEvent::RequestEnded(number));
     }
 
+    /// Waits for a server that can be used; none where the caller is gone.
+    async fn wait(
+        &self,
+        number: RequestNumber,
+        pause: Duration,
+        gone: Pin<&mut impl Future<Output = ()>>,
+    ) -> Option<RoutingEffect> {
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {
+                let facts = facts_of(number, &self.request);
+                self.shell.dispatch(RoutingEvent::WaitEnded(facts))
+            }
+            () = gone => None,
+            () = self.caller.closed() => None,
+        }
+    }
+
+    fn log_wait(&self) {
+        self.shell.metrics.count("requests.waited");
+        log::info!(
+            request:% = self.request.request_id,
+            elapsed_ms = millis(self.request.arrived.elapsed()),
+            directory_age_ms = self.shell.directory_age_ms(),
+            catalog:% = self.shell.catalog_version();
+            "request waits for a server"
+        );
+    }
+
     async fn attempt(
         &mut self,
         number: RequestNumber,
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -50,8 +50,12 @@
     pub path: SmolStr,
     /// The key that it shows.
     pub api_key: Option<SmolStr>,
-    /// How long the caller waits.
+    /// How long the caller still waits.
     pub patience: Option<Duration>,
+    /// How long it has waited here.
+    pub waited: Duration,
+    /// Whether it goes on with a stream of which the caller has the beginning.
+    pub resumes: bool,
 }
 
 /// How an attempt at a backend server ended.
@@ -133,6 +137,8 @@
     },
     /// A caller's request was read.
     RequestArrived(CallerFacts),
+    /// A request that was told to wait has done so.
+    WaitEnded(CallerFacts),
     /// An attempt ended.
     AttemptEnded {
         /// The request.
@@ -176,6 +182,8 @@
 pub enum RoutingEffect {
     /// Send the request to a server.
     Attempt(RequestNumber, Box<AttemptOrder>),
+    /// Ask again after this time, with [`RoutingEvent::WaitEnded`].
+    Wait(RequestNumber, Duration),
     /// Tell the caller.
     Refuse(RequestNumber, Refusal),
     /// The caller has its answer.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -26,6 +26,20 @@
 const GATEWAYS_MEMORY: Duration = Duration::from_secs(10);
 /// Servers that one request may find unreachable.
 const MAX_UNREACHABLE: u32 = 2;
+/// Part of a route's timeout from which a caller's patience shows that it asks for the first time.
+const FIRST_PATIENCE: f64 = 0.9;
+/// Pause between looks for a server while a request waits for one.
+const WAIT_PAUSE: Duration = Duration::from_millis(100);
+/// Part of the time left that a caller waits here which has waited before: it seldom comes a third
+/// time.
+const WAIT_PART: f64 = 0.45;
+/// How long the rest of a broken-off stream waits for a server: callers give up after two seconds
+/// without an event.
+const STREAM_WAIT: Duration = Duration::from_millis(800);
+/// How long requests wait for the first catalog of a process that has just started.
+const CATALOG_WAIT: Duration = Duration::from_millis(1_500);
+/// Requests that may wait at a time.
+const MAX_WAITING: usize = 200;
 /// Time left below which a further attempt cannot bring an answer.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(30);
 
@@ -62,6 +76,9 @@
     /// Attempts that found no connection.
     unreachable: u32,
     may_have_run: bool,
+    /// Until when it may wait for a server.
+    waits_until: Moment,
+    is_waiting: bool,
     /// Where the present attempt is.
     at: Option<(ServerId, SocketAddr)>,
 }
@@ -154,6 +171,7 @@
             Vec::new()
         }
         RoutingEvent::RequestArrived(facts) => vec![request_arrived(state, facts, now)],
+        RoutingEvent::WaitEnded(facts) => vec![wait_ended(state, facts, now)],
         RoutingEvent::AttemptEnded { number, result } => attempt_ended(state, number, result, now),
         RoutingEvent::RequestEnded(number) => request_ended(state, number),
         RoutingEvent::StopAsked => {
@@ -200,25 +218,31 @@
 
 fn request_arrived(state: &mut RoutingState, facts: CallerFacts, now: Moment) -> RoutingEffect {
     let number = facts.number;
-    let refuse = |code| RoutingEffect::Refuse(number, Refusal::not_run(code));
+    let refuse_unread = |code| RoutingEffect::Refuse(number, Refusal::not_run(code));
     let Some(catalog) = state.catalog.as_ref() else {
+        if facts.waited < CATALOG_WAIT {
+            return RoutingEffect::Wait(number, WAIT_PAUSE);
+        }
         let refusal = Refusal::not_run(RefusalCode::NoConfiguration);
         return RoutingEffect::Refuse(number, refusal.retry_after(Duration::from_millis(500)));
     };
     let Some(route) = catalog.route(&facts.host, &facts.path) else {
-        return refuse(RefusalCode::UnknownPath);
+        return refuse_unread(RefusalCode::UnknownPath);
     };
     let account = facts.api_key.as_ref().and_then(|key| catalog.account_of(key)).cloned();
     if catalog.has_accounts() && !route.is_public && account.is_none() {
-        return refuse(match facts.api_key {
+        return refuse_unread(match facts.api_key {
             Some(_) => RefusalCode::UnknownAccount,
             None => RefusalCode::MissingKey,
         });
     }
     let Some(service) = route.draw_service(&mut state.rng).cloned() else {
-        return refuse(RefusalCode::NoServer);
+        return refuse_unread(RefusalCode::NoServer);
     };
     let patience = facts.patience.unwrap_or(state.settings.default_patience);
+    // A caller that has waited before, for an attempt that was refused or lost, waits shorter now.
+    let route_patience = route.timeout.mul_f64(FIRST_PATIENCE);
+    let can_be_timely = facts.resumes || patience + facts.waited >= route_patience;
     let request = RequestState {
         request_id: facts.request_id,
         deadline: now.after(patience.min(route.timeout)),
@@ -230,6 +254,8 @@
         sent: 0,
         unreachable: 0,
         may_have_run: false,
+        waits_until: if can_be_timely { now } else { now.after(patience.mul_f64(WAIT_PART)) },
+        is_waiting: false,
         at: None,
     };
     let fleet = state.fleet();
@@ -239,6 +265,32 @@
     place(state, number, now)
 }
 
+fn wait_ended(state: &mut RoutingState, facts: CallerFacts, now: Moment) -> RoutingEffect {
+    let number = facts.number;
+    if !state.requests.contains_key(&number) {
+        return request_arrived(state, facts, now);
+    }
+    place(state, number, now)
+}
+
+/// Lets a request wait where it may, since no server can be used now.
+fn wait_or_refuse(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    code: RefusalCode,
+    now: Moment,
+) -> RoutingEffect {
+    let waiting = state.requests.values().filter(|it| it.is_waiting).count();
+    let waits = state.requests.get_mut(&number).filter(|it| now < it.waits_until);
+    match waits {
+        Some(request) if request.is_waiting || waiting < MAX_WAITING => {
+            request.is_waiting = true;
+            RoutingEffect::Wait(number, WAIT_PAUSE)
+        }
+        Some(_) | None => refuse(state, number, code, now),
+    }
+}
+
 fn budget_of<'a>(
     state: &'a mut RoutingState,
     service: &ServiceName,
@@ -270,7 +322,7 @@
         }
         (PlacementChoice::Nowhere, rng) => {
             state.rng = rng;
-            refuse(state, number, RefusalCode::NoServer, now)
+            wait_or_refuse(state, number, RefusalCode::NoServer, now)
         }
     }
 }
@@ -402,6 +454,7 @@
     let Some(request) = state.requests.get_mut(&number) else {
         return RoutingEffect::Finished(number);
     };
+    request.is_waiting = false;
     request.tried.push(id.clone());
     request.at = Some((id.clone(), record.address));
     let order = AttemptOrder {
@@ -536,6 +589,8 @@
         }
         AttemptResult::Lost | AttemptResult::Stalled => {
             if kind.is_idempotent() && has_time && has_attempts && spend(state, number) {
+                let request = state.requests.get_mut(&number);
+                request.into_iter().for_each(|it| it.waits_until = now.after(STREAM_WAIT));
                 return place(state, number, now);
             }
             let code = match has_time {
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -75,6 +75,19 @@
     }
 }
 
+fn facts(number: RequestNumber) -> CallerFacts {
+    CallerFacts {
+        number,
+        request_id: format!("q-{}", number.0).parse().unwrap(),
+        host: "h".into(),
+        path: "/a/x".into(),
+        api_key: Some("key".into()),
+        patience: Some(Duration::from_secs(8)),
+        waited: Duration::ZERO,
+        resumes: false,
+    }
+}
+
 /// A gateway and its clock.
 struct Gateway {
     state: RoutingState,
@@ -115,17 +128,27 @@
     fn arrive_with(&mut self, key: &str, path: &str) -> (RequestNumber, RoutingEffect) {
         let number = RequestNumber(self.next);
         self.next += 1;
-        let facts = CallerFacts {
-            number,
-            request_id: format!("q-{}", self.next).parse().unwrap(),
-            host: "h".into(),
-            path: path.into(),
-            api_key: Some(key.into()),
-            patience: Some(Duration::from_secs(8)),
-        };
+        let facts = CallerFacts { path: path.into(), api_key: Some(key.into()), ..facts(number) };
         (number, self.step(RoutingEvent::RequestArrived(facts)))
     }
 
+    /// A caller that has waited elsewhere before, for this long.
+    fn return_after(&mut self, spent: Duration) -> (CallerFacts, RoutingEffect) {
+        let number = RequestNumber(self.next);
+        self.next += 1;
+        let patience = facts(number).patience.map(|it| it - spent);
+        let facts = CallerFacts { patience, ..facts(number) };
+        (facts.clone(), self.step(RoutingEvent::RequestArrived(facts)))
+    }
+
+    /// Goes on with a request that was told to wait.
+    fn wait(&mut self, facts: &CallerFacts, pause: Duration) -> RoutingEffect {
+        self.now += u64::try_from(pause.as_micros()).unwrap();
+        let waited = facts.waited + pause;
+        let facts = CallerFacts { waited, ..facts.clone() };
+        self.step(RoutingEvent::WaitEnded(facts))
+    }
+
     /// What becomes of a request that is answered at once.
     fn pass(&mut self) -> RoutingEffect {
         let (number, effect) = self.arrive();
@@ -394,3 +417,60 @@
     let (_, effect) = gateway.arrive();
     expect_that!(server_of(&effect), some(eq("i-1")));
 }
+
+fn pause_of(effect: &RoutingEffect) -> Option<Duration> {
+    match effect {
+        RoutingEffect::Wait(_, pause) => Some(*pause),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn returning_callers_wait() {
+    let mut gateway = Gateway::new(RouteKind::ResumableStream, vec![server(1, "a")]);
+    hear(&mut gateway, 1, report(false));
+    // The first attempt is told when to come back; it has another.
+    let (_, effect) = gateway.arrive();
+    expect_that!(refusal_of(&effect), some(eq((RefusalCode::NoServer, RunOutcome::NotRun))));
+    let (facts, mut effect) = gateway.return_after(Duration::from_secs(3));
+    for _ in 0..10 {
+        let pause = pause_of(&effect).unwrap();
+        effect = gateway.wait(&facts, pause);
+    }
+    hear(&mut gateway, 1, report(true));
+    let pause = pause_of(&effect).unwrap();
+    let effect = gateway.wait(&facts, pause);
+    expect_that!(server_of(&effect), some(eq("i-1")));
+}
+
+#[gtest]
+fn waiting_has_an_end() {
+    let mut gateway = Gateway::new(RouteKind::ResumableStream, vec![server(1, "a")]);
+    hear(&mut gateway, 1, report(false));
+    let begun = gateway.now;
+    let (facts, mut effect) = gateway.return_after(Duration::from_secs(3));
+    while let Some(pause) = pause_of(&effect) {
+        hear(&mut gateway, 1, report(false));
+        effect = gateway.wait(&facts, pause);
+        // Well before the five seconds that the caller has left are over.
+        assert_that!(gateway.now - begun, lt(3 * SECOND));
+    }
+    expect_that!(refusal_of(&effect), some(eq((RefusalCode::NoServer, RunOutcome::NotRun))));
+}
+
+#[gtest]
+fn start_awaits_catalog() {
+    let mut state = RoutingState::new(settings(BudgetSettings::default(), 7));
+    let number = RequestNumber(1);
+    let arrived = RoutingEvent::RequestArrived(facts(number));
+    let effects = reduce(&mut state, Moment(0), arrived);
+    expect_that!(effects.iter().filter_map(pause_of).count(), eq(1));
+    let list = vec![server(1, "a")];
+    let catalog = catalog(1, RouteKind::Idempotent);
+    reduce(&mut state, Moment(0), RoutingEvent::CatalogRead { source: SourceName::Store, catalog });
+    reduce(&mut state, Moment(0), RoutingEvent::DirectoryRead(list));
+    let waited = Duration::from_millis(100);
+    let event = RoutingEvent::WaitEnded(CallerFacts { waited, ..facts(number) });
+    let effects = reduce(&mut state, Moment(100_000), event);
+    expect_that!(effects.iter().find_map(server_of), some(eq("i-1")));
+}
