Have another group hold a step, set switches two steps ahead, and read the directory once a domain

Three causes, three changes that touch the same datagrams: 1. Change: the coordinator asks an agent of another group to give the hold; its own agent does where four requests have no effect. The stopped VM is then one that nobody waits for. 2. Change: the step after the next is held; rounds that gain under 0.08 are left out (0.05); only the coordinator looks for shifts. 3. Change: the gateway with the lowest address of a domain reads the directory, four times in the time that a leaving server has; the others ask it (GET /v1/directory, by digest) and read themselves where it is silent or its copy old; reports tell the gateways once a second. A member that stops in the 50 ms in which ranks are armed can still hold its group up.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -5,7 +5,8 @@
 //!
 //! 1. *Prepare*: every rank copies the experts that are new to it.
 //! 2. Once all ranks have prepared the map, the coordinator has its own rank hold a step that lies
-//!    ahead. No rank begins that step until rank 0 is let go.
+//!    ahead. No rank begins that step until rank 0 is let go. The order is given by an agent of another
+//!    group where there is one: a VM that stops right after it then holds up nobody.
 //! 3. *Arm*: every rank is told to use the map from that step on.
 //! 4. Once all ranks are armed, rank 0 is let go.
 //!
@@ -248,7 +249,9 @@
     /// replaces it after a shift.
     pub fn close_interval(&mut self) -> Option<RolloutEffect> {
         let layout = self.layout?;
-        if self.fresh_counts.len() != layout.layers * layout.experts {
+        // The counts of all ranks come to the coordinator alone.
+        let is_whole = self.fresh_counts.len() == layout.layers * layout.experts;
+        if self.place()?.rank != 0 || !is_whole {
             return None;
         }
         let fresh = popularity(&self.fresh_counts, layout.experts)?;
@@ -322,17 +325,21 @@
 
     /// Gives an order, and repeats it at intervals while its effect does not show.
     fn order(&mut self, kind: OrderKind, order: RankOrder, now: Moment) -> Option<RolloutEffect> {
+        self.is_due(kind, now).then_some(RolloutEffect::Order(order))
+    }
+
+    /// Whether an order is to be given now: at once, and at intervals while its effect does not show.
+    fn is_due(&mut self, kind: OrderKind, now: Moment) -> bool {
         let pause = match kind {
             OrderKind::Prepare(_) => PREPARE_PAUSE,
             OrderKind::Arm(..) | OrderKind::Hold(_) | OrderKind::Release(_) => ORDER_PAUSE,
         };
         let is_early =
             self.last_order.is_some_and(|(last, at)| last == kind && now.since(at) < pause);
-        if is_early {
-            return None;
+        if !is_early {
+            self.last_order = Some((kind, now));
         }
-        self.last_order = Some((kind, now));
-        Some(RolloutEffect::Order(order))
+        !is_early
     }
 }
 
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -17,11 +17,11 @@
 /// Age of the statuses with which a step is held: an agent that has fallen silent since would keep
 /// the group waiting.
 const HOLD_FRESHNESS: Duration = Duration::from_millis(150);
-/// Steps between the present one and the one at which ranks switch: they are armed while the present
-/// one runs, and the group seldom waits.
-const STEPS_AHEAD: u64 = 1;
+/// Steps between the present one and the one at which ranks switch: they are armed while one whole step
+/// runs, so that the group seldom waits; a wait makes all its streams late.
+const STEPS_AHEAD: u64 = 2;
 /// The same while orders go unanswered and have to be repeated.
-const STEPS_AHEAD_UNANSWERED: u64 = 2;
+const STEPS_AHEAD_UNANSWERED: u64 = 3;
 /// Pause between messages of a rollout.
 const MESSAGE_PAUSE: Duration = Duration::from_millis(60);
 /// Whole maps that are sent at a time, so that they do not fill the link.
@@ -35,7 +35,7 @@
 /// Most copies of one layer for a rank in a round.
 const MAX_NEW: usize = 2;
 /// Part of the skew that a round must take away.
-const LEAST_ROUND_GAIN: f64 = 0.05;
+const LEAST_ROUND_GAIN: f64 = 0.08;
 /// Map numbers are drawn from so many above the highest known.
 const NUMBER_SPREAD: u64 = 1 << 20;
 
@@ -61,10 +61,8 @@
                 self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
             let ahead = if is_unsure { STEPS_AHEAD_UNANSWERED } else { STEPS_AHEAD };
             let step = StepNumber(report.step.0 + ahead);
-            return self
-                .order(OrderKind::Hold(step), RankOrder::Hold(step), now)
-                .into_iter()
-                .collect();
+            let is_due = self.is_due(OrderKind::Hold(step), now);
+            return is_due.then_some(RolloutEffect::AskHold(step)).into_iter().collect();
         }
         if now.since(active.begun) > PREPARE_LIMIT {
             self.active = None;
--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -201,6 +201,8 @@
 pub enum RolloutEffect {
     /// Give the own engine an order.
     Order(RankOrder),
+    /// Have another agent tell the own engine to hold this step.
+    AskHold(StepNumber),
     /// Give the engine of another rank an order, because its agent is silent.
     OrderRank(u16, RankOrder),
     /// Ask the engine of another rank for a report, because its agent is silent.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -52,7 +52,7 @@
     let (phase, phases) = watch::channel(ListenerPhase::Open);
     let served = serve(&shell, &settings, &gateway, phases).await?;
     tokio::spawn(sources::follow_operator(shell.clone(), store.clone()));
-    tokio::spawn(sources::follow_directory(shell.clone(), store));
+    tokio::spawn(sources::follow_directory(shell.clone(), store, peers::new_client()?));
     tokio::spawn(reports::exchange(shell.clone(), settings.datagrams).await?);
     tokio::spawn(follow_hangups(arguments));
     stop_signal().await?;
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -7,11 +7,13 @@
     time::Duration,
 };
 
+use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
 use super::shell::GatewayShell;
 use crate::{
     daemon::DaemonError,
+    experts::STATUS_LISTENERS,
     http::ListenerError,
     routing::{ExpertLayout, RoutingEvent, RoutingState},
     units::GroupName,
@@ -40,9 +42,9 @@
 
 async fn subscribe(shell: &GatewayShell, socket: &UdpSocket, port: u16) {
     loop {
-        for (vm, group, layout) in shell.read(engines) {
-            let gateway = shell.peer_address;
-            let message = Datagram::Subscribe(Subscription { gateway, group, layout });
+        for EngineGroup { vm, group, helper, layout } in shell.read(engines) {
+            let gateway = shell.peers().own().clone();
+            let message = Datagram::Subscribe(Subscription { gateway, group, helper, layout });
             match message.encode() {
                 Ok(bytes) => send(socket, SocketAddr::new(vm, port), &bytes).await,
                 Err(error) => log::error!(error:% = error; "subscription cannot be encoded"),
@@ -59,9 +61,15 @@
     }
 }
 
-type EngineGroup = (IpAddr, Vec<GroupMember>, Option<ExpertLayout>);
+/// What an agent is told of its group.
+struct EngineGroup {
+    vm: IpAddr,
+    group: Vec<GroupMember>,
+    helper: Option<IpAddr>,
+    layout: Option<ExpertLayout>,
+}
 
-/// VMs of model engines, each with the members of its group.
+/// VMs of model engines, each with the members of its group and one of another group.
 fn engines(state: &RoutingState) -> Vec<EngineGroup> {
     let mut groups: BTreeMap<&GroupName, Vec<GroupMember>> = BTreeMap::new();
     for server in state.servers().servers() {
@@ -71,11 +79,25 @@
             groups.entry(&place.name).or_default().push(member);
         }
     }
+    // The first ranks coordinate their own groups.
+    let is_helper = |it: &&GroupMember| it.rank >= STATUS_LISTENERS;
+    let helper_of = |own: &GroupName| {
+        let others = groups.iter().filter(|it| *it.0 != own);
+        let helpers = others.flat_map(|it| it.1.iter().filter(is_helper));
+        helpers.map(|it| it.server.ip()).choose(&mut rand::rng())
+    };
+    let helpers: BTreeMap<&GroupName, Option<IpAddr>> =
+        groups.keys().map(|it| (*it, helper_of(it))).collect();
     let engine_of = |server: &crate::routing::KnownServer| {
         let record = &server.record;
         let engine = state.catalog()?.service(&record.service)?.engine.as_ref()?;
-        let group = record.group.as_ref().and_then(|it| groups.get(&it.name)).cloned();
-        Some((record.address.ip(), group.unwrap_or_default(), engine.layout))
+        let name = record.group.as_ref().map(|it| &it.name);
+        Some(EngineGroup {
+            vm: record.address.ip(),
+            group: name.and_then(|it| groups.get(it)).cloned().unwrap_or_default(),
+            helper: name.and_then(|it| helpers.get(it)).copied().flatten(),
+            layout: engine.layout,
+        })
     };
     state.servers().servers().filter_map(engine_of).collect()
 }
@@ -91,13 +113,19 @@
             }
         };
         match Datagram::decode(&buffer[..length]) {
-            Some(Datagram::Load { server, report, gateways }) => {
-                let count = u32::try_from(gateways.len()).unwrap_or(u32::MAX);
+            Some(Datagram::Load { server, report, subscribers, gateways }) => {
                 shell.note_peers(gateways);
-                let event = RoutingEvent::LoadReported { address: server, report, gateways: count };
+                let event =
+                    RoutingEvent::LoadReported { address: server, report, gateways: subscribers };
                 shell.dispatch(event);
             }
-            Some(Datagram::Subscribe(_) | Datagram::Status(_) | Datagram::Rollout(_)) => {
+            Some(
+                Datagram::Subscribe(_)
+                | Datagram::Status(_)
+                | Datagram::Rollout(_)
+                | Datagram::HoldRequest(_)
+                | Datagram::HoldGiven,
+            ) => {
                 log::debug!(from:% = from; "datagram is not for a gateway");
             }
             None => log::debug!(from:% = from; "datagram cannot be read"),
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -1,8 +1,6 @@
 //! Hands events to the reducer, and its effects to whoever carries them out.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -14,11 +12,10 @@
     daemon::ProcessClock,
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
-        BeliefChange, CatalogVersion, RequestNumber, RouteCatalog, RoutingEffect, RoutingEvent,
-        RoutingSettings, RoutingState, reduce,
+        BeliefChange, CatalogVersion, GatewayPlace, PeerTable, RequestNumber, RouteCatalog,
+        RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce,
     },
     telemetry::MetricSink,
-    units::Moment,
 };
 
 use super::sources::PlatformView;
@@ -30,25 +27,19 @@
 pub(super) struct GatewayShell {
     state: Mutex<RoutingState>,
     view: Mutex<PlatformView>,
-    /// Other gateways, and when they were last heard of; seeds are kept for good.
-    peers: Mutex<BTreeMap<SocketAddr, Option<Moment>>>,
+    peers: Mutex<PeerTable>,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     /// Bounds on HTTP.
     pub(super) limits: HttpLimits,
     /// Time within which a server that leaves gets no new work.
     pub(super) leave_time: Duration,
-    /// Where other gateways reach this one.
-    pub(super) peer_address: SocketAddr,
     /// The runtime's clock.
     pub(super) clock: ProcessClock,
     /// Where metrics go.
     pub(super) metrics: MetricSink,
 }
 
-/// How long a gateway that agents no longer hear of is asked.
-const PEER_MEMORY: Duration = Duration::from_secs(60);
-
 impl GatewayShell {
     pub(super) fn new(
         settings: &DirectSettings,
@@ -62,16 +53,18 @@
             default_patience: DEFAULT_PATIENCE,
             seed: rand::random(),
         });
-        let others = gateway.seeds.iter().filter(|it| **it != gateway.peer_listen);
+        let own = GatewayPlace {
+            address: gateway.peer_listen,
+            failure_domain: settings.identity.failure_domain.clone(),
+        };
         Self {
             state: Mutex::new(state),
             view: Mutex::default(),
-            peers: Mutex::new(others.map(|it| (*it, None)).collect()),
+            peers: Mutex::new(PeerTable::new(own, &gateway.seeds)),
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
             leave_time: Duration::from_millis(gateway.leave_ms),
-            peer_address: gateway.peer_listen,
             clock: ProcessClock::start(),
             metrics,
         }
@@ -138,18 +131,13 @@
     }
 
     /// Notes gateways that an agent hears from.
-    pub(super) fn note_peers(&self, gateways: Vec<SocketAddr>) {
-        let now = self.clock.now();
-        let mut peers = lock(&self.peers);
-        for address in gateways.into_iter().filter(|it| *it != self.peer_address) {
-            peers.insert(address, Some(now));
-        }
-        peers.retain(|_, heard| heard.is_none_or(|at| now.since(at) < PEER_MEMORY));
+    pub(super) fn note_peers(&self, gateways: Vec<GatewayPlace>) {
+        self.peers().note(gateways, self.clock.now());
     }
 
     /// Other gateways.
-    pub(super) fn peers(&self) -> BTreeSet<SocketAddr> {
-        lock(&self.peers).keys().copied().collect()
+    pub(super) fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
     }
 }
 
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use volo_http::client::Client;
 
 use super::{peers, shell::GatewayShell};
 use crate::{
@@ -25,9 +26,11 @@
 
 /// Longest wait for a change of the operator's stream: bounds how late a silent connection shows.
 const OPERATOR_WAIT: Duration = Duration::from_millis(3_000);
-/// Reads of the directory in the time within which a server that leaves gets no new work: two, so
-/// that a slow one does no harm.
-const READS_PER_LEAVE: u32 = 2;
+/// Reads of the directory in the time within which a server that leaves gets no new work: four, so
+/// that a slow one does no harm to gateways that leave reading to this one.
+const READS_PER_LEAVE: u32 = 4;
+/// Questions to the reader in that time.
+const FOLLOWS_PER_LEAVE: u32 = 5;
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -83,9 +86,13 @@
 }
 
 /// Keeps the directory up to date.
-pub(super) async fn follow_directory(shell: Arc<GatewayShell>, store: StoreClient) {
+pub(super) async fn follow_directory(shell: Arc<GatewayShell>, store: StoreClient, client: Client) {
     let mut is_lost = false;
     loop {
+        if !is_lost && peers::follow_reader(&shell, &client).await {
+            tokio::time::sleep(shell.leave_time / FOLLOWS_PER_LEAVE).await;
+            continue;
+        }
         let from = shell.view().directory.as_ref().map(|it| it.offset);
         match read_changes(&store, KeyedStream::Servers, from, Duration::ZERO).await {
             Ok((records, offset, is_whole)) => {
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -5,7 +5,11 @@
 //! delaying its group. What the agent knows of others comes in datagrams; it reads nothing of the
 //! platform's store.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{
@@ -22,10 +26,10 @@
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
     platform::{EngineClient, OrderOutcome, PlatformError},
-    routing::LoadReport,
+    routing::{GatewayPlace, LoadReport},
     telemetry::{MetricSink, serve_metrics, start_logs},
     units::Moment,
-    wire::{Datagram, GroupMember, MAX_DATAGRAM, Subscription},
+    wire::{Datagram, GroupMember, HoldRequest, MAX_DATAGRAM, Subscription},
 };
 
 /// Pause between looks at the engine while a map is rolled out.
@@ -34,6 +38,8 @@
 const CALM_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between reports to gateways.
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between reports that tell the gateways' addresses.
+const PEERS_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause between samples of expert counts: about a step, so that a shift soon shows.
 const SAMPLE_PAUSE: Duration = Duration::from_millis(100);
 /// Looks at the engine in a row, each because an order was given in the one before.
@@ -44,6 +50,8 @@
 const BUSY_STATUS_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between looks at which experts the rank holds, where no map came into force.
 const EXPERTS_PAUSE: Duration = Duration::from_secs(2);
+/// Requests to another agent to hold a step, after which the own agent gives the order.
+const MAX_HOLD_ASKS: u32 = 4;
 /// Time without a step, with work at hand, after which the group counts as stalled: some times the
 /// usual length of a step.
 const STALL_TIME: Duration = Duration::from_millis(300);
@@ -75,11 +83,14 @@
         metrics,
         gateways: BTreeMap::new(),
         group: Vec::new(),
+        helper: None,
+        hold_asks: 0,
         rollout: RolloutState::new(SmallRng::from_os_rng()),
         report: None,
         sampled: None,
         fresh_counts: None,
         experts: None,
+        requested: Vec::new(),
         due: DueTimes::default(),
         stepped: (StepNumber(0), Moment(0)),
         is_reachable: true,
@@ -101,6 +112,7 @@
     status: Moment,
     experts: Moment,
     load: Moment,
+    peers: Moment,
 }
 
 struct RankAgent {
@@ -109,8 +121,11 @@
     port: u16,
     clock: ProcessClock,
     metrics: MetricSink,
-    gateways: BTreeMap<SocketAddr, (SocketAddr, Moment)>,
+    gateways: BTreeMap<SocketAddr, (GatewayPlace, Moment)>,
     group: Vec<GroupMember>,
+    /// VM of an agent of another group, and what it was asked without effect.
+    helper: Option<IpAddr>,
+    hold_asks: u32,
     rollout: RolloutState,
     report: Option<RankReport>,
     /// The latest counts, from which the next sample is taken.
@@ -119,6 +134,8 @@
     fresh_counts: Option<UseSample>,
     /// Experts that the rank holds, as of this map.
     experts: Option<(crate::experts::MapNumber, Vec<Vec<u16>>)>,
+    /// Orders that other groups ask for, and who asks.
+    requested: Vec<(HoldRequest, SocketAddr)>,
     due: DueTimes,
     /// The last step seen, and when it was first seen or there was no work.
     stepped: (StepNumber, Moment),
@@ -140,6 +157,7 @@
                         while let Ok((length, from)) = self.socket.try_recv_from(&mut buffer) {
                             is_urgent |= self.receive(&buffer[..length], from);
                         }
+                        self.give_requested().await;
                         if is_urgent {
                             self.look().await;
                         }
@@ -160,11 +178,12 @@
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) -> bool {
         let now = self.clock.now();
         match Datagram::decode(bytes) {
-            Some(Datagram::Subscribe(Subscription { gateway, group, layout })) => {
+            Some(Datagram::Subscribe(Subscription { gateway, group, helper, layout })) => {
                 self.gateways.insert(from, (gateway, now));
                 if !group.is_empty() {
                     self.group = group;
                 }
+                self.helper = helper.or(self.helper);
                 if let Some(layout) = layout {
                     self.rollout.learn_layout(layout);
                 }
@@ -181,6 +200,11 @@
                 self.rollout.learn_rollout(rollout, now);
                 self.rollout.is_busy() && (is_step || !was)
             }
+            Some(Datagram::HoldRequest(request)) => {
+                self.requested.push((request, from));
+                false
+            }
+            Some(Datagram::HoldGiven) => true,
             Some(Datagram::Load { .. }) | None => {
                 log::debug!(from:% = from; "datagram is not for an agent");
                 false
@@ -216,6 +240,9 @@
             (it.map, it.prepared, it.armed) != (report.map, report.prepared, report.armed)
         });
         self.report = Some(report.clone());
+        if report.held.is_some() {
+            self.hold_asks = 0;
+        }
         let effects = self.rollout.learn_report(report.clone());
         let mut has_changed = self.carry_out(effects).await;
         let now = self.clock.now();
@@ -243,6 +270,10 @@
     }
 
     async fn report_load(&mut self, report: &RankReport, now: Moment) {
+        let tells_peers = now >= self.due.peers;
+        if tells_peers {
+            self.due.peers = now.after(PEERS_PAUSE);
+        }
         let is_stalled = now.since(self.stepped.1) >= STALL_TIME;
         self.gateways.retain(|_, (_, at)| now.since(*at) < SUBSCRIPTION_LIFE);
         let message = Datagram::Load {
@@ -252,12 +283,17 @@
                 waiting: report.waiting,
                 is_open: !is_stalled && report.group.as_ref().is_none_or(|it| it.is_open),
             },
-            gateways: self.gateways.values().map(|it| it.0).collect(),
+            subscribers: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX),
+            gateways: if tells_peers { self.gateway_places() } else { Vec::new() },
         };
         let to: Vec<SocketAddr> = self.gateways.keys().copied().collect();
         self.send(&message, &to).await;
     }
 
+    fn gateway_places(&self) -> Vec<GatewayPlace> {
+        self.gateways.values().map(|it| it.0.clone()).collect()
+    }
+
     async fn read_experts(&mut self, report: &RankReport, now: Moment) {
         let is_known = self.experts.as_ref().is_some_and(|it| it.0 == report.map);
         if report.group.is_none() || is_known && now < self.due.experts {
@@ -343,6 +379,7 @@
                     // A copy takes a while, and does not show before it is complete.
                     has_changed |= is_taken && !matches!(order, RankOrder::Prepare { .. });
                 }
+                RolloutEffect::AskHold(step) => has_changed |= self.ask_hold(step).await,
                 RolloutEffect::OrderRank(rank, order) => {
                     if let Some(engine) = self.engine_of(rank) {
                         self.give_order(&engine, &order).await;
@@ -354,6 +391,54 @@
         has_changed
     }
 
+    /// Has the own engine hold a step: by another group's agent, or by itself where that has no effect.
+    /// True where the engine took the order from here.
+    async fn ask_hold(&mut self, step: StepNumber) -> bool {
+        let Some(epoch) = self.rollout.place().map(|it| it.epoch) else { return false };
+        self.hold_asks += 1;
+        let helper = self.helper.filter(|_| self.hold_asks <= MAX_HOLD_ASKS);
+        let Some(helper) = helper else {
+            self.hold_asks = 0;
+            let engine = self.engine.clone();
+            return self.give_order(&engine, &RankOrder::Hold(step)).await;
+        };
+        let request = HoldRequest { engine: self.engine.address(), epoch, step };
+        log::info!(step = step.0, epoch = epoch, helper:% = helper; "hold asked for");
+        let to = SocketAddr::new(helper, self.port);
+        self.send(&Datagram::HoldRequest(request), &[to]).await;
+        false
+    }
+
+    /// Gives the orders that coordinators of other groups have asked for.
+    async fn give_requested(&mut self) {
+        for (request, from) in std::mem::take(&mut self.requested) {
+            let engine = match EngineClient::new(request.engine) {
+                Ok(engine) => engine,
+                Err(error) => {
+                    log::error!(engine:% = request.engine, error:% = error; "no client for the engine");
+                    continue;
+                }
+            };
+            let outcome = engine.order(request.epoch, &RankOrder::Hold(request.step)).await;
+            self.metrics.count("orders.hold");
+            match outcome {
+                Ok(outcome) => {
+                    log::info!(
+                        engine:% = request.engine, step = request.step.0, epoch = request.epoch,
+                        outcome:? = outcome;
+                        "hold given for another group"
+                    );
+                    self.send(&Datagram::HoldGiven, &[from]).await;
+                }
+                Err(error) => log::info!(
+                    engine:% = request.engine, step = request.step.0, epoch = request.epoch,
+                    error:% = error;
+                    "hold for another group not answered"
+                ),
+            }
+        }
+    }
+
     fn engine_of(&self, rank: u16) -> Option<EngineClient> {
         let member = self.group.iter().find(|it| it.rank == rank)?;
         match EngineClient::new(member.server) {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -10,6 +10,7 @@
 mod catalog;
 mod event;
 mod load;
+mod peers;
 mod servers;
 mod state;
 
@@ -26,5 +27,6 @@
     RoutingEvent, SourceName,
 };
 pub use load::{LoadReport, ServerLoad};
+pub use peers::{GatewayPlace, PeerTable};
 pub use servers::{GroupPlace, KnownServer, ServerRecord, ServerTable};
 pub use state::{RoutingSettings, RoutingState, reduce};
--- a/src/units/quantities.rs
+++ b/src/units/quantities.rs
@@ -86,6 +86,18 @@
         Self(self.0.saturating_add(micros))
     }
 
+    /// The moment that lies `span` back, the beginning of time at the earliest.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use alderbay::units::Moment;
+    /// assert_eq!(Moment(5).before(Duration::from_micros(2)), Moment(3));
+    /// ```
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Time from `earlier` to this moment, zero if it lies ahead.
     ///
     /// ```
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,7 +8,7 @@
 mod framing;
 mod messages;
 
-pub use datagrams::{Datagram, GroupMember, MAX_DATAGRAM, Subscription};
+pub use datagrams::{Datagram, GroupMember, HoldRequest, MAX_DATAGRAM, Subscription};
 pub use framing::{FrameError, read_frame, write_frame};
 pub use messages::{
     AgentReport, HeaderPair, PeerHello, PeerNotice, PeerRole, RefusalReason, RunKey, RunMode,
--- a/src/wire/datagrams.rs
+++ b/src/wire/datagrams.rs
@@ -3,17 +3,17 @@
 //! Each is whole in itself and may be lost, repeated or late: a receiver takes over what is newer
 //! than what it has.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    experts::{MapRollout, MemberStatus},
-    routing::{ExpertLayout, LoadReport},
+    experts::{MapRollout, MemberStatus, StepNumber},
+    routing::{ExpertLayout, GatewayPlace, LoadReport},
 };
 
 /// Version of the encoding; a datagram of another version is dropped.
-const DATAGRAM_VERSION: u8 = 1;
+const DATAGRAM_VERSION: u8 = 2;
 /// Largest datagram that is read.
 pub const MAX_DATAGRAM: usize = 60_000;
 
@@ -29,11 +29,17 @@
         server: SocketAddr,
         /// Its load.
         report: LoadReport,
-        /// Addresses of the gateways that subscribe, for each other.
-        gateways: Vec<SocketAddr>,
+        /// Number of gateways that subscribe.
+        subscribers: u32,
+        /// Where they are, for each other: in some reports only, since they are long.
+        gateways: Vec<GatewayPlace>,
     },
     /// An agent tells the others of its group how its rank stands.
     Status(MemberStatus),
+    /// A coordinator asks an agent of another group to give its rank's engine the order to hold a step.
+    HoldRequest(HoldRequest),
+    /// The order was given.
+    HoldGiven,
     /// The coordinator tells the others of its group what their ranks are to do.
     Rollout(MapRollout),
 }
@@ -42,14 +48,28 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Subscription {
-    /// Where other gateways reach it.
-    pub gateway: SocketAddr,
+    /// Where the gateway is.
+    pub gateway: GatewayPlace,
     /// The ranks of the agent's group.
     pub group: Vec<GroupMember>,
+    /// VM of an agent of another group, which gives orders for this one.
+    pub helper: Option<IpAddr>,
     /// How the group's experts may be placed.
     pub layout: Option<ExpertLayout>,
 }
 
+/// A step that an engine is to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HoldRequest {
+    /// The engine.
+    pub engine: SocketAddr,
+    /// Forming of its group.
+    pub epoch: u64,
+    /// The step.
+    pub step: StepNumber,
+}
+
 /// One rank of a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/tests/map_rollout.rs
+++ b/tests/map_rollout.rs
@@ -283,6 +283,7 @@
                     }
                 }
                 RolloutEffect::Order(order) => self.order(n, n, order),
+                RolloutEffect::AskHold(step) => self.order(n, n, RankOrder::Hold(step)),
                 RolloutEffect::OrderRank(rank, order) => self.order(n, usize::from(rank), order),
                 RolloutEffect::AskRank(rank) => {
                     let report = self.group.report(usize::from(rank), self.now);
--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -4,8 +4,8 @@
 
 use alderbay::{
     experts::{
-        GroupMap, MapNumber, MemberStatus, RankOrder, RankReport, RolloutEffect, RolloutNote,
-        RolloutState, StepNumber, UseSample, group_skew,
+        GroupMap, MapNumber, MemberStatus, RankReport, RolloutEffect, RolloutNote, RolloutState,
+        StepNumber, UseSample, group_skew,
     },
     routing::{ExpertLayout, GroupPlace},
     units::Moment,
@@ -144,13 +144,13 @@
 }
 
 #[gtest]
-fn next_step_is_held() {
+fn step_ahead_is_held() {
     let mut coordinator = Coordinator::new();
     let favoured = counts(5);
     let effects = [coordinator.interval(&favoured), coordinator.interval(&favoured)].concat();
     let (version, _) = planned(&effects).unwrap();
     coordinator.hear(&favoured, Some(version));
     let effects = coordinator.state.settle(coordinator.now);
-    let hold = RolloutEffect::Order(RankOrder::Hold(StepNumber(10)));
+    let hold = RolloutEffect::AskHold(StepNumber(11));
     expect_that!(effects, contains(eq(&hold)));
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -7,6 +7,7 @@
 mod bad_input;
 mod cold_server;
 mod config_race;
+mod directory_reader;
 mod domain_cut;
 mod domain_drain;
 mod fan_out;
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -26,6 +26,7 @@
     pub ready: SocketAddr,
     pub peer: SocketAddr,
     pub admin: SocketAddr,
+    pub datagrams: SocketAddr,
     launcher: Launcher,
     folder: tempfile::TempDir,
 }
@@ -54,7 +55,7 @@
         std::fs::write(&path, settings.to_string()).unwrap();
         let launcher = launcher.clone();
         let child = launch(&launcher, folder.path());
-        Self { child, listen, ready, peer, admin, launcher, folder }
+        Self { child, listen, ready, peer, admin, datagrams, launcher, folder }
     }
 
     /// Starts it again after its end.
--- a/tests/support/platform_store.rs
+++ b/tests/support/platform_store.rs
@@ -24,6 +24,7 @@
     streams: BTreeMap<String, Records>,
     is_down: bool,
     reads: u64,
+    reads_of: BTreeMap<String, u64>,
 }
 
 pub struct PlatformStore {
@@ -54,6 +55,11 @@
         self.state.lock().unwrap().is_down = is_down;
     }
 
+    /// Questions about a topic.
+    pub fn reads_of(&self, topic: &str) -> u64 {
+        self.state.lock().unwrap().reads_of.get(topic).copied().unwrap_or(0)
+    }
+
     pub fn reads(&self) -> u64 {
         self.state.lock().unwrap().reads
     }
@@ -65,6 +71,7 @@
     let from: Option<usize> = query(&uri, "range-start");
     let wait = query(&uri, "wait-ms").unwrap_or(0_u64);
     let deadline = tokio::time::Instant::now() + std::time::Duration::from_millis(wait);
+    *state.lock().unwrap().reads_of.entry(topic.clone()).or_default() += 1;
     loop {
         let reply = {
             let mut state = state.lock().unwrap();
