Wait only for groups of which every rank is heard, and no longer than callers of streams do

Entries of the lost ranks lapse after 3.6 s; the ranks that were left were all heard, so the group was taken to be forming. Change: ServerRecord says how many ranks its group has; a group is forming only while all of them are heard. Streams wait at most 1.4 s.

--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -30,6 +30,9 @@
     born: Option<u64>,
     #[serde(default)]
     group: Option<WireGroup>,
+    // Ranks of the group.
+    #[serde(default)]
+    size: u16,
 }
 
 #[derive(Deserialize)]
@@ -81,6 +84,7 @@
         warm_up_left: Duration::from_secs_f64(warm_up_left),
         started_ms: wire.born,
         group: wire.group.map(WireGroup::decode),
+        group_size: wire.size,
     })
 }
 
@@ -98,6 +102,7 @@
     fn entry_is_decoded() {
         let record = decode_server("i-1", ENTRY.as_bytes()).unwrap();
         assert_that!(record.warm_up_left, eq(Duration::from_millis(1500)));
+        assert_that!(record.group_size, eq(8));
         assert_that!(record.group.map(|it| (it.rank, it.is_open)), some(eq((3, false))));
     }
 
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -55,6 +55,8 @@
     pub started_ms: Option<u64>,
     /// Its rank, where it is one.
     pub group: Option<GroupPlace>,
+    /// Ranks of its group; zero where it has none or does not say.
+    pub group_size: u16,
 }
 
 /// One server and what this process holds of it.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -28,13 +28,17 @@
 const MAX_UNREACHABLE: u32 = 2;
 /// Part of a route's timeout from which a caller's patience shows that it asks for the first time.
 const FIRST_PATIENCE: f64 = 0.9;
+/// Time after its first directory in which a process may not have heard of all agents.
+const FIRST_REPORTS: Duration = Duration::from_millis(1_500);
 /// Pause between looks for a server while a request waits for one.
 const WAIT_PAUSE: Duration = Duration::from_millis(100);
 /// Part of the time left that a caller waits here which has waited before: it seldom comes a third
 /// time.
 const WAIT_PART: f64 = 0.45;
-/// How long the rest of a broken-off stream waits for a server: callers give up after two seconds
-/// without an event.
+/// How long a stream waits at most for a server: callers give up after two seconds without an event,
+/// and the first one takes a while.
+const MAX_STREAM_WAIT: Duration = Duration::from_millis(1_400);
+/// How long the rest of a broken-off stream does, after the time in which that showed.
 const STREAM_WAIT: Duration = Duration::from_millis(800);
 /// How long requests wait for the first catalog of a process that has just started.
 const CATALOG_WAIT: Duration = Duration::from_millis(1_500);
@@ -95,6 +99,8 @@
     budgets: BTreeMap<ServiceName, AttemptBudget>,
     gateways: Option<(u32, Moment)>,
     requests: BTreeMap<RequestNumber, RequestState>,
+    /// When the directory was first read.
+    directory_since: Option<Moment>,
     is_stopping: bool,
     rng: SmallRng,
 }
@@ -110,6 +116,7 @@
             budgets: BTreeMap::new(),
             gateways: None,
             requests: BTreeMap::new(),
+            directory_since: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
             settings,
@@ -154,6 +161,7 @@
         RoutingEvent::CatalogRead { source, catalog } => catalog_read(state, source, *catalog),
         RoutingEvent::EvacuationsRead(domains) => believe(state.servers.evacuate(domains)),
         RoutingEvent::DirectoryRead(list) => {
+            state.directory_since.get_or_insert(now);
             let changes = state.servers.read_directory(list, now);
             forget_gone(state);
             believe(changes)
@@ -254,7 +262,7 @@
         sent: 0,
         unreachable: 0,
         may_have_run: false,
-        waits_until: if can_be_timely { now } else { now.after(patience.mul_f64(WAIT_PART)) },
+        waits_until: if can_be_timely { now } else { now.after(longest_wait(route, patience)) },
         is_waiting: false,
         at: None,
     };
@@ -273,6 +281,29 @@
     place(state, number, now)
 }
 
+/// How long a request of a caller that has waited before may wait here.
+fn longest_wait(route: &RouteRecord, patience: Duration) -> Duration {
+    let part = patience.mul_f64(WAIT_PART);
+    if route.kind.is_stream() { part.min(MAX_STREAM_WAIT) } else { part }
+}
+
+/// Whether a service's servers are about to work: all agents of one of its groups report, which is still
+/// forming, or this process has not heard of them yet. An outage of a server or a failure domain lasts
+/// longer than callers wait.
+fn is_recovering(state: &RoutingState, service: &ServiceName, now: Moment) -> bool {
+    let is_new = state.directory_since.is_none_or(|at| now.since(at) < FIRST_REPORTS);
+    let mut heard: BTreeMap<&GroupName, u16> = BTreeMap::new();
+    let mut is_whole = false;
+    for server in state.servers.usable(service) {
+        let Some(place) = &server.record.group else { continue };
+        let load = state.loads.get(&server.record.address);
+        let count = heard.entry(&place.name).or_default();
+        *count += u16::from(load.is_some_and(|it| it.is_heard(now)));
+        is_whole |= *count >= server.record.group_size.max(1);
+    }
+    is_new || is_whole
+}
+
 /// Lets a request wait where it may, since no server can be used now.
 fn wait_or_refuse(
     state: &mut RoutingState,
@@ -281,8 +312,10 @@
     now: Moment,
 ) -> RoutingEffect {
     let waiting = state.requests.values().filter(|it| it.is_waiting).count();
+    let service = state.requests.get(&number).map(|it| it.service.clone());
+    let is_recovering = service.is_some_and(|it| is_recovering(state, &it, now));
     let waits = state.requests.get_mut(&number).filter(|it| now < it.waits_until);
-    match waits {
+    match waits.filter(|_| is_recovering) {
         Some(request) if request.is_waiting || waiting < MAX_WAITING => {
             request.is_waiting = true;
             RoutingEffect::Wait(number, WAIT_PAUSE)
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -62,6 +62,7 @@
         warm_up_left: Duration::ZERO,
         started_ms: Some(1),
         group: None,
+        group_size: 0,
     }
 }
 
@@ -425,9 +426,14 @@
     }
 }
 
+fn only_rank() -> ServerRecord {
+    let group = GroupPlace { name: "g".parse().unwrap(), epoch: 1, rank: 0, is_open: true };
+    ServerRecord { group: Some(group), ..server(1, "a") }
+}
+
 #[gtest]
 fn returning_callers_wait() {
-    let mut gateway = Gateway::new(RouteKind::ResumableStream, vec![server(1, "a")]);
+    let mut gateway = Gateway::new(RouteKind::ResumableStream, vec![only_rank()]);
     hear(&mut gateway, 1, report(false));
     // The first attempt is told when to come back; it has another.
     let (_, effect) = gateway.arrive();
@@ -436,6 +442,7 @@
     for _ in 0..10 {
         let pause = pause_of(&effect).unwrap();
         effect = gateway.wait(&facts, pause);
+        hear(&mut gateway, 1, report(false));
     }
     hear(&mut gateway, 1, report(true));
     let pause = pause_of(&effect).unwrap();
@@ -443,17 +450,37 @@
     expect_that!(server_of(&effect), some(eq("i-1")));
 }
 
+#[gtest]
+fn lost_ranks_end_waiting() {
+    let group =
+        |rank| Some(GroupPlace { name: "g".parse().unwrap(), epoch: 1, rank, is_open: false });
+    let ranks = [1, 2].map(|n| ServerRecord { group: group(n), group_size: 2, ..server(n, "a") });
+    let mut gateway = Gateway::new(RouteKind::ResumableStream, ranks.to_vec());
+    (1..=2).for_each(|n| hear(&mut gateway, n, report(false)));
+    let (facts, effect) = gateway.return_after(Duration::from_secs(3));
+    let pause = pause_of(&effect).unwrap();
+    // One rank's agent falls silent: nobody knows when the group works again.
+    gateway.now += SECOND;
+    hear(&mut gateway, 1, report(false));
+    let refused = || some(eq((RefusalCode::NoServer, RunOutcome::NotRun)));
+    expect_that!(refusal_of(&gateway.wait(&facts, pause)), refused());
+    // The other's entry is gone, so that all that are listed are heard.
+    gateway.tell(RoutingEvent::DirectoryRead(vec![ranks[0].clone()]));
+    let (_, effect) = gateway.return_after(Duration::from_secs(3));
+    expect_that!(refusal_of(&effect), refused());
+}
+
 #[gtest]
 fn waiting_has_an_end() {
-    let mut gateway = Gateway::new(RouteKind::ResumableStream, vec![server(1, "a")]);
+    let mut gateway = Gateway::new(RouteKind::ResumableStream, vec![only_rank()]);
     hear(&mut gateway, 1, report(false));
     let begun = gateway.now;
     let (facts, mut effect) = gateway.return_after(Duration::from_secs(3));
     while let Some(pause) = pause_of(&effect) {
         hear(&mut gateway, 1, report(false));
         effect = gateway.wait(&facts, pause);
-        // Well before the five seconds that the caller has left are over.
-        assert_that!(gateway.now - begun, lt(3 * SECOND));
+        // Callers of streams leave after two seconds without an event.
+        assert_that!(gateway.now - begun, lt(2 * SECOND));
     }
     expect_that!(refusal_of(&effect), some(eq((RefusalCode::NoServer, RunOutcome::NotRun))));
 }
