--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -156,7 +156,17 @@
 
 /// Reduces one event: brings the state up to date and says what is to be done.
 pub fn reduce(state: &mut RoutingState, now: Moment, event: RoutingEvent) -> Vec<RoutingEffect> {
-    let believe = |it: Vec<BeliefChange>| it.into_iter().map(RoutingEffect::Believe).collect();
+    // Lapsed entries are dropped with every event: the directory may not be read for a while.
+    let mut effects = believe(state.servers.expire(now));
+    effects.extend(reduce_event(state, now, event));
+    effects
+}
+
+fn believe(changes: Vec<BeliefChange>) -> Vec<RoutingEffect> {
+    changes.into_iter().map(RoutingEffect::Believe).collect()
+}
+
+fn reduce_event(state: &mut RoutingState, now: Moment, event: RoutingEvent) -> Vec<RoutingEffect> {
     match event {
         RoutingEvent::CatalogRead { source, catalog } => catalog_read(state, source, *catalog),
         RoutingEvent::EvacuationsRead(domains) => believe(state.servers.evacuate(domains)),
@@ -338,8 +348,6 @@
 
 /// Chooses a server for a request in progress.
 fn place(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
-    // Lapsed entries are dropped here too: the directory may not be read for a while.
-    state.servers.expire(now);
     let Some(request) = state.requests.get(&number) else {
         return RoutingEffect::Finished(number);
     };
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -9,10 +9,10 @@
 use alderbay::{
     core::{RefusalCode, RunOutcome},
     routing::{
-        AccountRecord, AttemptResult, BudgetSettings, CallerFacts, CallerLimits, CatalogVersion,
-        GroupPlace, LoadReport, RequestNumber, RouteCatalog, RouteKind, RouteRecord, RouteTarget,
-        RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, ServerRecord, ServiceRecord,
-        SourceName, reduce,
+        AccountRecord, AttemptResult, BeliefChange, BudgetSettings, CallerFacts, CallerLimits,
+        CatalogVersion, GroupPlace, LoadReport, RequestNumber, RouteCatalog, RouteKind,
+        RouteRecord, RouteTarget, RoutingEffect, RoutingEvent, RoutingSettings, RoutingState,
+        ServerRecord, ServiceRecord, SourceName, reduce,
     },
     units::{ByteCount, Moment},
 };
@@ -227,8 +227,11 @@
     let (_, effect) = gateway.arrive();
     expect_that!(server_of(&effect), some(eq("i-1")));
     gateway.now += 3 * SECOND;
-    let (_, effect) = gateway.arrive();
-    expect_that!(refusal_of(&effect), some(eq((RefusalCode::NoServer, RunOutcome::NotRun))));
+    let effects = gateway.tell(RoutingEvent::RequestArrived(facts(RequestNumber(99))));
+    let gone = RoutingEffect::Believe(BeliefChange::ServerGone("i-1".parse().unwrap()));
+    expect_that!(effects, contains(eq(&gone)));
+    let refused = some(eq((RefusalCode::NoServer, RunOutcome::NotRun)));
+    expect_that!(effects.iter().find_map(refusal_of), refused);
 }
 
 #[gtest]
