--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -49,7 +49,6 @@
 struct DirectoryNews {
     offset: LogOffset,
     age_ms: u64,
-    digest: u64,
     /// None where the asker has the same.
     servers: Option<BTreeMap<ServerId, ServerRecord>>,
 }
@@ -86,7 +85,6 @@
     let news = DirectoryNews {
         offset: directory.offset,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        digest,
         servers: (!has_same).then_some(directory.servers),
     };
     json_answer(StatusCode::OK, &news)
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -68,7 +68,10 @@
     let mut is_lost = false;
     loop {
         let from = shell.view().operator.as_ref().map(|it| it.offset);
-        match read_changes(&store, KeyedStream::Operator, from, OPERATOR_WAIT).await {
+        // A store that was silent is asked at once, and other gateways in between: a question that is
+        // never answered would hide changes for the whole wait.
+        let wait = if is_lost { Duration::ZERO } else { OPERATOR_WAIT };
+        match read_changes(&store, KeyedStream::Operator, from, wait).await {
             Ok((records, offset, is_whole)) => {
                 is_lost = false;
                 let view = operator_view(&shell, records, offset, is_whole);
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -187,6 +187,38 @@
     expect_that!(log, contains_substring("\"message\":\"stopped\""));
 }
 
+/// Time within which a change is in force: what the users ask for.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+
+#[gtest]
+#[tokio::test]
+async fn silence_delays_no_change() {
+    let site = site("safe").await;
+    site.store.set_silent(true);
+    let deadline = Instant::now() + READY_LIMIT;
+    while !site.gateway.log_text().contains(r#""stream":"operator""#) {
+        assert!(Instant::now() < deadline, "the gateway does not notice that the store is silent");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // A question that begins now will not be answered either.
+    let asked = site.store.reads_of("keyed.op");
+    while site.store.reads_of("keyed.op") == asked {
+        assert!(Instant::now() < deadline, "the gateway does not ask again");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    site.store.set_silent(false);
+    let manifest = json!({"version": 9, "routes": [route("/a/", "safe"), route("/new/", "safe")],
+        "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
+        "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
+    site.store.put("keyed.op", "config", Some(&manifest));
+    let changed = Instant::now();
+    while site.ask("/new/x").await != whole() {
+        assert!(changed.elapsed() < READY_LIMIT, "the change does not come into force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(changed.elapsed(), lt(APPLY_LIMIT));
+}
+
 #[gtest]
 #[tokio::test]
 async fn peers_tell_the_catalog() {
--- a/tests/support/platform_store.rs
+++ b/tests/support/platform_store.rs
@@ -23,6 +23,7 @@
 struct StoreState {
     streams: BTreeMap<String, Records>,
     is_down: bool,
+    is_silent: bool,
     reads: u64,
     reads_of: BTreeMap<String, u64>,
 }
@@ -55,6 +56,11 @@
         self.state.lock().unwrap().is_down = is_down;
     }
 
+    /// From now on questions are never answered, nor are those that come meanwhile.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.lock().unwrap().is_silent = is_silent;
+    }
+
     /// Questions about a topic.
     pub fn reads_of(&self, topic: &str) -> u64 {
         self.state.lock().unwrap().reads_of.get(topic).copied().unwrap_or(0)
@@ -73,6 +79,9 @@
     let deadline = tokio::time::Instant::now() + std::time::Duration::from_millis(wait);
     *state.lock().unwrap().reads_of.entry(topic.clone()).or_default() += 1;
     loop {
+        if state.lock().unwrap().is_silent {
+            std::future::pending::<()>().await;
+        }
         let reply = {
             let mut state = state.lock().unwrap();
             state.reads += 1;
