Plan rounds that fill the spare slots of large groups

Cause: a search step had to gain 0.004 of the load of all layers whatever the group's size. In a group of 96 ranks and 16 layers one copy gains far less, so rounds stopped after a few dozen copies. Each step also tried all ranks as targets, and a rank that reached its copy limit restarted the search of all layers. Change: the least gain shrinks with the number of ranks, which copy in parallel; a step tries the eight least loaded eligible ranks; only layers whose next step targets a full rank search again.

--- a/benches/rounds.rs
+++ b/benches/rounds.rs
@@ -38,7 +38,7 @@
     exponent: f64,
 }
 
-const SITES: [Site; 2] = [
+const SITES: [Site; 4] = [
     Site {
         name: "today",
         layers: 6,
@@ -57,6 +57,24 @@
         copy_s: 0.037,
         exponent: 0.8,
     },
+    Site {
+        name: "shifted",
+        layers: 12,
+        ranks: 72,
+        experts: 144,
+        slots: 3,
+        copy_s: 0.03,
+        exponent: 0.6,
+    },
+    Site {
+        name: "large",
+        layers: 16,
+        ranks: 96,
+        experts: 192,
+        slots: 3,
+        copy_s: 0.018,
+        exponent: 0.6,
+    },
 ];
 
 #[derive(Clone, Copy)]
--- a/src/experts/rounds.rs
+++ b/src/experts/rounds.rs
@@ -11,6 +11,10 @@
 
 /// Exponent of the norm over the rank loads, large enough for the most loaded ranks to dominate.
 const NORM_EXPONENT: i32 = 12;
+/// Number of ranks to which [`RoundSettings::least_gain`] applies.
+const REFERENCE_RANKS: f64 = 8.0;
+/// Number of the least loaded ranks that a search step considers as the target of a copy.
+const MAX_TARGETS: usize = 8;
 /// Search steps per allowed copy. The limit is above one because some steps need no copy.
 const STEPS_PER_COPY: usize = 3;
 
@@ -25,7 +29,8 @@
     pub max_new: usize,
     /// Maximum number of experts over all layers that a round copies to a rank.
     pub max_copies: usize,
-    /// Minimum gain of a search step, as a fraction of the mean rank load summed over all layers.
+    /// Minimum gain of a search step in a group of eight ranks, as a fraction of the mean rank load
+    /// summed over all layers. Larger groups accept proportionally smaller gains.
     pub least_gain: f64,
 }
 
@@ -95,6 +100,8 @@
         return None;
     }
     let ranks = map.first().map_or(0, Vec::len);
+    // Ranks copy in parallel, so in a large group each copy delays the round less.
+    let least_gain = settings.least_gain * (REFERENCE_RANKS / ranks.max(1) as f64).min(1.0);
     let mut copies = vec![0; ranks];
     let best_step = |it: &LayerSearch<'_>, copies: &[usize]| it.find_best_step(copies, settings);
     let mut steps: Vec<Option<MapStep>> = layers.iter().map(|it| best_step(it, &copies)).collect();
@@ -103,7 +110,7 @@
             .filter_map(|layer| steps[layer].map(|step| (layer, step)))
             .max_by(|a, b| a.1.gain.total_cmp(&b.1.gain));
         let Some((layer, step)) = best else { break };
-        if step.gain < settings.least_gain * mean {
+        if step.gain < least_gain * mean {
             break;
         }
         layers[layer].apply(step);
@@ -111,9 +118,12 @@
             copies[rank] += 1;
             copies[rank] == settings.max_copies
         });
-        // A rank that has reached its copy limit restricts the steps of the other layers too.
+        // A rank that has reached its copy limit receives nothing in the other layers either.
+        let full_rank = step.copy_target().filter(|_| is_now_full);
         for (n, layer_search) in layers.iter().enumerate() {
-            if n == layer || is_now_full {
+            let lost_target =
+                full_rank.is_some() && steps[n].and_then(MapStep::copy_target) == full_rank;
+            if n == layer || lost_target {
                 steps[n] = best_step(layer_search, &copies);
             }
         }
@@ -240,12 +250,7 @@
                 consider(ReplicaChange::Drop { rank: hot, expert }, &[(expert, hot, false)]);
             }
         }
-        for rank in (0..self.ranks.len()).filter(|it| *it != hot) {
-            let is_full =
-                copies[rank] >= settings.max_copies || self.gained(rank) >= settings.max_new;
-            if is_full || self.rank_loads[rank] >= self.rank_loads[hot] {
-                continue;
-            }
+        for rank in self.copy_targets(hot, copies, settings) {
             for replaced in self.candidate_slots(rank, settings) {
                 for &expert in self.ranks[hot].iter().filter(|it| !self.ranks[rank].contains(it)) {
                     // The first change, which evicts a replica, is skipped if a slot is free.
@@ -266,6 +271,29 @@
         Some(MapStep { change, gain: self.norm(self.power_sum) - self.norm(sum) })
     }
 
+    /// Returns the least loaded ranks that may receive another copy.
+    fn copy_targets(&self, hot: usize, copies: &[usize], settings: &RoundSettings) -> Vec<usize> {
+        let mut targets: Vec<usize> = (0..self.ranks.len())
+            .filter(|it| self.rank_loads[*it] < self.rank_loads[hot])
+            .filter(|it| copies[*it] < settings.max_copies)
+            .filter(|it| self.gained(*it) < settings.max_new)
+            .filter(|it| self.has_slot(*it, settings))
+            .collect();
+        if targets.len() > MAX_TARGETS {
+            let by_load =
+                |a: &usize, b: &usize| self.rank_loads[*a].total_cmp(&self.rank_loads[*b]);
+            targets.select_nth_unstable_by(MAX_TARGETS, by_load);
+            targets.truncate(MAX_TARGETS);
+        }
+        targets
+    }
+
+    /// Whether a rank has a free slot or a replica that other ranks hold too.
+    fn has_slot(&self, rank: usize, settings: &RoundSettings) -> bool {
+        let is_redundant = |it: &u16| self.holders[usize::from(*it)].len() > 1;
+        self.ranks[rank].len() < settings.rank_slots || self.ranks[rank].iter().any(is_redundant)
+    }
+
     /// Returns the slots where a rank could put another expert: a free one (`None`), or else those
     /// of redundant replicas, by the expert to replace.
     fn candidate_slots(&self, rank: usize, settings: &RoundSettings) -> Vec<Option<u16>> {
@@ -378,6 +406,20 @@
         }
     }
 
+    /// A rank of a large group has few experts, so a round must fill the spare slots of many ranks.
+    #[gtest]
+    fn large_groups_use_spare_slots() {
+        let mut rng = SmallRng::seed_from_u64(9);
+        let settings =
+            RoundSettings { rank_slots: 3, max_new: 2, max_copies: 16, ..RoundSettings::default() };
+        let map = initial(16, 96, 192);
+        let mut loads = || (0..192).map(|_| rng.random_range(0.02_f64..1.0).powi(-1)).collect();
+        let loads: Vec<Vec<f64>> = (0..16).map(|_| loads()).collect();
+        let round = plan_round(&map, &loads, &settings).unwrap();
+        let (excess, left) = (round.skew_before - 1.0, round.skew_after - 1.0);
+        expect_that!(left, lt(excess / 4.0));
+    }
+
     #[gtest]
     fn even_load_needs_no_round() {
         let map = initial(2, 4, 16);
