Close a listener's socket once it accepts no more

Cause: serve_with kept the bound socket until the last connection had ended. Change: the socket is dropped when accepting ends.

--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -102,6 +102,8 @@
                 drop(permit);
             });
         }
+        // Closes the socket: the kernel would complete handshakes of callers that nobody serves.
+        drop(self.listener);
         // All permits are available again once every connection has ended.
         let _ = self.permits.acquire_many(self.limits.max_connections).await;
     }
--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -1,13 +1,24 @@
-//! A process that stops on SIGTERM completes its requests in flight.
+//! A process that stops on SIGTERM completes its requests in flight, and accepts no new ones once
+//! it has stopped accepting connections.
 
+use std::time::Duration;
+
+use alderbay::{
+    http::{HttpListener, ListenerPhase},
+    options::HttpLimits,
+};
 use googletest::prelude::*;
+use http::StatusCode;
+use tokio::sync::watch;
 
 use crate::{
     launcher,
     support::{
         callers::Caller,
         fleet::{Fleet, FleetPlan},
+        gateway,
         load::SteadyLoad,
+        ports::free_address,
     },
 };
 
@@ -50,3 +61,36 @@
     let entry = &mut fleet.entries[0];
     expect_that!(entry.wait_exit().await, some(eq(0)), "{}", entry.log_text());
 }
+
+/// While a long response keeps a closed listener alive, a new caller must be refused at once
+/// instead of waiting for a response until its deadline.
+#[gtest]
+#[tokio::test]
+async fn closed_listener_refuses_connections() {
+    const REFUSAL_TIMEOUT: Duration = Duration::from_secs(5);
+    let address = free_address();
+    let (phase, phases) = watch::channel(ListenerPhase::Open);
+    let (finish, finished) = watch::channel(false);
+    let (begin, mut begun) = watch::channel(false);
+    let listener = HttpListener::bind(address, HttpLimits::default()).await.unwrap();
+    let handler = move |_, _| {
+        let mut finished = finished.clone();
+        begin.send_replace(true);
+        async move {
+            finished.wait_for(|it| *it).await.unwrap();
+            volo_http::response::Response::new("done".into())
+        }
+    };
+    let served = tokio::spawn(listener.serve_with(handler, phases));
+    let long_request = tokio::spawn(gateway::get(address, "/"));
+    begun.wait_for(|it| *it).await.unwrap();
+    phase.send_replace(ListenerPhase::Closed);
+    let refused = crate::support::callers::wait_until(REFUSAL_TIMEOUT, || async {
+        tokio::net::TcpStream::connect(address).await.is_err()
+    });
+    expect_that!(refused.await, eq(true));
+    finish.send_replace(true);
+    let response = long_request.await.unwrap();
+    expect_that!(response, some(eq(&(StatusCode::OK, "done".to_owned()))));
+    served.await.unwrap();
+}
