Order what gateways know of the store by its era

Cause: views were compared by offset alone. After the store comes back from a copy, offsets are given out again: a gateway kept its view of the lost records until the new ones had more, and other gateways took it over. Change: a position is era and offset. A process that starts asks another gateway for a newer catalog. Older responses and views change nothing. An invalid base64 value no longer reads as a tombstone; a read can no longer replace a newer view of another gateway.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,17 +13,19 @@
 
 use super::{
     shell::GatewayShell,
-    sources::{DirectoryView, OperatorView, apply_directory_view, apply_operator_view},
+    sources::{apply_directory_view, apply_operator_view},
 };
 use crate::{
     http::{json_response, text_response},
     platform::{PlatformError, get_json},
-    routing::{CatalogSource, GatewayLocation, ServerRecord},
-    units::{LogOffset, ServerId},
+    routing::{DirectoryView, GatewayLocation, OperatorView, ServerRecord},
+    units::{ServerId, StorePosition},
 };
 
 /// Path of the view of the platform's store.
 const VIEW_PATH: &str = "/v1/view";
+/// Query of the view's path that leaves out the directory, which is long.
+const CATALOG_QUERY: &str = "operator";
 /// Path of the directory.
 const DIRECTORY_PATH: &str = "/v1/directory";
 /// Timeout of a request for another gateway's view.
@@ -47,7 +49,8 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 struct DirectoryReply {
-    offset: LogOffset,
+    #[serde(flatten)]
+    position: StorePosition,
     age_ms: u64,
     /// `None` if the digest in the query shows that the requesting gateway has the same servers.
     servers: Option<BTreeMap<ServerId, ServerRecord>>,
@@ -59,7 +62,7 @@
 ) -> impl Fn(SocketAddr, http::Request<Incoming>) -> std::future::Ready<Response> + Clone {
     move |_, request| {
         let answer = match request.uri().path() {
-            VIEW_PATH => view_answer(&shell),
+            VIEW_PATH => view_answer(&shell, request.uri().query()),
             DIRECTORY_PATH => directory_answer(&shell, request.uri().query()),
             _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
         };
@@ -67,24 +70,26 @@
     }
 }
 
-fn view_answer(shell: &GatewayShell) -> Response {
-    let view = shell.view().clone();
+fn view_answer(shell: &GatewayShell, query: Option<&str>) -> Response {
+    let operator = shell.view().operator.view();
+    let has_directory = query != Some(CATALOG_QUERY);
+    let directory = shell.view().directory.view().filter(|_| has_directory).cloned();
     let gateways = shell.peers().locations();
-    let message = ViewMessage { operator: view.operator, directory: view.directory, gateways };
+    let message = ViewMessage { operator, directory, gateways };
     json_response(StatusCode::OK, &message)
 }
 
 /// Responds with the directory; omits the servers if the digest in the query shows that the
 /// requesting gateway has them.
 fn directory_answer(shell: &GatewayShell, query: Option<&str>) -> Response {
-    let Some(directory) = shell.view().directory.clone() else {
+    let Some(directory) = shell.view().directory.view().cloned() else {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "no directory was read yet\n");
     };
     let digest = directory_digest(&directory.servers);
     let has_same = query == Some(digest.to_string().as_str());
     let age = shell.clock.now().since(directory.read_at);
     let reply = DirectoryReply {
-        offset: directory.offset,
+        position: directory.position,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         servers: (!has_same).then_some(directory.servers),
     };
@@ -102,7 +107,7 @@
 pub(super) async fn poll_reader(shell: &GatewayShell, client: &Client) -> bool {
     let reader = shell.peers().reader(shell.clock.now());
     let Some(reader) = reader else { return false };
-    let known = shell.view().directory.clone();
+    let known = shell.view().directory.view().cloned();
     let digest = known.as_ref().map_or(0, |it| directory_digest(&it.servers));
     let uri = format!("http://{reader}{DIRECTORY_PATH}?{digest}");
     let reply: Result<DirectoryReply, PlatformError> = get_json(client, uri, READER_TIMEOUT).await;
@@ -114,7 +119,8 @@
         {
             let servers = reply.servers.or(known.map(|it| it.servers)).unwrap_or_default();
             let read_at = now.before(Duration::from_millis(reply.age_ms));
-            apply_directory_view(shell, DirectoryView { offset: reply.offset, servers, read_at });
+            let view = DirectoryView { position: reply.position, servers, read_at };
+            apply_directory_view(shell, view);
             true
         }
         Ok(reply) => {
@@ -132,13 +138,23 @@
 
 /// Fetches the view of another gateway, chosen at random, and applies its newer parts.
 pub(super) async fn poll_random_peer(shell: &GatewayShell) {
+    poll_view(shell, VIEW_PATH.to_owned()).await;
+}
+
+/// Fetches the catalog and the evacuations of another gateway, chosen at random, and applies what
+/// is newer.
+pub(super) async fn poll_random_catalog(shell: &GatewayShell) {
+    poll_view(shell, format!("{VIEW_PATH}?{CATALOG_QUERY}")).await;
+}
+
+async fn poll_view(shell: &GatewayShell, path: String) {
     let peer = shell.peers().addresses().choose(&mut rand::rng());
     let Some(peer) = peer else { return };
-    match fetch_view(peer).await {
+    match fetch_view(peer, &path).await {
         Ok(message) => {
             shell.record_peers(message.gateways);
             if let Some(view) = message.operator {
-                apply_operator_view(shell, view, CatalogSource::Peer);
+                apply_operator_view(shell, view);
             }
             if let Some(view) = message.directory {
                 apply_directory_view(shell, DirectoryView { read_at: shell.clock.now(), ..view });
@@ -155,7 +171,7 @@
     Client::builder().build().map_err(PlatformError::Client)
 }
 
-async fn fetch_view(peer: SocketAddr) -> Result<ViewMessage, PlatformError> {
+async fn fetch_view(peer: SocketAddr, path: &str) -> Result<ViewMessage, PlatformError> {
     let client = new_client()?;
-    get_json(&client, format!("http://{peer}{VIEW_PATH}"), PEER_TIMEOUT).await
+    get_json(&client, format!("http://{peer}{path}"), PEER_TIMEOUT).await
 }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -115,7 +115,7 @@
     /// Returns the age of the directory in milliseconds for log lines, or `None` before the first
     /// read.
     pub(super) fn directory_age_ms(&self) -> Option<u64> {
-        let read_at = self.view().directory.as_ref()?.read_at;
+        let read_at = self.view().directory.view()?.read_at;
         u64::try_from(self.clock.now().since(read_at).as_millis()).ok()
     }
 
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -1,17 +1,11 @@
 //! Watches the platform's store, and polls other gateways while the store cannot be read.
 //!
-//! The offsets of both keyed streams only grow, so the view of a stream with the higher offset is
-//! the newer one, whichever process it comes from.
+//! Positions in the store only grow, so the view of a stream with the higher position is the newer
+//! one, whichever process it comes from.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use rand::Rng;
 use volo_http::client::Client;
 
 use super::{peers, shell::GatewayShell};
@@ -20,8 +14,11 @@
         KeyedRead, KeyedRecord, KeyedStream, OperatorKey, PlatformError, StoreClient,
         decode_catalog, decode_server,
     },
-    routing::{CatalogSource, RouteCatalog, RoutingEvent, ServerRecord},
-    units::{FailureDomain, LogOffset, Moment, ServerId},
+    routing::{
+        CatalogSource, DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange,
+        OperatorTable, OperatorView, ReadKind, RoutingEvent,
+    },
+    units::{FailureDomain, LogOffset, ServerId, StorePosition},
 };
 
 /// Timeout of a long poll of the operator's stream. The store may miss waking a reader whose poll
@@ -36,33 +33,15 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Latest data read from the platform's store, in the form in which gateways send it to each other.
+/// Time after the first read of an era until another gateway is asked for a catalog that the store
+/// may have lost. Until then, other gateways that have just started have read the store too.
+const CATALOG_CHECK_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Latest data read from the platform's store.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PlatformView {
-    /// View of the operator's stream; `None` before the first read.
-    pub(super) operator: Option<OperatorView>,
-    /// View of the directory; `None` before the first read.
-    pub(super) directory: Option<DirectoryView>,
-}
-
-/// The catalog and the evacuations as of an offset of the operator's stream.
-#[derive(Clone, Debug)]
-#[derive(Serialize, Deserialize)]
-pub(super) struct OperatorView {
-    pub(super) offset: LogOffset,
-    pub(super) catalog: Option<RouteCatalog>,
-    pub(super) evacuated: BTreeSet<FailureDomain>,
-}
-
-/// The servers as of an offset of the directory's stream.
-#[derive(Clone, Debug)]
-#[derive(Serialize, Deserialize)]
-pub(super) struct DirectoryView {
-    pub(super) offset: LogOffset,
-    pub(super) servers: BTreeMap<ServerId, ServerRecord>,
-    /// Time of the read from the store, or of its receipt from another gateway that gives no age.
-    #[serde(skip)]
-    pub(super) read_at: Moment,
+    pub(super) operator: OperatorTable,
+    pub(super) directory: DirectoryTable,
 }
 
 /// Keeps the catalog and the evacuations up to date, from other gateways while the store cannot be
@@ -70,15 +49,19 @@
 pub(super) async fn watch_operator(shell: Arc<GatewayShell>, store: StoreClient) {
     let mut is_unavailable = false;
     loop {
-        let from = shell.view().operator.as_ref().map(|it| it.offset);
+        expire_evacuations(&shell);
+        let from = shell.view().operator.position();
         // After a failure the store is read without waiting, and other gateways are polled in
         // between: a long poll that gets no response would hide changes until it times out.
         let wait = if is_unavailable { Duration::ZERO } else { OPERATOR_POLL_TIMEOUT };
         match read_changes(&store, KeyedStream::Operator, from, wait).await {
-            Ok((records, offset, is_snapshot)) => {
+            Ok(read) => {
                 is_unavailable = false;
-                let view = build_operator_view(&shell, records, offset, is_snapshot);
-                apply_operator_view(&shell, view, CatalogSource::Store);
+                let is_new_era = from.is_none_or(|it| it.era < read.position.era);
+                apply_operator_read(&shell, read);
+                if is_new_era {
+                    tokio::spawn(check_catalog(shell.clone()));
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_unavailable, true) {
@@ -91,6 +74,14 @@
     }
 }
 
+/// Asks another gateway for a newer catalog: a store that came back from a copy may have lost the
+/// newest one, which a process that starts then does not know.
+async fn check_catalog(shell: Arc<GatewayShell>) {
+    let jitter = rand::rng().random_range(0.0..1.0);
+    tokio::time::sleep(CATALOG_CHECK_DELAY.mul_f64(1.0 + jitter)).await;
+    peers::poll_random_catalog(&shell).await;
+}
+
 /// Keeps the directory up to date, from the reader of this failure domain or from the store.
 pub(super) async fn watch_directory(shell: Arc<GatewayShell>, store: StoreClient, client: Client) {
     let mut is_unavailable = false;
@@ -99,13 +90,13 @@
             tokio::time::sleep(shell.leave_time / READER_POLLS_PER_LEAVE_TIME).await;
             continue;
         }
-        let from = shell.view().directory.as_ref().map(|it| it.offset);
+        let from = shell.view().directory.view().map(|it| it.position);
         match read_changes(&store, KeyedStream::Servers, from, Duration::ZERO).await {
-            Ok((records, offset, is_snapshot)) => {
+            Ok(read) => {
                 if std::mem::replace(&mut is_unavailable, false) {
                     shell.dispatch(RoutingEvent::StoreRecovered);
                 }
-                let view = build_directory_view(&shell, records, offset, is_snapshot);
+                let view = build_directory_view(&shell, read);
                 apply_directory_view(&shell, view);
                 tokio::time::sleep(shell.leave_time / READS_PER_LEAVE_TIME).await;
             }
@@ -120,85 +111,110 @@
     }
 }
 
-/// Reads the records since `from`, or the newest of each key if there is no usable offset. The flag
-/// is `true` for a snapshot of all keys and `false` for changes.
+/// Records read from the store.
+struct StoreRead {
+    kind: ReadKind,
+    records: Vec<KeyedRecord>,
+    /// Position from which to read later changes.
+    position: StorePosition,
+}
+
+/// Reads the records since `from`, or the newest of each key if there is no usable position.
 async fn read_changes(
     store: &StoreClient,
     stream: KeyedStream,
-    from: Option<LogOffset>,
+    from: Option<StorePosition>,
     wait: Duration,
-) -> Result<(Vec<KeyedRecord>, LogOffset, bool), PlatformError> {
+) -> Result<StoreRead, PlatformError> {
     if let Some(from) = from {
         match store.read(stream, from, wait).await? {
-            KeyedRead::Records(records, offset) => return Ok((records, offset, false)),
+            KeyedRead::Records(records, position) => {
+                return Ok(StoreRead { kind: ReadKind::Changes, records, position });
+            }
             KeyedRead::Expired => {
-                log::info!(from:% = from; "offset expired in store, reading all keys");
+                log::info!(from:% = from; "store lacks the offset, reading all keys");
+            }
+            KeyedRead::Rewound(era) => {
+                log::warn!(
+                    from:% = from, era:% = era;
+                    "store came back from a copy, reading all keys"
+                );
             }
         }
     }
-    let (records, offset) = store.read_newest(stream).await?;
-    Ok((records, offset, true))
+    let (records, position) = store.read_newest(stream).await?;
+    Ok(StoreRead { kind: ReadKind::Snapshot, records, position })
 }
 
-fn build_operator_view(
-    shell: &GatewayShell,
-    records: Vec<KeyedRecord>,
-    offset: LogOffset,
-    is_snapshot: bool,
-) -> OperatorView {
-    let previous = shell.view().operator.clone();
-    let mut view =
-        previous.unwrap_or(OperatorView { offset, catalog: None, evacuated: BTreeSet::new() });
-    view.offset = offset;
-    if is_snapshot {
-        view.evacuated.clear();
-    }
-    for KeyedRecord { key, value } in records {
-        match OperatorKey::parse(&key) {
-            OperatorKey::Catalog => apply_catalog(&mut view, value),
-            OperatorKey::Evacuation(domain) => apply_evacuation(&mut view, &domain, value),
-            OperatorKey::Other => {}
-        }
-    }
-    view
+fn decode_operator_change(record: KeyedRecord) -> Option<(LogOffset, OperatorChange)> {
+    let KeyedRecord { key, value, offset } = record;
+    let change = match OperatorKey::parse(&key) {
+        OperatorKey::Catalog => match decode_catalog(&value?) {
+            Ok(catalog) => OperatorChange::Catalog(Box::new(catalog)),
+            Err(error) => {
+                log::error!(error:% = error; "invalid catalog, keeping the current one");
+                return None;
+            }
+        },
+        OperatorKey::Evacuation(domain) => match domain.parse::<FailureDomain>() {
+            Ok(domain) if value.is_some() => OperatorChange::Evacuated(domain),
+            Ok(domain) => OperatorChange::Restored(domain),
+            Err(error) => {
+                log::error!(domain:% = domain, error:% = error; "invalid failure domain in evacuation key");
+                return None;
+            }
+        },
+        OperatorKey::Other => return None,
+    };
+    Some((offset, change))
 }
 
-fn apply_catalog(view: &mut OperatorView, value: Option<Bytes>) {
-    let Some(text) = value else { return };
-    match decode_catalog(&text) {
-        Ok(catalog) => {
-            let newest = view.catalog.as_ref().map(RouteCatalog::version);
-            if newest.is_none_or(|it| it < catalog.version()) {
-                view.catalog = Some(catalog);
-            }
-        }
-        Err(error) => log::error!(error:% = error; "invalid catalog, keeping the current one"),
+/// Applies records of the operator's stream that were read from the store.
+fn apply_operator_read(shell: &GatewayShell, read: StoreRead) {
+    let StoreRead { kind, records, position } = read;
+    let changes = records.into_iter().filter_map(decode_operator_change).collect();
+    let now = shell.clock.now();
+    shell.view().operator.apply_read(kind, position, changes, now);
+    dispatch_operator_table(shell, CatalogSource::Store);
+}
+
+/// Applies another gateway's view of the operator's stream.
+pub(super) fn apply_operator_view(shell: &GatewayShell, view: OperatorView) {
+    let now = shell.clock.now();
+    shell.view().operator.apply_view(view, now);
+    dispatch_operator_table(shell, CatalogSource::Peer);
+}
+
+fn expire_evacuations(shell: &GatewayShell) {
+    let now = shell.clock.now();
+    if shell.view().operator.expire(now) {
+        dispatch_operator_table(shell, CatalogSource::Store);
     }
 }
 
-fn apply_evacuation(view: &mut OperatorView, domain: &SmolStr, value: Option<Bytes>) {
-    let domain: FailureDomain = match domain.parse() {
-        Ok(domain) => domain,
-        Err(error) => {
-            log::error!(domain:% = domain, error:% = error; "invalid failure domain in evacuation key");
-            return;
-        }
-    };
-    match value {
-        Some(_) => view.evacuated.insert(domain),
-        None => view.evacuated.remove(&domain),
+/// Passes a newer catalog and changed evacuations on to the reducer.
+fn dispatch_operator_table(shell: &GatewayShell, source: CatalogSource) {
+    let in_force = shell.catalog_version();
+    let (catalog, evacuated) = {
+        let view = shell.view();
+        let newer = view.operator.catalog().filter(|it| it.version() > in_force);
+        (newer.cloned(), view.operator.evacuated())
     };
+    if let Some(catalog) = catalog {
+        shell.dispatch(RoutingEvent::CatalogRead { source, catalog: Box::new(catalog) });
+    }
+    if shell.read(|it| *it.servers().evacuated() != evacuated) {
+        shell.dispatch(RoutingEvent::EvacuationsRead(evacuated));
+    }
 }
 
-fn build_directory_view(
-    shell: &GatewayShell,
-    records: Vec<KeyedRecord>,
-    offset: LogOffset,
-    is_snapshot: bool,
-) -> DirectoryView {
-    let previous = if is_snapshot { None } else { shell.view().directory.clone() };
+fn build_directory_view(shell: &GatewayShell, read: StoreRead) -> DirectoryView {
+    let previous = match read.kind {
+        ReadKind::Snapshot => None,
+        ReadKind::Changes => shell.view().directory.view().cloned(),
+    };
     let mut servers = previous.map_or_else(BTreeMap::new, |it| it.servers);
-    for KeyedRecord { key, value } in records {
+    for KeyedRecord { key, value, .. } in read.records {
         let record = value.and_then(|text| decode_server(&key, &text));
         match (key.parse::<ServerId>(), record) {
             (Ok(id), Some(record)) => {
@@ -212,29 +228,20 @@
             }
         }
     }
-    DirectoryView { offset, servers, read_at: shell.clock.now() }
-}
-
-/// Applies a view of the operator's stream, unless the current one is as new or newer.
-pub(super) fn apply_operator_view(shell: &GatewayShell, view: OperatorView, source: CatalogSource) {
-    let is_newer = shell.view().operator.as_ref().is_none_or(|it| it.offset < view.offset);
-    if !is_newer {
-        return;
-    }
-    shell.view().operator = Some(view.clone());
-    if let Some(catalog) = view.catalog {
-        shell.dispatch(RoutingEvent::CatalogRead { source, catalog: Box::new(catalog) });
-    }
-    shell.dispatch(RoutingEvent::EvacuationsRead(view.evacuated));
+    DirectoryView { position: read.position, servers, read_at: shell.clock.now() }
 }
 
 /// Applies a view of the directory, unless the current one is newer.
 pub(super) fn apply_directory_view(shell: &GatewayShell, view: DirectoryView) {
-    let is_older = shell.view().directory.as_ref().is_some_and(|it| it.offset > view.offset);
-    if is_older {
-        return;
-    }
     let list = view.servers.values().cloned().collect();
-    shell.view().directory = Some(view);
+    // Bound first, so that the lock is released before the reducer's is taken.
+    let update = shell.view().directory.apply(view);
+    match update {
+        DirectoryUpdate::Outdated => return,
+        DirectoryUpdate::Applied => {}
+        DirectoryUpdate::Rewound => {
+            shell.dispatch(RoutingEvent::StoreRewound);
+        }
+    }
     shell.dispatch(RoutingEvent::DirectoryRead(list));
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -67,6 +67,12 @@
     /// The response has an unexpected HTTP status.
     #[error("the platform responded with status {0}")]
     Status(u16),
+    /// The store has started a new era during a read, or the response is from an earlier one.
+    #[error("the platform's store has started a new era")]
+    EraChanged,
+    /// The number of the store's era is not an integer.
+    #[error("the platform's store sent an invalid era")]
+    InvalidEra,
     /// The response ends in the middle of a record.
     #[error("the platform's response is truncated")]
     Truncated,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,7 +3,7 @@
 //!
 //! The client only reads; operators and backend servers write.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cmp::Ordering, net::SocketAddr, time::Duration};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::{Buf, Bytes};
@@ -11,8 +11,8 @@
 use smol_str::SmolStr;
 use volo_http::client::Client;
 
-use super::{PlatformError, fetch, get_json};
-use crate::units::LogOffset;
+use super::{PlatformError, fetch};
+use crate::units::{LogOffset, StoreEra, StorePosition};
 
 /// Timeout of one request to the store; a long poll adds its wait. It is below the shortest time
 /// within which a change must reach the gateways.
@@ -20,6 +20,9 @@
 /// Size of the header of a page, which holds two offsets.
 const PAGE_HEADER_BYTES: usize = 16;
 
+/// Header with the number of times that the store has come back from a copy of itself.
+const ERA_HEADER: &str = "store-era";
+
 /// Topic that operators write: the route catalog and evacuations of failure domains.
 const OPERATOR_TOPIC: &str = "keyed.op";
 /// Topic that backend servers write: the directory.
@@ -50,15 +53,19 @@
     pub key: SmolStr,
     /// Value of the record; `None` is a tombstone that removes the key.
     pub value: Option<Bytes>,
+    /// Offset of the record in its stream.
+    pub offset: LogOffset,
 }
 
 /// Result of reading records from an offset.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KeyedRead {
-    /// Records from the requested offset in order, and the offset to read next.
-    Records(Vec<KeyedRecord>, LogOffset),
-    /// Records at the requested offset have expired: call [`StoreClient::read_newest`].
+    /// Records from the requested position in order, and the position to read next.
+    Records(Vec<KeyedRecord>, StorePosition),
+    /// The store does not have the requested offset: call [`StoreClient::read_newest`].
     Expired,
+    /// The store has started this later era: call [`StoreClient::read_newest`].
+    Rewound(StoreEra),
 }
 
 /// HTTP client of the store.
@@ -81,6 +88,7 @@
 struct NewestItem {
     key: SmolStr,
     value: String,
+    offset: LogOffset,
 }
 
 impl StoreClient {
@@ -94,67 +102,101 @@
         Ok(Self { client, address })
     }
 
-    /// Reads the newest record of each key, and returns them with the offset from which to read
+    /// Reads the newest record of each key, and returns them with the position from which to read
     /// later changes.
     ///
     /// # Errors
     ///
-    /// The store is unreachable, times out, or responds with an error.
+    /// The store is unreachable, times out, responds with an error, or starts a new era meanwhile.
     pub async fn read_newest(
         &self,
         stream: KeyedStream,
-    ) -> Result<(Vec<KeyedRecord>, LogOffset), PlatformError> {
+    ) -> Result<(Vec<KeyedRecord>, StorePosition), PlatformError> {
         let topic = stream.topic();
         let base = format!("http://{}/v1/log-newest?topic={topic}&part=0", self.address);
-        let mut page: NewestPage = get_json(&self.client, base.clone(), STORE_TIMEOUT).await?;
+        let (mut page, era) = self.fetch_newest_page(base.clone()).await?;
         // The pages are not one consistent snapshot, so reading resumes from the end offset of the
         // first page, which repeats the changes made since.
-        let end = page.end;
+        let end = StorePosition { era, offset: page.end };
         let mut records = Vec::new();
         loop {
             let last = page.items.last().map(|it| it.key.clone());
             records.extend(page.items.into_iter().map(decode_item));
             let Some(last) = last.filter(|_| page.has_more) else { return Ok((records, end)) };
             let uri = format!("{base}&after={last}");
-            page = get_json(&self.client, uri, STORE_TIMEOUT).await?;
+            let (next_page, next_era) = self.fetch_newest_page(uri).await?;
+            if next_era != era {
+                return Err(PlatformError::EraChanged);
+            }
+            page = next_page;
+        }
+    }
+
+    async fn fetch_newest_page(
+        &self,
+        uri: String,
+    ) -> Result<(NewestPage, StoreEra), PlatformError> {
+        let (parts, body) = fetch(self.client.get(uri), STORE_TIMEOUT).await?;
+        if parts.status != http::StatusCode::OK {
+            return Err(PlatformError::Status(parts.status.as_u16()));
         }
+        Ok((serde_json::from_slice(&body)?, decode_era(&parts.headers)?))
     }
 
-    /// Reads records from offset `from`. A long poll: waits up to `wait` if there are none yet.
+    /// Reads records from position `from`. A long poll: waits up to `wait` if there are none yet.
     ///
     /// # Errors
     ///
-    /// The store is unreachable, times out, or responds with an error.
+    /// The store is unreachable, times out, or responds with an error or from an earlier era.
     pub async fn read(
         &self,
         stream: KeyedStream,
-        from: LogOffset,
+        from: StorePosition,
         wait: Duration,
     ) -> Result<KeyedRead, PlatformError> {
+        let offset = from.offset;
         let (address, topic, wait_ms) = (self.address, stream.topic(), wait.as_millis());
         let uri = format!(
-            "http://{address}/v1/log-read?topic={topic}&part=0&range-start={from}&wait-ms={wait_ms}"
+            "http://{address}/v1/log-read?topic={topic}&part=0&range-start={offset}&wait-ms={wait_ms}"
         );
         let (parts, body) = fetch(self.client.get(uri), STORE_TIMEOUT + wait).await?;
-        match parts.status {
-            http::StatusCode::OK => decode_page(body, from),
-            http::StatusCode::GONE => Ok(KeyedRead::Expired),
-            status => Err(PlatformError::Status(status.as_u16())),
+        // A later era is told apart by any response, since its offsets may seem to continue. Errors
+        // of the network between may lack the header.
+        let is_answer = matches!(parts.status, http::StatusCode::OK | http::StatusCode::GONE);
+        if !is_answer {
+            return Err(PlatformError::Status(parts.status.as_u16()));
+        }
+        let era = decode_era(&parts.headers)?;
+        match era.cmp(&from.era) {
+            Ordering::Less => Err(PlatformError::EraChanged),
+            Ordering::Greater => Ok(KeyedRead::Rewound(era)),
+            Ordering::Equal if parts.status == http::StatusCode::GONE => Ok(KeyedRead::Expired),
+            Ordering::Equal => decode_page(body, from),
         }
     }
 }
 
-/// Decodes the base64 value. An invalid or empty value becomes `None`, as in a tombstone.
+/// Returns the store's era. A store without eras does not send the header and stays in the first.
+fn decode_era(headers: &http::HeaderMap) -> Result<StoreEra, PlatformError> {
+    let Some(value) = headers.get(ERA_HEADER) else { return Ok(StoreEra::default()) };
+    let era = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    era.ok_or(PlatformError::InvalidEra)
+}
+
+/// Decodes the base64 value. An empty value becomes `None`, as in a tombstone. An invalid one is
+/// kept as it is, since the key exists.
 fn decode_item(item: NewestItem) -> KeyedRecord {
-    let value = BASE64_STANDARD.decode(item.value.as_bytes());
-    if let Err(error) = &value {
-        log::warn!(key:% = item.key, error:% = error; "store record has an invalid base64 value");
-    }
-    KeyedRecord { key: item.key, value: value.ok().filter(|it| !it.is_empty()).map(Bytes::from) }
+    let NewestItem { key, value, offset } = item;
+    let value = BASE64_STANDARD.decode(value.as_bytes()).unwrap_or_else(|error| {
+        log::warn!(key:% = key, error:% = error; "store record has an invalid base64 value");
+        value.into_bytes()
+    });
+    let value = (!value.is_empty()).then(|| Bytes::from(value));
+    KeyedRecord { key, value, offset }
 }
 
 /// Decodes a page: a header, then records that each follow their length as a big-endian `u32`.
-fn decode_page(mut body: Bytes, from: LogOffset) -> Result<KeyedRead, PlatformError> {
+fn decode_page(mut body: Bytes, from: StorePosition) -> Result<KeyedRead, PlatformError> {
     if body.len() < PAGE_HEADER_BYTES {
         return Err(PlatformError::Truncated);
     }
@@ -168,20 +210,21 @@
         if length > body.len() {
             return Err(PlatformError::Truncated);
         }
-        records.push(decode_record(body.split_to(length)));
+        let offset = LogOffset(from.offset.0 + records.len() as u64);
+        records.push(decode_record(body.split_to(length), offset));
     }
-    let next = LogOffset(from.0 + records.len() as u64);
-    Ok(KeyedRead::Records(records, next))
+    let offset = LogOffset(from.offset.0 + records.len() as u64);
+    Ok(KeyedRead::Records(records, StorePosition { offset, ..from }))
 }
 
 /// Decodes a record: the length of its key in one byte, the key, and the value.
-fn decode_record(mut content: Bytes) -> KeyedRecord {
+fn decode_record(mut content: Bytes, offset: LogOffset) -> KeyedRecord {
     if content.is_empty() {
-        return KeyedRecord { key: SmolStr::default(), value: None };
+        return KeyedRecord { key: SmolStr::default(), value: None, offset };
     }
     let length = usize::from(content.get_u8()).min(content.len());
     let key = String::from_utf8_lossy(&content.split_to(length)).into();
-    KeyedRecord { key, value: (!content.is_empty()).then_some(content) }
+    KeyedRecord { key, value: (!content.is_empty()).then_some(content), offset }
 }
 
 #[cfg(test)]
@@ -201,25 +244,27 @@
 
     #[gtest]
     fn page_is_decoded() {
-        let read = decode_page(page(&[b"\x01ab", b"\x02xy"]), LogOffset(7)).unwrap();
-        let record = |key: &str, value: Option<&'static [u8]>| KeyedRecord {
+        let position = |offset| StorePosition { era: StoreEra(3), offset: LogOffset(offset) };
+        let read = decode_page(page(&[b"\x01ab", b"\x02xy"]), position(7)).unwrap();
+        let record = |key: &str, value: Option<&'static [u8]>, offset| KeyedRecord {
             key: key.into(),
             value: value.map(Bytes::from_static),
+            offset: LogOffset(offset),
         };
-        let records = vec![record("a", Some(b"b")), record("xy", None)];
-        assert_that!(read, eq(&KeyedRead::Records(records, LogOffset(9))));
+        let records = vec![record("a", Some(b"b"), 7), record("xy", None, 8)];
+        assert_that!(read, eq(&KeyedRead::Records(records, position(9))));
     }
 
     #[gtest]
     fn truncated_page_is_rejected() {
         let mut body = page(&[b"\x01ab"]);
         body.truncate(body.len() - 1);
-        assert_that!(decode_page(body, LogOffset(0)), err(anything()));
+        assert_that!(decode_page(body, StorePosition::default()), err(anything()));
     }
 
     #[gtest]
     fn malformed_records_are_decoded_leniently() {
-        assert_that!(decode_record(Bytes::new()).value, none());
-        assert_that!(decode_record(Bytes::from_static(b"\xffab")).key, eq("ab"));
+        assert_that!(decode_record(Bytes::new(), LogOffset(0)).value, none());
+        assert_that!(decode_record(Bytes::from_static(b"\xffab"), LogOffset(0)).key, eq("ab"));
     }
 }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod servers;
 mod state;
+mod views;
 
 pub use admission::{
     AdmissionSettings, Candidate, PlacementChoice, RetryReason, choose_candidate, retry_after,
@@ -31,3 +32,7 @@
 pub use peers::{GatewayLocation, PeerTable};
 pub use servers::{GroupMembership, KnownServer, ServerRecord, ServerTable};
 pub use state::{RoutingSettings, RoutingState, reduce};
+pub use views::{
+    DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange, OperatorTable, OperatorView,
+    ReadKind,
+};
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -127,6 +127,9 @@
     StoreUnavailable,
     /// The platform's store can be read again.
     StoreRecovered,
+    /// The platform's store came back from an older copy of itself; the directory read from it
+    /// follows.
+    StoreRewound,
     /// An agent reported the load of its server.
     LoadReported {
         /// Address of the server.
@@ -232,6 +235,8 @@
     StoreUnavailable,
     /// The platform's store can be read again.
     StoreRecovered,
+    /// The platform's store came back from an older copy of itself.
+    StoreRewound,
     /// The process was asked to stop.
     Stopping,
 }
@@ -256,6 +261,7 @@
             }
             Self::StoreUnavailable => f.write_str("platform store is unavailable"),
             Self::StoreRecovered => f.write_str("platform store is available again"),
+            Self::StoreRewound => f.write_str("platform store came back from an older copy"),
             Self::Stopping => f.write_str("stop requested"),
         }
     }
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -15,6 +15,11 @@
 /// Time after an outage of the store in which an entry that expired during the outage may come
 /// back. The platform promises about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+/// Time after the store has come back from a copy within which each living server has written its
+/// entry again, and the entries of others have expired: four heartbeats.
+const REWIND_GRACE: Duration = Duration::from_millis(4_800);
+/// Time for which a removed server is remembered, longer than a copy is old.
+const REMOVED_TTL: Duration = Duration::from_secs(60);
 /// Longest time from a server's start until the directory shows that it is cold: its heartbeat
 /// interval plus the propagation delay of the directory.
 const DIRECTORY_LAG: Duration = Duration::from_millis(2_000);
@@ -84,6 +89,10 @@
     outage_since: Option<Moment>,
     /// End of the latest outage of the store; `None` if there was none.
     returned_at: Option<Moment>,
+    /// When the store last came back from a copy; `None` if it never did.
+    rewound_at: Option<Moment>,
+    /// Servers that were removed lately, by id and start time, with the time of their removal.
+    removed: BTreeMap<(ServerId, Option<u64>), Moment>,
 }
 
 impl ServerTable {
@@ -130,13 +139,39 @@
         }
     }
 
+    /// Records that the store came back from an older copy of itself.
+    ///
+    /// For a while, a server that the directory does not list yet stays in use, one that was leaving
+    /// stays unused although it is listed as ready, and one that had left stays removed although it
+    /// is listed.
+    pub fn mark_store_rewound(&mut self, now: Moment) {
+        self.rewound_at = Some(now);
+        self.returned_at = Some(now);
+    }
+
+    /// Whether the directory may still hold entries of the copy that are out of date.
+    fn is_recovering_copy(&self, now: Moment) -> bool {
+        self.rewound_at.is_some_and(|at| now.since(at) < REWIND_GRACE)
+    }
+
     /// Replaces the table by a full directory. Entries that disappear because of an outage of the
     /// store stay for a while (see `removal_time`).
     pub fn apply_directory(&mut self, list: Vec<ServerRecord>, now: Moment) -> Vec<RoutingChange> {
         let mut changes = Vec::new();
         let mut previous = std::mem::take(&mut self.servers);
-        for record in list {
+        let is_recovering_copy = self.is_recovering_copy(now);
+        self.removed.retain(|_, at| now.since(*at) < REMOVED_TTL);
+        for mut record in list {
+            if is_recovering_copy
+                && self.removed.contains_key(&(record.id.clone(), record.started_ms))
+            {
+                continue;
+            }
             let known = previous.remove(&record.id);
+            let was_draining = known.as_ref().is_some_and(|it| {
+                it.record.is_draining && it.record.started_ms == record.started_ms
+            });
+            record.is_draining |= is_recovering_copy && was_draining;
             changes.extend(detect_change(known.as_ref(), &record));
             let server = merge_record(known, record, now);
             self.servers.insert(server.record.id.clone(), server);
@@ -146,7 +181,10 @@
                 Some(end) if now < end => {
                     self.servers.insert(id, KnownServer { lapses_at: Some(end), ..server });
                 }
-                Some(_) | None => changes.push(RoutingChange::ServerRemoved(id)),
+                Some(_) | None => {
+                    self.removed.insert((id.clone(), server.record.started_ms), now);
+                    changes.push(RoutingChange::ServerRemoved(id));
+                }
             }
         }
         self.mark_address_conflicts();
@@ -184,7 +222,9 @@
             .map(|it| it.record.id.clone())
             .collect();
         for id in &expired {
-            self.servers.remove(id);
+            if let Some(server) = self.servers.remove(id) {
+                self.removed.insert((id.clone(), server.record.started_ms), now);
+            }
         }
         expired.into_iter().map(RoutingChange::ServerRemoved).collect()
     }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -193,6 +193,10 @@
             state.servers.mark_store_recovered(now);
             change_effects(vec![RoutingChange::StoreRecovered])
         }
+        RoutingEvent::StoreRewound => {
+            state.servers.mark_store_rewound(now);
+            change_effects(vec![RoutingChange::StoreRewound])
+        }
         RoutingEvent::LoadReported { address, report, gateway_count } => {
             load_reported(state, address, report, gateway_count, now);
             Vec::new()
--- a/src/units.rs
+++ b/src/units.rs
@@ -11,5 +11,5 @@
 };
 pub use quantities::{
     ByteCount, ConcurrencyLimit, ConfigDigest, ConfigVersion, IncarnationId, LogOffset, Moment,
-    PriorityLevel, QuantityError, RequestRate, TokenCount, TokenRate,
+    PriorityLevel, QuantityError, RequestRate, StoreEra, StorePosition, TokenCount, TokenRate,
 };
--- a/src/units/quantities.rs
+++ b/src/units/quantities.rs
@@ -15,6 +15,9 @@
     /// The text is not a number.
     #[error("invalid number: {0}")]
     NotNumber(#[from] std::num::ParseFloatError),
+    /// The position in the store lacks the colon after its era.
+    #[error("position must be an era and an offset, separated by a colon")]
+    NoEra,
     /// The rate is infinite, negative or not a number.
     #[error("rate must be finite and not negative, got {0}")]
     BadRate(f64),
@@ -55,6 +58,8 @@
 integer_types! {
     /// Position of a record in a stream of the log service.
     LogOffset(u64);
+    /// Number of times that the platform's store has come back from a copy of itself.
+    StoreEra(u64);
     /// Number of records of the configuration stream that were applied; never decreases.
     ConfigVersion(u64);
     /// Order-independent checksum of the entries of a configuration.
@@ -73,6 +78,42 @@
     Moment(u64);
 }
 
+/// Position in a stream of the platform's store. Offsets are assigned again in each era, so the era
+/// decides the order first.
+///
+/// ```
+/// use alderbay::units::{LogOffset, StoreEra, StorePosition};
+/// let position: StorePosition = "1:7".parse()?;
+/// assert_eq!(position, StorePosition { era: StoreEra(1), offset: LogOffset(7) });
+/// assert!(position > "0:9".parse()?);
+/// assert_eq!(position.to_string(), "1:7");
+/// # Ok::<(), alderbay::units::QuantityError>(())
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct StorePosition {
+    /// Era that the offset belongs to; gateways of earlier releases do not send it.
+    #[serde(default)]
+    pub era: StoreEra,
+    /// Offset of the next record to read.
+    pub offset: LogOffset,
+}
+
+impl fmt::Display for StorePosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.era, self.offset)
+    }
+}
+
+impl FromStr for StorePosition {
+    type Err = QuantityError;
+
+    fn from_str(text: &str) -> Result<Self, QuantityError> {
+        let (era, offset) = text.split_once(':').ok_or(QuantityError::NoEra)?;
+        Ok(Self { era: era.parse()?, offset: offset.parse()? })
+    }
+}
+
 impl Moment {
     /// Returns the moment that is `delay` later.
     ///
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -27,6 +27,7 @@
 mod retry_budget;
 mod run_once;
 mod slow_caller;
+mod store_rewind;
 mod whole_answer;
 mod whole_path;
 
--- a/tests/support/platform_store.rs
+++ b/tests/support/platform_store.rs
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct StoreState {
     topics: BTreeMap<String, Records>,
+    /// Number of rewinds, sent with every answer.
+    era: u64,
     is_down: bool,
     is_silent: bool,
     skips_wakeups: bool,
@@ -31,6 +33,9 @@
     reads_of: BTreeMap<String, u64>,
 }
 
+/// The records of all topics at some time, to which the store can be rewound.
+pub struct StoreCopy(BTreeMap<String, Records>);
+
 pub struct FakeStore {
     pub fake_server: FakeServer,
     state: Arc<Mutex<StoreState>>,
@@ -56,6 +61,18 @@
         state.topics.entry(topic.into()).or_default().push((key.into(), value));
     }
 
+    /// Copies the records of all topics.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().unwrap().topics.clone())
+    }
+
+    /// Replaces all records by those of the copy and begins a new era.
+    pub fn rewind(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        state.topics = copy.0;
+        state.era += 1;
+    }
+
     /// Starts or ends an outage, during which every read is answered with 503.
     pub fn set_down(&self, is_down: bool) {
         self.state.lock().unwrap().is_down = is_down;
@@ -84,6 +101,13 @@
 }
 
 async fn answer(state: Arc<Mutex<StoreState>>, request: Request) -> Response {
+    let mut answer = answer_body(state.clone(), request).await;
+    let era = state.lock().unwrap().era;
+    answer.headers_mut().insert("store-era", era.into());
+    answer
+}
+
+async fn answer_body(state: Arc<Mutex<StoreState>>, request: Request) -> Response {
     let uri = request.uri().clone();
     let topic: String = query(&uri, "topic").unwrap_or_default();
     let from: Option<usize> = query(&uri, "range-start");
@@ -103,6 +127,7 @@
             let records = state.topics.entry(topic.clone()).or_default();
             match from {
                 None => return newest(records),
+                Some(from) if from > records.len() => return empty_answer(StatusCode::GONE),
                 Some(from) => page(records, from),
             }
         };
