Bound what agents and gateways send in large deployments

A side link bears 750 kB a second. No map was ever rolled out, the most loaded rank had 3.63 times the mean. Change: a gateway uses 48 servers, 36 at most of its own failure domain, by rendezvous hashing, and counts the other gateways over all the lists that it hears; large groups' members go with every fourth subscription; ranks take turns at sampling; a map goes over a tree of ranks, then directly to those it did not reach; statuses carry the experts twice a second; counts are decoded without buffering; up to 16 copies a rank and round.

--- a/src/experts.rs
+++ b/src/experts.rs
@@ -19,7 +19,8 @@
 pub use popularity::{LoadEstimate, PopularityTrace};
 pub use rollout::{
     COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapUpdate, MemberStatus, RankOrder,
-    RankReport, RolloutEffect, RolloutEvent, RolloutState, UsageSample,
+    RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction, SampleSchedule,
+    UsageSample, relay_children,
 };
 pub use rounds::{GroupMap, RoundPlan, RoundSettings, group_skew, plan_round};
 pub use switch::{
--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -20,12 +20,16 @@
 
 mod coordinator;
 mod messages;
+mod relay;
+mod sampling;
 mod takeover;
 
 pub use messages::{
     ExpertUsage, MapRollout, MapUpdate, MemberStatus, RankOrder, RankReport, RolloutEffect,
     RolloutEvent, UsageSample,
 };
+pub use relay::relay_children;
+pub use sampling::{SampleAction, SampleSchedule};
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -57,6 +61,8 @@
 /// Total variation distance (0 to 1) between latest and smoothed popularity from which on it counts
 /// as a shift, and the history is discarded.
 const SHIFT_THRESHOLD: f64 = 0.15;
+/// Minimum number of choices per expert in an interval. With fewer, chance looks like a shift.
+const MIN_CHOICES_PER_EXPERT: f64 = 20.0;
 /// Number of further intervals to wait for after a shift before a map is planned. The interval in
 /// which the shift occurs mixes old and new popularity.
 const SETTLING_INTERVALS: u32 = 1;
@@ -73,6 +79,8 @@
     /// First step that uses the map; `None` until all ranks have prepared it.
     step: Option<StepNumber>,
     started_at: Moment,
+    /// When the coordinator sent the map over the relay tree; `None` before that.
+    relayed_at: Option<Moment>,
 }
 
 /// State machine of one agent: its view of the group and of the rollout in progress.
@@ -191,6 +199,14 @@
         if let Some(sample) = &status.counts {
             self.add_counts(sample);
         }
+        let previous = self.statuses.remove(&status.rank).map(|it| it.0);
+        let mut status = status;
+        // Most statuses omit the experts, which change with the map only.
+        if let Some(previous) = previous.filter(|it| it.map == status.map)
+            && status.experts.is_empty()
+        {
+            status.experts = previous.experts;
+        }
         self.statuses.insert(status.rank, (status, now));
     }
 
@@ -210,6 +226,7 @@
     pub fn status(&self, experts: Vec<Vec<u16>>, now: Moment) -> Option<MemberStatus> {
         let report = self.report.as_ref()?;
         let place = report.group.as_ref()?;
+        let new_map = self.active.as_ref().filter(|it| it.map.is_some()).map(|it| it.version);
         Some(MemberStatus {
             rank: place.rank,
             epoch: place.epoch,
@@ -219,7 +236,7 @@
             armed: report.armed,
             highest: self.highest_version,
             has_unanswered: self.has_unanswered(now),
-            known: self.known_map.as_ref().map(|it| it.0),
+            known: new_map.or(self.known_map.as_ref().map(|it| it.0)),
             experts,
             counts: None,
         })
@@ -264,18 +281,43 @@
                     base: None,
                     step,
                     started_at: now,
+                    relayed_at: None,
                 });
             }
         }
     }
 
+    /// Returns the ranks to which this agent forwards a relayed rollout message; none if the epochs
+    /// differ.
+    pub fn relay_targets(&self, rollout: &MapRollout) -> Vec<u16> {
+        let Some(report) = &self.report else { return Vec::new() };
+        let place = report.group.as_ref().filter(|it| it.epoch == rollout.epoch);
+        place.map_or_else(Vec::new, |it| relay_children(it.rank, report.group_size))
+    }
+
+    /// Whether a held step can be released as soon as this agent's own rank is armed: all other
+    /// ranks are armed for the step of the rollout in progress.
+    pub fn are_others_armed(&self) -> bool {
+        let (Some(active), Some(report)) = (&self.active, &self.report) else { return false };
+        let Some(step) = active.step else { return false };
+        let own_rank = report.group.as_ref().map(|it| it.rank);
+        let is_armed = |rank: u16| {
+            let status = self.statuses.get(&rank);
+            status.is_some_and(|(it, _)| it.armed == Some((active.version, step)))
+        };
+        (0..report.group_size).filter(|it| Some(*it) != own_rank).all(is_armed)
+    }
+
     /// Closes a sampling interval at the coordinator: blends its counts into the smoothed
     /// popularity, or replaces the popularity after a shift. Returns an event to log for a shift.
+    /// An interval with too few choices is continued.
     pub fn close_interval(&mut self) -> Option<RolloutEffect> {
         let layout = self.layout?;
         // Only the coordinator receives the counts of all ranks.
         let is_complete = self.interval_counts.len() == layout.layers * layout.experts;
-        if self.place()?.rank != 0 || !is_complete {
+        let choices: f64 = self.interval_counts.iter().sum();
+        let has_enough = choices >= MIN_CHOICES_PER_EXPERT * self.interval_counts.len() as f64;
+        if self.place()?.rank != 0 || !is_complete || !has_enough {
             return None;
         }
         let fresh = popularity(&self.interval_counts, layout.experts)?;
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -7,7 +7,7 @@
 use super::{
     AGENT_SILENCE_TIMEOUT, MapRollout, MapUpdate, MemberStatus, OrderKind, PREPARE_TIMEOUT,
     RankOrder, RankReport, RolloutEffect, RolloutEvent, RolloutProgress, RolloutState, STATUS_TTL,
-    to_milli,
+    relay_children, to_milli,
 };
 use crate::{
     experts::{GroupMap, MapVersion, RoundSettings, StepNumber, plan_round},
@@ -25,14 +25,20 @@
 const DEGRADED_SWITCH_LEAD_STEPS: u64 = 3;
 /// Minimum interval between broadcasts of a rollout.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(60);
-/// Maximum number of full maps per broadcast, so that they do not saturate the link.
-const MAX_FULL_MAPS: usize = 6;
+/// Maximum size of a broadcast, so that it takes at most half of the slowest link until the next.
+const MAX_BROADCAST_BYTES: usize = 24_000;
+/// Approximate size of a rollout message without the map, including packet headers.
+const MESSAGE_OVERHEAD_BYTES: usize = 80;
+/// Maximum number of ranks to which the coordinator sends each map itself.
+const MAX_DIRECT_RANKS: usize = 12;
+/// Time after which a map sent over the relay tree has reached all agents that it will reach.
+const RELAY_TIME: Duration = Duration::from_millis(400);
 /// Minimum interval between attempts to plan a round.
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 /// Time that a rank may spend on the sequential copies of one round.
 const COPY_BUDGET: Duration = Duration::from_millis(300);
 /// Maximum number of copies to a rank in one round, however fast they are.
-const MAX_COPIES_PER_RANK: usize = 6;
+const MAX_COPIES_PER_RANK: usize = 16;
 /// Maximum number of copies per layer to a rank in one round.
 const MAX_NEW_PER_LAYER: usize = 2;
 /// Minimum relative reduction of the skew for which a round is rolled out.
@@ -97,6 +103,7 @@
                 base: None,
                 step: Some(step),
                 started_at: now,
+                relayed_at: None,
             });
             self.last_broadcast_at = None;
         }
@@ -203,8 +210,9 @@
         report.group_size > 0 && (0..report.group_size).all(meets_condition)
     }
 
-    /// Sends the rollout to the ranks that have not yet prepared or armed the map. A full map is
-    /// long, so it goes only to agents that do not have the base of the delta.
+    /// Sends the rollout to the ranks that lack the map or are not yet armed. In a large group the
+    /// map first goes over a tree of ranks; those that it did not reach get it directly, a few at a
+    /// time. A full map is long, so it replaces a delta only for agents without its base.
     pub(super) fn broadcast(&mut self, now: Moment) -> Vec<RolloutEffect> {
         let was_sent_recently =
             self.last_broadcast_at.is_some_and(|at| now.since(at) < BROADCAST_INTERVAL);
@@ -213,42 +221,56 @@
             return Vec::new();
         }
         self.last_broadcast_at = Some(now);
+        let group_size = report.group_size;
         let own_rank = report.group.as_ref().map(|it| it.rank);
-        let (mut compact_receivers, mut full_receivers) = (Vec::new(), Vec::new());
-        for rank in (0..report.group_size).filter(|it| Some(*it) != own_rank) {
-            let status = self.statuses.get(&rank).map(|it| &it.0);
-            let is_done = status.is_some_and(|it| match active.step {
-                None => it.prepared == Some(active.version),
-                Some(step) => it.armed == Some((active.version, step)),
-            });
-            let base = active.base.as_ref().map(|it| it.0);
-            let can_skip_full_map = active.step.is_some()
-                || status.is_some_and(|it| base.is_some() && it.known == base);
-            match (is_done, can_skip_full_map) {
-                (true, _) => {}
-                (false, true) => compact_receivers.push(rank),
-                (false, false) => full_receivers.push(rank),
-            }
-        }
+        let pending: Vec<u16> = (0..group_size)
+            .filter(|it| Some(*it) != own_rank)
+            .filter(|it| !self.has_received(active, *it))
+            .collect();
         let message = |map: MapUpdate| {
             let RolloutProgress { epoch, version, step, .. } = *active;
             MapRollout { epoch, version, map, step }
         };
-        let mut effects = Vec::new();
-        if !compact_receivers.is_empty() {
-            let update = match (active.step, &active.base, &active.map) {
-                (None, Some((base, old)), Some(new)) => MapUpdate::delta(*base, old, new),
-                (Some(_), _, _) | (None, _, _) => MapUpdate::Omitted,
-            };
-            effects.push(RolloutEffect::Broadcast(compact_receivers, message(update)));
+        let Some(map) = active.map.as_ref().filter(|_| active.step.is_none()) else {
+            return broadcast_to(pending, message(MapUpdate::Omitted));
+        };
+        let (with_base, without_base): (Vec<u16>, Vec<u16>) =
+            pending.iter().partition(|it| self.knows_base(active, **it));
+        let delta = active.base.as_ref().map(|(base, old)| MapUpdate::delta(*base, old, map));
+        let full = MapUpdate::Full(map.clone());
+        if active.relayed_at.is_none() && own_rank == Some(0) && pending.len() > MAX_DIRECT_RANKS {
+            let update = delta.filter(|_| without_base.is_empty()).unwrap_or(full);
+            let relayed = RolloutEffect::Relay(relay_children(0, group_size), message(update));
+            self.active.iter_mut().for_each(|it| it.relayed_at = Some(now));
+            return vec![relayed];
+        }
+        if active.relayed_at.is_some_and(|at| now.since(at) < RELAY_TIME) {
+            return Vec::new();
         }
-        if let Some(map) = active.map.clone().filter(|_| !full_receivers.is_empty()) {
-            full_receivers.truncate(MAX_FULL_MAPS);
-            effects.push(RolloutEffect::Broadcast(full_receivers, message(MapUpdate::Full(map))));
+        let mut effects = broadcast_to(without_base, message(full));
+        if let Some(delta) = delta {
+            effects.extend(broadcast_to(with_base, message(delta)));
         }
         effects
     }
 
+    /// Whether a rank has what the rollout currently sends: the map, or the step once it is set.
+    fn has_received(&self, active: &RolloutProgress, rank: u16) -> bool {
+        let Some((status, _)) = self.statuses.get(&rank) else { return false };
+        let version = Some(active.version);
+        match active.step {
+            None => status.prepared == version || status.known == version,
+            Some(step) => status.armed == Some((active.version, step)),
+        }
+    }
+
+    /// Whether a rank's agent has the map that the delta of the rollout applies to.
+    fn knows_base(&self, active: &RolloutProgress, rank: u16) -> bool {
+        let base = active.base.as_ref().map(|it| it.0);
+        let status = self.statuses.get(&rank);
+        status.is_some_and(|(it, _)| base.is_some() && it.known == base)
+    }
+
     fn start_round(
         &mut self,
         report: &RankReport,
@@ -287,6 +309,7 @@
             base: Some((report.map, map)),
             step: None,
             started_at: now,
+            relayed_at: None,
         });
         self.last_broadcast_at = None;
         let event = RolloutEvent::RoundPlanned {
@@ -300,11 +323,15 @@
         effects
     }
 
-    /// Returns the map in use, assembled from the statuses, or `None` if a rank's experts are
-    /// unknown.
+    /// Returns the map in use, as this agent rolled it out or assembled from the statuses, or `None`
+    /// if a rank's experts are unknown.
     pub(super) fn group_map(&self) -> Option<GroupMap> {
         let layout = self.layout?;
-        let size = self.report.as_ref()?.group_size;
+        let report = self.report.as_ref()?;
+        if let Some((_, map)) = self.known_map.as_ref().filter(|it| it.0 == report.map) {
+            return Some(map.clone());
+        }
+        let size = report.group_size;
         let mut map: GroupMap = vec![Vec::new(); layout.layers];
         for rank in 0..size {
             let (status, _) = self.statuses.get(&rank)?;
@@ -319,6 +346,16 @@
     }
 }
 
+/// Returns the broadcast of a message to those of the ranks that [`MAX_BROADCAST_BYTES`] allows.
+fn broadcast_to(mut ranks: Vec<u16>, message: MapRollout) -> Vec<RolloutEffect> {
+    let bytes = message.map.content_bytes() + MESSAGE_OVERHEAD_BYTES;
+    ranks.truncate((MAX_BROADCAST_BYTES / bytes).max(1));
+    if ranks.is_empty() {
+        return Vec::new();
+    }
+    vec![RolloutEffect::Broadcast(ranks, message)]
+}
+
 /// Returns the number of copies to a rank that fit into [`COPY_BUDGET`].
 fn max_copies(layout: &ExpertLayout) -> usize {
     let copies = COPY_BUDGET.as_secs_f64() / layout.copy_seconds.max(f64::MIN_POSITIVE);
--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -80,9 +80,10 @@
     pub highest: MapVersion,
     /// Whether an order from this agent recently got no answer.
     pub has_unanswered: bool,
-    /// Map that this agent has in full, for all ranks. A delta to it is enough for this agent.
+    /// Latest map that this agent has in full, for all ranks: the one of the rollout in progress, or
+    /// one to which a delta is enough for this agent.
     pub known: Option<MapVersion>,
-    /// Experts of the rank by layer in the map in use; empty if unknown.
+    /// Experts of the rank by layer in the map in use; empty if unknown or unchanged.
     pub experts: Vec<Vec<u16>>,
     /// Choices of each expert since the previous sample; `None` if there is no new sample.
     pub counts: Option<UsageSample>,
@@ -182,6 +183,20 @@
         Self::Delta { base, ranks }
     }
 
+    /// Returns the approximate size of the encoded content.
+    pub(super) fn content_bytes(&self) -> usize {
+        /// Size of a list's length, and on average of an expert's number.
+        const NUMBER_BYTES: usize = 2;
+        let list_bytes = |it: &Vec<u16>| NUMBER_BYTES * (it.len() + 1);
+        match self {
+            Self::Full(map) => map.iter().flatten().map(list_bytes).sum(),
+            Self::Delta { ranks, .. } => {
+                ranks.iter().map(|it| list_bytes(&it.2) + 2 * NUMBER_BYTES).sum()
+            }
+            Self::Omitted => 0,
+        }
+    }
+
     /// Returns the complete new map, or `None` without content or if `known` is not the base of the
     /// delta.
     pub(super) fn apply(&self, known: Option<&(MapVersion, GroupMap)>) -> Option<GroupMap> {
@@ -213,6 +228,8 @@
     PollPeer(u16),
     /// Send the rollout message to the agents of these ranks.
     Broadcast(Vec<u16>, MapRollout),
+    /// Send the rollout message to the agents of these ranks, each of which forwards it to others.
+    Relay(Vec<u16>, MapRollout),
     /// Write the event to the log.
     Log(RolloutEvent),
 }
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -25,6 +25,12 @@
 /// Interval between subscriptions; agents drop a gateway after a few missed ones.
 const SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Number of ranks of a group from which the list of its members is sent only with each
+/// [`GROUP_LIST_ROUNDS`]th subscription. All gateways send it, each at another time.
+const LONG_GROUP_LIST: usize = 16;
+/// Number of subscriptions per list of a large group's members.
+const GROUP_LIST_ROUNDS: usize = 4;
+
 /// Binds the socket and returns the task that subscribes to agents and receives their reports.
 ///
 /// # Errors
@@ -43,8 +49,11 @@
 }
 
 async fn subscribe(shell: &GatewayShell, socket: &UdpSocket, port: u16) {
-    loop {
-        for AgentSubscription { vm, group, helper, layout } in shell.read(agent_subscriptions) {
+    for round in 0_usize.. {
+        for AgentSubscription { vm, mut group, helper, layout } in shell.read(agent_subscriptions) {
+            if group.len() >= LONG_GROUP_LIST && !round.is_multiple_of(GROUP_LIST_ROUNDS) {
+                group.clear();
+            }
             let gateway = shell.peers().own().clone();
             let message = Datagram::Subscribe(Subscription { gateway, group, helper, layout });
             match message.encode() {
@@ -103,7 +112,7 @@
             layout: engine.layout,
         })
     };
-    state.servers().servers().filter_map(subscription_of).collect()
+    state.subset().filter_map(subscription_of).collect()
 }
 
 async fn receive(shell: &GatewayShell, socket: &UdpSocket) {
@@ -118,11 +127,15 @@
         };
         match Datagram::decode(&buffer[..length]) {
             Some(Datagram::Load { server, report, subscribers, gateways }) => {
+                // Most reports omit the list of gateways; without a new one the count stays.
+                let has_list = !gateways.is_empty();
                 shell.record_peers(gateways);
+                let known =
+                    if has_list { shell.peers().count(shell.clock.now()) } else { subscribers };
                 let event = RoutingEvent::LoadReported {
                     address: server,
                     report,
-                    gateway_count: subscribers,
+                    gateway_count: known.max(subscribers),
                 };
                 shell.dispatch(event);
             }
@@ -130,6 +143,7 @@
                 Datagram::Subscribe(_)
                 | Datagram::Status(_)
                 | Datagram::Rollout(_)
+                | Datagram::RelayedRollout(_)
                 | Datagram::HoldRequest(_)
                 | Datagram::HoldGiven,
             ) => {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -49,6 +49,7 @@
         metrics: MetricSink,
     ) -> Self {
         let state = RoutingState::new(RoutingSettings {
+            address: gateway.peer_listen,
             failure_domain: settings.identity.failure_domain.clone(),
             budget: gateway.budget,
             admission: gateway.admission,
@@ -136,7 +137,9 @@
 
     /// Records gateways that an agent or another gateway reports.
     pub(super) fn record_peers(&self, gateways: Vec<GatewayLocation>) {
-        self.peers().record_seen(gateways, self.clock.now());
+        if !gateways.is_empty() {
+            self.peers().record_seen(gateways, self.clock.now());
+        }
     }
 
     /// Locks the table of other gateways.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,9 +1,12 @@
 //! Client of a model engine that runs one rank of a group: reads its reports and sends it orders.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Deserializer, Serialize,
+    de::{self, DeserializeSeed, SeqAccess, Visitor},
+};
 use volo_http::client::Client;
 
 use super::{PlatformError, directory::WireGroup, fetch, get_json};
@@ -56,24 +59,49 @@
 // Response of `/v1/picked`: how often each expert was selected since the engine started.
 #[derive(Deserialize)]
 struct WireCounts {
-    counts: CountTree,
+    counts: FlatCounts,
 }
 
-/// Counts per expert, either flat or nested by layer.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum CountTree {
-    Count(u64),
-    List(Vec<CountTree>),
+/// Counts per expert of all layers in order. The list on the wire is flat or nested by layer.
+///
+/// Decoded by hand, since an untagged enum would buffer each of the thousands of numbers.
+#[derive(Debug)]
+struct FlatCounts(Vec<u64>);
+
+impl<'de> Deserialize<'de> for FlatCounts {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let mut counts = Vec::new();
+        deserializer.deserialize_seq(CountVisitor(&mut counts))?;
+        Ok(Self(counts))
+    }
 }
 
-impl CountTree {
-    /// Appends the counts of all layers in order.
-    fn flatten(&self, counts: &mut Vec<u64>) {
-        match self {
-            Self::Count(count) => counts.push(*count),
-            Self::List(list) => list.iter().for_each(|it| it.flatten(counts)),
-        }
+/// Appends a count, or each count of a list, to the vector.
+struct CountVisitor<'a>(&'a mut Vec<u64>);
+
+impl<'de> DeserializeSeed<'de> for CountVisitor<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for CountVisitor<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a count or a list of counts")
+    }
+
+    fn visit_u64<E: de::Error>(self, count: u64) -> Result<(), E> {
+        self.0.push(count);
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<(), A::Error> {
+        while list.next_element_seed(CountVisitor(self.0))?.is_some() {}
+        Ok(())
     }
 }
 
@@ -154,9 +182,7 @@
     pub async fn expert_usage(&self) -> Result<ExpertUsage, PlatformError> {
         let uri = format!("http://{}/v1/picked", self.address);
         let wire: WireCounts = get_json(&self.client, uri, QUERY_TIMEOUT).await?;
-        let mut counts = Vec::new();
-        wire.counts.flatten(&mut counts);
-        Ok(ExpertUsage { counts })
+        Ok(ExpertUsage { counts: wire.counts.0 })
     }
 
     /// Reads which experts the engine has loaded in each layer, and the version of the map to
@@ -245,11 +271,12 @@
     #[gtest]
     fn counts_are_flattened() {
         for text in ["[1,2,3]", "[[1,2],[3]]"] {
-            let mut counts = Vec::new();
-            serde_json::from_str::<CountTree>(text).unwrap().flatten(&mut counts);
-            expect_that!(counts, eq(&vec![1, 2, 3]));
+            let counts = serde_json::from_str::<FlatCounts>(text).unwrap();
+            expect_that!(counts.0, eq(&vec![1, 2, 3]));
+        }
+        for text in ["[1,-2]", "7", "[[1],{}]"] {
+            expect_that!(serde_json::from_str::<FlatCounts>(text).is_err(), eq(true), "{text}");
         }
-        expect_that!(serde_json::from_str::<CountTree>("[1,-2]").is_err(), eq(true));
     }
 
     #[gtest]
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -20,8 +20,9 @@
 use crate::{
     daemon::{DaemonError, ProcessClock, reload_on_sighup, wait_for_stop_signal},
     experts::{
-        COORDINATOR_CANDIDATES, ExpertUsage, MemberStatus, RankOrder, RankReport, RolloutEffect,
-        RolloutEvent, RolloutState, StepNumber, UsageSample,
+        COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapVersion, MemberStatus, RankOrder,
+        RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction, SampleSchedule,
+        StepNumber, UsageSample,
     },
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
@@ -48,6 +49,8 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between statuses during a rollout: a fraction of the maximum status age for a hold.
 const ROLLOUT_STATUS_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between statuses that include the rank's experts, while the map stays the same.
+const EXPERTS_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between polls of the experts that the engine has loaded, while the map stays the same.
 const LOADED_EXPERTS_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of requests to another group's agent to hold a step, before this agent sends the order
@@ -93,7 +96,10 @@
         last_usage: None,
         unsent_counts: None,
         loaded_experts: None,
+        sample_count: 0,
+        sent_experts: None,
         hold_requests: Vec::new(),
+        relayed_rollouts: Vec::new(),
         due: DueTimes::default(),
         last_progress: (StepNumber(0), Moment(0)),
         is_engine_reachable: true,
@@ -141,9 +147,15 @@
     /// Latest sample, until it is sent with a status.
     unsent_counts: Option<UsageSample>,
     /// Experts that the engine has loaded, by layer, with the map that they belong to.
-    loaded_experts: Option<(crate::experts::MapVersion, Vec<Vec<u16>>)>,
+    loaded_experts: Option<(MapVersion, Vec<Vec<u16>>)>,
+    /// Number of sampling intervals so far.
+    sample_count: usize,
+    /// The map whose experts were last sent with a status, and when.
+    sent_experts: Option<(MapVersion, Moment)>,
     /// Pending hold requests of other groups' coordinators, with their senders.
     hold_requests: Vec<(HoldRequest, SocketAddr)>,
+    /// Rollout messages to forward to other ranks.
+    relayed_rollouts: Vec<MapRollout>,
     due: DueTimes,
     /// Last step seen, and when it was first seen or no request was running.
     last_progress: (StepNumber, Moment),
@@ -166,6 +178,7 @@
                         while let Ok((length, from)) = self.socket.try_recv_from(&mut buffer) {
                             is_urgent |= self.handle_datagram(&buffer[..length], from);
                         }
+                        self.forward_rollouts().await;
                         self.serve_hold_requests().await;
                         if is_urgent {
                             self.poll_engine().await;
@@ -201,13 +214,12 @@
             Some(Datagram::Status(status)) => {
                 let is_armed = status.armed.is_some();
                 self.rollout.handle_status(status, now);
-                is_armed && self.rollout.is_rolling_out()
+                is_armed && self.rollout.are_others_armed()
             }
-            Some(Datagram::Rollout(rollout)) => {
-                let was_rolling_out = self.rollout.is_rolling_out();
-                let has_step = rollout.step.is_some();
-                self.rollout.handle_rollout(rollout, now);
-                self.rollout.is_rolling_out() && (has_step || !was_rolling_out)
+            Some(Datagram::Rollout(rollout)) => self.handle_rollout(rollout, now),
+            Some(Datagram::RelayedRollout(rollout)) => {
+                self.relayed_rollouts.push(rollout.clone());
+                self.handle_rollout(rollout, now)
             }
             Some(Datagram::HoldRequest(request)) => {
                 self.hold_requests.push((request, from));
@@ -221,6 +233,13 @@
         }
     }
 
+    fn handle_rollout(&mut self, rollout: MapRollout, now: Moment) -> bool {
+        let was_rolling_out = self.rollout.is_rolling_out();
+        let has_step = rollout.step.is_some();
+        self.rollout.handle_rollout(rollout, now);
+        self.rollout.is_rolling_out() && (has_step || !was_rolling_out)
+    }
+
     /// Polls the engine and applies the resulting effects; repeats this while orders change its
     /// state.
     async fn poll_engine(&mut self) {
@@ -269,7 +288,7 @@
         self.poll_loaded_experts(&report, now).await;
         if now >= self.due.sample {
             self.due.sample = now.after(SAMPLE_INTERVAL);
-            self.sample_usage().await;
+            self.sample_usage(&report).await;
             let effects = self.rollout.close_interval();
             has_changed |= self.apply_effects(effects.into_iter().collect()).await;
         }
@@ -320,7 +339,16 @@
         }
     }
 
-    async fn sample_usage(&mut self) {
+    /// Reads the counters of expert usage if it is this rank's turn.
+    async fn sample_usage(&mut self, report: &RankReport) {
+        let Some(place) = &report.group else { return };
+        let sample_bytes = self.last_usage.as_ref().map_or(0, |it| it.counts.len());
+        let schedule = SampleSchedule::new(usize::from(report.group_size), sample_bytes);
+        let action = schedule.action(place.rank, self.sample_count);
+        self.sample_count += 1;
+        if action == SampleAction::Skip {
+            return;
+        }
         let latest = match self.engine.expert_usage().await {
             Ok(latest) => latest,
             Err(error) => {
@@ -332,14 +360,14 @@
         let Some(previous) = previous.filter(|it| it.counts.len() == latest.counts.len()) else {
             return;
         };
+        if action == SampleAction::ReadBase {
+            return;
+        }
         self.unsent_counts = Some(UsageSample::from_counters(&previous.counts, &latest.counts));
     }
 
     async fn send_status(&mut self, report: &RankReport, now: Moment) {
-        let experts = match &self.loaded_experts {
-            Some((map, experts)) if *map == report.map => experts.clone(),
-            Some(_) | None => Vec::new(),
-        };
+        let experts = self.due_experts(report, now);
         let Some(status) = self.rollout.status(experts, now) else { return };
         let own_rank = status.rank;
         // Counts are large, and only the coordinator uses them for planning.
@@ -356,6 +384,19 @@
         }
     }
 
+    /// Returns the rank's experts if they are due to be sent with a status, else nothing.
+    fn due_experts(&mut self, report: &RankReport, now: Moment) -> Vec<Vec<u16>> {
+        let Some((map, experts)) = &self.loaded_experts else { return Vec::new() };
+        let was_sent_recently = self
+            .sent_experts
+            .is_some_and(|(sent, at)| sent == *map && now.since(at) < EXPERTS_INTERVAL);
+        if *map != report.map || was_sent_recently {
+            return Vec::new();
+        }
+        self.sent_experts = Some((*map, now));
+        experts.clone()
+    }
+
     fn agent_address(&self, member: &GroupMember) -> SocketAddr {
         SocketAddr::new(member.server.ip(), self.port)
     }
@@ -384,9 +425,10 @@
             match effect {
                 RolloutEffect::Log(event) => self.log_event(&event),
                 RolloutEffect::Broadcast(ranks, rollout) => {
-                    let others = self.group.iter().filter(|it| ranks.contains(&it.rank));
-                    let to: Vec<SocketAddr> = others.map(|it| self.agent_address(it)).collect();
-                    self.send(&Datagram::Rollout(rollout), &to).await;
+                    self.send(&Datagram::Rollout(rollout), &self.addresses_of(&ranks)).await;
+                }
+                RolloutEffect::Relay(ranks, rollout) => {
+                    self.send(&Datagram::RelayedRollout(rollout), &self.addresses_of(&ranks)).await;
                 }
                 RolloutEffect::OrderOwnEngine(order) => {
                     let engine = self.engine.clone();
@@ -428,6 +470,20 @@
         false
     }
 
+    /// Forwards the rollout messages that arrived over the relay tree.
+    async fn forward_rollouts(&mut self) {
+        for rollout in std::mem::take(&mut self.relayed_rollouts) {
+            let to = self.addresses_of(&self.rollout.relay_targets(&rollout));
+            self.send(&Datagram::RelayedRollout(rollout), &to).await;
+        }
+    }
+
+    /// Returns the addresses of the agents of these ranks of the own group.
+    fn addresses_of(&self, ranks: &[u16]) -> Vec<SocketAddr> {
+        let others = self.group.iter().filter(|it| ranks.contains(&it.rank));
+        others.map(|it| self.agent_address(it)).collect()
+    }
+
     /// Sends the hold orders that coordinators of other groups have requested.
     async fn serve_hold_requests(&mut self) {
         for (request, from) in std::mem::take(&mut self.hold_requests) {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -4,7 +4,7 @@
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), server choice
 //! and overload refusals (`admission`), retry and cold-server budgets (`budget`), and the other
-//! gateways (`peers`).
+//! gateways (`peers`), and the servers that one gateway uses (`subset`).
 
 mod admission;
 mod budget;
@@ -14,6 +14,7 @@
 mod peers;
 mod servers;
 mod state;
+mod subset;
 mod views;
 
 pub use admission::{
@@ -32,6 +33,7 @@
 pub use peers::{GatewayLocation, PeerTable};
 pub use servers::{GroupMembership, KnownServer, ServerRecord, ServerTable};
 pub use state::{RoutingSettings, RoutingState, reduce};
+pub use subset::choose_subset;
 pub use views::{
     DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange, OperatorTable, OperatorView,
     ReadKind,
--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -17,6 +17,8 @@
 /// Maximum age of the latest report about a gateway for it to be the reader: several report
 /// intervals.
 const READER_MAX_AGE: Duration = Duration::from_secs(4);
+/// Age of the latest report about a gateway from which it no longer counts.
+const COUNT_MAX_AGE: Duration = Duration::from_secs(10);
 /// Time for which a reader that returned no fresh directory is not polled.
 const READER_COOLDOWN: Duration = Duration::from_secs(5);
 
@@ -78,6 +80,16 @@
         self.peers.keys().copied()
     }
 
+    /// Returns the number of gateways that were reported recently, this one included.
+    ///
+    /// No agent knows all gateways, but the agents that report to this one know nearly all of them
+    /// together.
+    pub fn count(&self, now: Moment) -> u32 {
+        let is_recent = |at: Moment| now.since(at) < COUNT_MAX_AGE;
+        let others = self.peers.values().filter(|it| it.last_seen.is_some_and(is_recent)).count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
     /// Returns the locations of all gateways whose failure domain is known, this one included.
     pub fn locations(&self) -> Vec<GatewayLocation> {
         let location = |(address, it): (&SocketAddr, &PeerRecord)| {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -2,7 +2,7 @@
 //! waits or refuses.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -14,7 +14,7 @@
     AdmissionSettings, AttemptBudget, AttemptResult, AttemptSpec, BudgetSettings, Candidate,
     CatalogSource, ColdLimiter, KnownServer, LoadReport, PlacementChoice, RequestNumber,
     RetryReason, RouteCatalog, RouteKind, RouteRecord, RoutingChange, RoutingEffect, RoutingEvent,
-    RoutingRequest, ServerLoad, ServerTable, choose_candidate, retry_after,
+    RoutingRequest, ServerLoad, ServerTable, choose_candidate, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode},
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct RoutingSettings {
+    /// The gateway's own address, which distinguishes it from the other gateways.
+    pub address: SocketAddr,
     /// The gateway's own failure domain.
     pub failure_domain: FailureDomain,
     /// Limits on retries and on requests to cold servers.
@@ -97,6 +99,8 @@
     settings: RoutingSettings,
     catalog: Option<RouteCatalog>,
     servers: ServerTable,
+    /// Servers that this gateway sends requests to, of all services.
+    subset: BTreeSet<ServerId>,
     /// By address, since agents do not know server ids.
     loads: HashMap<SocketAddr, ServerLoad>,
     cold_limiters: BTreeMap<ServerId, ColdLimiter>,
@@ -116,6 +120,7 @@
         Self {
             catalog: None,
             servers: ServerTable::default(),
+            subset: BTreeSet::new(),
             loads: HashMap::new(),
             cold_limiters: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -138,6 +143,11 @@
         &self.servers
     }
 
+    /// Returns the listed servers that this gateway sends requests to and wants load reports of.
+    pub fn subset(&self) -> impl Iterator<Item = &KnownServer> {
+        self.subset.iter().filter_map(|it| self.servers.server(it))
+    }
+
     /// Whether the gateway accepts callers. `false` before the first catalog and directory are read
     /// and once a stop is requested, but also while the gateway is cut off from all other failure
     /// domains and lacks usable servers of its own: gateways of the other domains serve callers
@@ -177,12 +187,15 @@
     match event {
         RoutingEvent::CatalogRead { source, catalog } => catalog_read(state, source, *catalog),
         RoutingEvent::EvacuationsRead(domains) => {
-            change_effects(state.servers.set_evacuations(domains))
+            let changes = state.servers.set_evacuations(domains);
+            update_subset(state);
+            change_effects(changes)
         }
         RoutingEvent::DirectoryRead(list) => {
             state.first_directory_at.get_or_insert(now);
             let changes = state.servers.apply_directory(list, now);
             prune_servers(state);
+            update_subset(state);
             change_effects(changes)
         }
         RoutingEvent::StoreUnavailable => {
@@ -235,6 +248,15 @@
     state.loads.retain(|address, load| load.outstanding > 0 || listed.contains(address));
 }
 
+fn update_subset(state: &mut RoutingState) {
+    let RoutingSettings { address, failure_domain, .. } = &state.settings;
+    let services: BTreeSet<&ServiceName> =
+        state.servers.servers().map(|it| &it.record.service).collect();
+    let subsets =
+        services.iter().map(|it| choose_subset(state.servers.usable(it), *address, failure_domain));
+    state.subset = subsets.flatten().collect();
+}
+
 fn load_reported(
     state: &mut RoutingState,
     address: SocketAddr,
@@ -332,14 +354,21 @@
 /// a server or of a failure domain lasts longer than callers wait.
 fn is_recovering(state: &RoutingState, service: &ServiceName, now: Moment) -> bool {
     let is_starting = state.first_directory_at.is_none_or(|at| now.since(at) < REPORTS_WARM_UP);
-    let mut reporting_ranks: BTreeMap<&GroupName, u16> = BTreeMap::new();
+    // By group: the number of listed ranks, and whether all agents that report to this gateway do.
+    let mut groups: BTreeMap<&GroupName, (u16, bool)> = BTreeMap::new();
     let mut has_full_group = false;
     for server in state.servers.usable(service) {
         let Some(membership) = &server.record.group else { continue };
         let load = state.loads.get(&server.record.address);
-        let count = reporting_ranks.entry(&membership.name).or_default();
-        *count += u16::from(load.is_some_and(|it| it.is_reporting(now)));
-        has_full_group |= *count >= server.record.group_size.max(1);
+        let is_reporting = load.is_some_and(|it| it.is_reporting(now));
+        let (count, all_report) = groups.entry(&membership.name).or_insert((0, true));
+        *count += 1;
+        *all_report &= is_reporting || !state.subset.contains(&server.record.id);
+    }
+    for server in state.servers.usable(service) {
+        let group = server.record.group.as_ref().and_then(|it| groups.get(&it.name));
+        has_full_group |=
+            group.is_some_and(|(count, all)| *all && *count >= server.record.group_size.max(1));
     }
     is_starting || has_full_group
 }
@@ -405,12 +434,17 @@
     now: Moment,
 ) -> (PlacementChoice, SmallRng) {
     let gateway_count = state.gateway_count();
-    let usable: Vec<&KnownServer> = state
+    let mut usable: Vec<&KnownServer> = state
         .servers
         .usable(&request.service)
         .filter(|it| !request.tried_servers.contains(&it.record.id))
         .filter(|it| can_accept(state, it, now))
         .collect();
+    let in_subset = |it: &&&KnownServer| state.subset.contains(&it.record.id);
+    let subset: Vec<&KnownServer> = usable.iter().filter(in_subset).copied().collect();
+    if !subset.is_empty() {
+        usable = subset;
+    }
     let unpaused = |it: &&&KnownServer| {
         let address = it.record.address;
         !state.loads.get(&address).is_some_and(|load| load.is_paused(now))
--- /dev/null
+++ b/src/routing/subset.rs
@@ -0,0 +1,47 @@
+//! The subset of a service's servers that one gateway sends requests to.
+//!
+//! An agent reports its server's load to every gateway that may use the server. If every gateway
+//! used every server, the reports and subscriptions would grow with the product of both numbers and
+//! fill the links of the servers' VMs. Each gateway therefore uses a bounded number of servers,
+//! most of them in its own failure domain, where traffic between VMs is cheap. The others let it
+//! pass on requests where its own domain has no capacity.
+//!
+//! The choice is by rendezvous hashing, so a change of the directory changes few subsets, and each
+//! server is in about as many subsets as any other of its domain.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::KnownServer;
+use crate::units::{FailureDomain, ServerId};
+
+/// Number of servers up to which a gateway uses all of them.
+const MAX_UNDIVIDED_SERVERS: usize = 64;
+/// Size of a subset.
+const SUBSET_SIZE: usize = 48;
+/// Number of servers in other failure domains that a subset has at least.
+const MIN_REMOTE_SERVERS: usize = 12;
+
+/// Chooses the subset that the gateway at `own` in failure domain `domain` uses.
+///
+/// `servers` are the servers of one service that may get new work.
+pub fn choose_subset<'a>(
+    servers: impl Iterator<Item = &'a KnownServer>,
+    own: SocketAddr,
+    domain: &FailureDomain,
+) -> BTreeSet<ServerId> {
+    let servers: Vec<&KnownServer> = servers.collect();
+    if servers.len() <= MAX_UNDIVIDED_SERVERS {
+        return servers.into_iter().map(|it| it.record.id.clone()).collect();
+    }
+    let (mut local, mut remote): (Vec<&KnownServer>, Vec<&KnownServer>) =
+        servers.into_iter().partition(|it| it.record.failure_domain == *domain);
+    let seed = xxhash_rust::xxh3::xxh3_64(own.to_string().as_bytes());
+    let rank = |it: &&KnownServer| xxh3_64_with_seed(it.record.id.as_str().as_bytes(), seed);
+    local.sort_by_cached_key(rank);
+    remote.sort_by_cached_key(rank);
+    local.truncate(SUBSET_SIZE - MIN_REMOTE_SERVERS);
+    remote.truncate(SUBSET_SIZE - local.len());
+    local.into_iter().chain(remote).map(|it| it.record.id.clone()).collect()
+}
--- a/src/wire/datagrams.rs
+++ b/src/wire/datagrams.rs
@@ -44,6 +44,8 @@
     HoldGiven,
     /// A rollout of an expert map, sent by the coordinator to the other agents of the group.
     Rollout(MapRollout),
+    /// A rollout that the receiving agent also forwards to other agents of its group.
+    RelayedRollout(MapRollout),
 }
 
 /// Subscription of a gateway to an agent, with what the gateway knows about the agent's group.
@@ -52,7 +54,8 @@
 pub struct Subscription {
     /// Location of the gateway.
     pub gateway: GatewayLocation,
-    /// Ranks of the agent's group; empty for a server outside a group.
+    /// Ranks of the agent's group; empty for a server outside a group, or if this subscription
+    /// omits them.
     pub group: Vec<GroupMember>,
     /// VM of an agent of another group, to which a coordinator of this group sends its
     /// [`HoldRequest`]s. `None` if there is no other group.
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -70,6 +70,7 @@
 
 fn settings(budget: BudgetSettings, seed: u64) -> RoutingSettings {
     RoutingSettings {
+        address: address(0),
         failure_domain: "a".parse().unwrap(),
         budget,
         admission: alderbay::routing::AdmissionSettings::default(),
