Take no uncertain evacuations over from other gateways

A gateway that did not know yet whether an evacuation would be written again passed it on, or its position past the record that settled it, as certain; a record of the copy from before a gateway's own position was believed although the gateway had seen the domain in use. Change: a view names what is uncertain; a table that has a position takes only the catalog of such a view. After a rewind, an evacuation whose record is before the own old position, of a domain in use, waits 2.5 s for its end to be written again. The check is stricter than before: it no longer leaves out gateways that had not seen the record.

--- a/src/routing/views.rs
+++ b/src/routing/views.rs
@@ -11,7 +11,7 @@
 //! - the rules for servers are those of [`super::ServerTable::mark_store_rewound`].
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -25,9 +25,7 @@
 const MISSING_EVACUATION_GRACE: Duration = Duration::from_secs(15);
 /// Time for which an evacuation is ignored that the store's copy still holds although it has ended.
 /// Below the time within which an evacuation must take effect, in case it is a new one.
-const ENDED_EVACUATION_GRACE: Duration = Duration::from_secs(3);
-/// Number of records that began an evacuation that are remembered for each failure domain.
-const MAX_BEGUN_AT: usize = 16;
+const ENDED_EVACUATION_GRACE: Duration = Duration::from_millis(2_500);
 
 /// The operators' records in the form in which gateways send them to each other.
 #[derive(Clone, Debug)]
@@ -45,7 +43,7 @@
     #[serde(default)]
     pub begun_at: BTreeMap<FailureDomain, LogOffset>,
     /// Failure domains of which the sender does not know yet whether the evacuation will be written
-    /// again, or its end. A receiver that knows about them keeps to that.
+    /// again, or its end.
     #[serde(default)]
     pub uncertain: BTreeSet<FailureDomain>,
 }
@@ -96,11 +94,11 @@
     Outdated { until: Moment },
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Evacuation {
     state: EvacuationState,
-    /// Offsets of the latest records that began an evacuation of this domain, the newest last.
-    begun_at: VecDeque<LogOffset>,
+    /// Offset of the record that began the evacuation; `None` if another gateway reported it.
+    begun_at: Option<LogOffset>,
 }
 
 /// The operators' records as one gateway knows them.
@@ -136,7 +134,7 @@
         let evacuated = self.evacuated();
         let begun_at = evacuated
             .iter()
-            .filter_map(|it| Some((it.clone(), *self.evacuations.get(it)?.begun_at.back()?)))
+            .filter_map(|it| Some((it.clone(), self.evacuations.get(it)?.begun_at?)))
             .collect();
         let is_uncertain = |it: &Evacuation| match it.state {
             EvacuationState::Missing { .. } | EvacuationState::Outdated { .. } => true,
@@ -167,6 +165,7 @@
         if is_older || is_rewind && kind == ReadKind::Changes {
             return;
         }
+        let known_end = self.position.filter(|_| is_rewind).map(|it| it.offset);
         self.position = Some(position);
         let listed: BTreeSet<FailureDomain> = changes
             .iter()
@@ -179,7 +178,7 @@
             match change {
                 OperatorChange::Catalog(catalog) => self.apply_catalog(*catalog),
                 OperatorChange::Evacuated(domain) => {
-                    self.apply_evacuation(domain, Some(offset), is_rewind, now);
+                    self.apply_evacuation(domain, Some(offset), known_end, now);
                 }
                 OperatorChange::Restored(domain) => self.end_evacuation(&domain),
             }
@@ -189,8 +188,8 @@
         }
     }
 
-    /// Applies the view of another gateway. One that is older, or in the same era less certain than
-    /// this table, only contributes its catalog, if that has a higher version.
+    /// Applies the view of another gateway. One that is older or uncertain only contributes its
+    /// catalog, if that has a higher version, and to an empty table also its evacuations.
     pub fn apply_view(&mut self, view: OperatorView, now: Moment) {
         if let Some(catalog) = view.catalog {
             self.apply_catalog(catalog);
@@ -199,24 +198,21 @@
         if !is_newer {
             return;
         }
-        let is_rewind = self.position.is_some_and(|it| it.era < view.position.era);
-        let is_known = |domain: &&FailureDomain| self.evacuations.contains_key(*domain);
-        let kept: BTreeSet<FailureDomain> =
-            view.uncertain.iter().filter(is_known).cloned().collect();
-        // Records that would settle what the sender does not know may be before its position.
-        if !is_rewind && !kept.is_empty() {
+        // Records that settle what the sender does not know may be before its position, so that
+        // position is not taken over. A process without a position reads all keys later.
+        let is_certain = view.uncertain.is_empty();
+        if !is_certain && self.position.is_some() {
             return;
         }
-        self.position = Some(view.position);
-        let listed = view.evacuated.difference(&kept).cloned().collect();
-        self.apply_absence(&listed, is_rewind, now);
-        for domain in view.evacuated.difference(&kept) {
-            let begun_at = view.begun_at.get(domain).copied();
-            self.apply_evacuation(domain.clone(), begun_at, is_rewind, now);
-            let evacuation = self.evacuations.get_mut(domain);
-            if let Some(it) = evacuation.filter(|_| view.uncertain.contains(domain)) {
-                it.state = EvacuationState::Missing { until: now.after(MISSING_EVACUATION_GRACE) };
-            }
+        let known_end = self.position.map(|it| (it.era, it.offset));
+        let known_end = known_end.filter(|it| it.0 < view.position.era).map(|it| it.1);
+        if is_certain {
+            self.position = Some(view.position);
+        }
+        self.apply_absence(&view.evacuated, known_end.is_some(), now);
+        for domain in view.evacuated {
+            let begun_at = view.begun_at.get(&domain).copied();
+            self.apply_evacuation(domain, begun_at, known_end, now);
         }
     }
 
@@ -263,28 +259,25 @@
         }
     }
 
-    /// Applies the record of an evacuation. After a rewind, the record of one that has ended stems
-    /// from the copy if its offset is known.
+    /// Applies the record of an evacuation. After a rewind, `known_end` is the offset up to which
+    /// this table has known the earlier era: a record before it, of a domain that is not evacuated
+    /// here, most likely stems from the copy, and its end is lost.
     fn apply_evacuation(
         &mut self,
         domain: FailureDomain,
         begun_at: Option<LogOffset>,
-        is_rewind: bool,
+        known_end: Option<LogOffset>,
         now: Moment,
     ) {
-        let evacuation = self.evacuations.entry(domain).or_insert_with(|| Evacuation {
-            state: EvacuationState::Active,
-            begun_at: VecDeque::new(),
-        });
-        let is_known_record = begun_at.is_some_and(|it| evacuation.begun_at.contains(&it));
-        let outdated = EvacuationState::Outdated { until: now.after(ENDED_EVACUATION_GRACE) };
-        evacuation.state = match evacuation.state {
-            EvacuationState::Ended | EvacuationState::Outdated { .. }
-                if is_rewind && is_known_record =>
-            {
-                outdated
+        let known = self.evacuations.get(&domain).copied();
+        let is_old_record = known_end.zip(begun_at).is_some_and(|(end, begun_at)| begun_at < end);
+        let state = match known.map_or(EvacuationState::Ended, |it| it.state) {
+            EvacuationState::Ended | EvacuationState::Outdated { .. } if is_old_record => {
+                EvacuationState::Outdated { until: now.after(ENDED_EVACUATION_GRACE) }
             }
-            EvacuationState::Outdated { until } if is_known_record => {
+            EvacuationState::Outdated { until }
+                if known.is_some_and(|it| it.begun_at == begun_at) =>
+            {
                 EvacuationState::Outdated { until }
             }
             EvacuationState::Active
@@ -292,12 +285,7 @@
             | EvacuationState::Missing { .. }
             | EvacuationState::Outdated { .. } => EvacuationState::Active,
         };
-        if let Some(offset) = begun_at.filter(|_| !is_known_record) {
-            evacuation.begun_at.push_back(offset);
-            if evacuation.begun_at.len() > MAX_BEGUN_AT {
-                evacuation.begun_at.pop_front();
-            }
-        }
+        self.evacuations.insert(domain, Evacuation { state, begun_at });
     }
 
     /// Handles the evacuations that a snapshot does not list.
--- a/tests/store_rewind.rs
+++ b/tests/store_rewind.rs
@@ -83,8 +83,6 @@
     /// Evacuations in force here, and those that have ended, as of the last step.
     seen_evacuated: BTreeSet<FailureDomain>,
     seen_restored: BTreeSet<FailureDomain>,
-    /// Evacuations that were in force here at any time.
-    known_evacuations: BTreeSet<FailureDomain>,
     seen_listed: BTreeSet<ServerId>,
     seen_draining: BTreeSet<ServerId>,
     seen_removed: BTreeSet<ServerId>,
@@ -375,9 +373,6 @@
             let has_read =
                 self.published_at.get(&key).is_none_or(|at| *at <= gateway.operator_read_at);
             let is_evacuated = evacuated.contains(&id);
-            if is_evacuated {
-                gateway.known_evacuations.insert(id.clone());
-            }
             if is_wanted && !is_evacuated && gateway.seen_evacuated.contains(&id) {
                 violations.push(format!("evacuation of {name} forgotten"));
             }
@@ -391,13 +386,7 @@
             }
             if is_wanted && is_evacuated && has_read {
                 gateway.seen_evacuated.insert(id);
-            } else if !is_wanted
-                && !is_evacuated
-                && has_read
-                && gateway.known_evacuations.contains(&id)
-            {
-                // A process that has not seen the evacuation cannot tell whether a record of it in
-                // the copy is old, and obeys it.
+            } else if !is_wanted && !is_evacuated && has_read {
                 gateway.seen_restored.insert(id);
             }
         }
