Poll the operators' stream once a failure domain

Change: the reader of a failure domain polls; its replies to the others' directory polls say how far it has read, and they read the store only for what is new, or poll it themselves when the mark is older than 0.45 of the time in which a change must be in force (apply_ms, new in the settings, at least 200). Result: tests/directory_reader.rs; a failed reader costs less than that time.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,7 +18,7 @@
 use crate::{
     http::{json_response, text_response},
     platform::{PlatformError, get_json},
-    routing::{DirectoryView, GatewayLocation, OperatorView, ServerRecord},
+    routing::{DirectoryView, GatewayLocation, OperatorView, ReaderMark, ServerRecord},
     units::{ServerId, StorePosition},
 };
 
@@ -52,10 +52,24 @@
     #[serde(flatten)]
     position: StorePosition,
     age_ms: u64,
+    /// How far the reader has read the operators' stream. Gateways of earlier releases do not send
+    /// it.
+    #[serde(default)]
+    operator: Option<OperatorMark>,
     /// `None` if the digest in the query shows that the requesting gateway has the same servers.
     servers: Option<BTreeMap<ServerId, ServerRecord>>,
 }
 
+/// How far a gateway has read the operators' stream.
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
+struct OperatorMark {
+    #[serde(flatten)]
+    position: StorePosition,
+    /// Time since the gateway's latest response from the store.
+    age_ms: u64,
+}
+
 /// Handles requests of other gateways.
 pub(super) fn handler(
     shell: Arc<GatewayShell>,
@@ -87,10 +101,13 @@
     };
     let digest = directory_digest(&directory.servers);
     let has_same = query == Some(digest.to_string().as_str());
-    let age = shell.clock.now().since(directory.read_at);
+    let age_ms = |at| u64::try_from(shell.clock.now().since(at).as_millis()).unwrap_or(u64::MAX);
+    let operator_mark = shell.operator_mark();
     let reply = DirectoryReply {
         position: directory.position,
-        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        age_ms: age_ms(directory.read_at),
+        operator: operator_mark
+            .map(|it| OperatorMark { position: it.position, age_ms: age_ms(it.read_at) }),
         servers: (!has_same).then_some(directory.servers),
     };
     json_response(StatusCode::OK, &reply)
@@ -106,7 +123,10 @@
 /// directory.
 pub(super) async fn poll_reader(shell: &GatewayShell, client: &Client) -> bool {
     let reader = shell.peers().reader(shell.clock.now());
-    let Some(reader) = reader else { return false };
+    let Some(reader) = reader else {
+        shell.record_reader_mark(None);
+        return false;
+    };
     let known = shell.view().directory.view().cloned();
     let digest = known.as_ref().map_or(0, |it| directory_digest(&it.servers));
     let uri = format!("http://{reader}{DIRECTORY_PATH}?{digest}");
@@ -121,15 +141,22 @@
             let read_at = now.before(Duration::from_millis(reply.age_ms));
             let view = DirectoryView { position: reply.position, servers, read_at };
             apply_directory_view(shell, view);
+            let mark = |it: OperatorMark| ReaderMark {
+                position: it.position,
+                read_at: now.before(Duration::from_millis(it.age_ms)),
+            };
+            shell.record_reader_mark(reply.operator.map(mark));
             true
         }
         Ok(reply) => {
             log::info!(reader:% = reader, age_ms = reply.age_ms; "directory of reader is stale");
+            shell.record_reader_mark(None);
             shell.peers().pause_reader(reader, now);
             false
         }
         Err(error) => {
             log::info!(reader:% = reader, error:% = error; "cannot fetch directory from reader");
+            shell.record_reader_mark(None);
             shell.peers().pause_reader(reader, now);
             false
         }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -9,12 +9,14 @@
     time::Duration,
 };
 
+use tokio::sync::Notify;
+
 use crate::{
     daemon::ProcessClock,
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
-        CatalogVersion, GatewayLocation, PeerTable, RequestNumber, RouteCatalog, RoutingChange,
-        RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce,
+        CatalogVersion, GatewayLocation, PeerTable, ReaderMark, RequestNumber, RouteCatalog,
+        RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce,
     },
     telemetry::MetricSink,
 };
@@ -29,6 +31,11 @@
     state: Mutex<RoutingState>,
     view: Mutex<PlatformView>,
     peers: Mutex<PeerTable>,
+    /// How far the reader of this failure domain has read the operators' stream; `None` if this
+    /// gateway does not follow a reader.
+    reader_mark: Mutex<Option<ReaderMark>>,
+    /// Wakes the task that follows the reader.
+    reader_replied: Notify,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     /// Limits on HTTP messages and connections.
@@ -36,6 +43,8 @@
     /// Time within which a draining server must stop getting new work; sets the read intervals of
     /// the directory.
     pub(super) leave_time: Duration,
+    /// Time within which a new catalog or an evacuation must be in force.
+    pub(super) apply_time: Duration,
     /// Clock of the process, which timestamps events.
     pub(super) clock: ProcessClock,
     /// Sink of the metrics.
@@ -64,10 +73,13 @@
             state: Mutex::new(state),
             view: Mutex::default(),
             peers: Mutex::new(PeerTable::new(own, &gateway.seeds)),
+            reader_mark: Mutex::new(None),
+            reader_replied: Notify::new(),
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
             leave_time: Duration::from_millis(gateway.leave_ms),
+            apply_time: Duration::from_millis(gateway.apply_ms),
             clock: ProcessClock::start(),
             metrics,
         }
@@ -142,6 +154,28 @@
         }
     }
 
+    /// Returns how far this gateway has read the operators' stream, or `None` before the first read.
+    pub(super) fn operator_mark(&self) -> Option<ReaderMark> {
+        let view = self.view();
+        Some(ReaderMark { position: view.operator.position()?, read_at: view.operator_read_at })
+    }
+
+    /// Records the reader's mark, or that this gateway follows no reader.
+    pub(super) fn record_reader_mark(&self, mark: Option<ReaderMark>) {
+        *lock(&self.reader_mark) = mark;
+        self.reader_replied.notify_one();
+    }
+
+    /// Returns the latest mark of the reader.
+    pub(super) fn reader_mark(&self) -> Option<ReaderMark> {
+        *lock(&self.reader_mark)
+    }
+
+    /// Waits until the reader's next mark is recorded.
+    pub(super) async fn reader_replied(&self) {
+        self.reader_replied.notified().await;
+    }
+
     /// Locks the table of other gateways.
     pub(super) fn peers(&self) -> MutexGuard<'_, PeerTable> {
         lock(&self.peers)
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -16,15 +16,20 @@
     },
     routing::{
         CatalogSource, DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange,
-        OperatorTable, OperatorView, ReadKind, RoutingEvent,
+        OperatorStep, OperatorTable, OperatorView, ReadKind, RoutingEvent, next_operator_step,
     },
-    units::{FailureDomain, LogOffset, ServerId, StorePosition},
+    units::{FailureDomain, LogOffset, Moment, ServerId, StorePosition},
 };
 
-/// Timeout of a long poll of the operator's stream. The store may miss waking a reader whose poll
-/// arrives together with a change, which is then seen when the poll ends. The timeout is therefore
-/// below the two seconds within which changes must be in force.
-const OPERATOR_POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout of a long poll of the operator's stream, as a fraction of the time within which changes
+/// must be in force. The store may miss waking a reader whose poll arrives together with a change,
+/// which is then seen when the poll ends, and after that by the gateways that follow the reader.
+const OPERATOR_POLL_FRACTION: f64 = 0.25;
+/// Age, as a fraction of the same time, up to which a reader's mark is relied on: a poll, its
+/// response, and some delay.
+const MAX_MARK_AGE_FRACTION: f64 = 0.45;
+/// Longest wait for the reader's next reply until its mark is judged again.
+const MARK_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Number of directory reads within the time in which a draining server must stop getting new work.
 /// With four, one slow read does not harm the gateways that rely on this reader.
 const READS_PER_LEAVE_TIME: u32 = 4;
@@ -41,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct PlatformView {
     pub(super) operator: OperatorTable,
+    /// Time of the latest read of the operator's stream from the store.
+    pub(super) operator_read_at: Moment,
     pub(super) directory: DirectoryTable,
 }
 
@@ -51,9 +58,20 @@
     loop {
         expire_evacuations(&shell);
         let from = shell.view().operator.position();
-        // After a failure the store is read without waiting, and other gateways are polled in
-        // between: a long poll that gets no response would hide changes until it times out.
-        let wait = if is_unavailable { Duration::ZERO } else { OPERATOR_POLL_TIMEOUT };
+        let max_age = shell.apply_time.mul_f64(MAX_MARK_AGE_FRACTION);
+        let step = next_operator_step(shell.reader_mark(), from, max_age, shell.clock.now());
+        let wait = match step {
+            // After a failure the store is read without waiting, and other gateways are polled in
+            // between: a long poll that gets no response would hide changes until it times out.
+            _ if is_unavailable => Duration::ZERO,
+            OperatorStep::AwaitReader => {
+                // Whether a reply came or not, the mark is judged again.
+                let _ = tokio::time::timeout(MARK_CHECK_INTERVAL, shell.reader_replied()).await;
+                continue;
+            }
+            OperatorStep::ReadChanges => Duration::ZERO,
+            OperatorStep::PollStore => shell.apply_time.mul_f64(OPERATOR_POLL_FRACTION),
+        };
         match read_changes(&store, KeyedStream::Operator, from, wait).await {
             Ok(read) => {
                 is_unavailable = false;
@@ -62,6 +80,10 @@
                 if is_new_era {
                     tokio::spawn(check_catalog(shell.clone()));
                 }
+                // Guards against a busy loop if the reader claims what the store does not have.
+                if step == OperatorStep::ReadChanges && shell.view().operator.position() == from {
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_unavailable, true) {
@@ -174,7 +196,11 @@
     let StoreRead { kind, records, position } = read;
     let changes = records.into_iter().filter_map(decode_operator_change).collect();
     let now = shell.clock.now();
-    shell.view().operator.apply_read(kind, position, changes, now);
+    {
+        let mut view = shell.view();
+        view.operator.apply_read(kind, position, changes, now);
+        view.operator_read_at = now;
+    }
     dispatch_operator_table(shell, CatalogSource::Store);
 }
 
--- a/src/options/direct.rs
+++ b/src/options/direct.rs
@@ -63,6 +63,9 @@
     /// gateway polls the directory several times within it.
     #[serde(default = "default_leave_ms")]
     pub leave_ms: u64,
+    /// Time in milliseconds within which a new catalog or an evacuation must be in force.
+    #[serde(default = "default_apply_ms")]
+    pub apply_ms: u64,
     /// Limits on retries and on requests to cold servers.
     #[serde(default)]
     pub budget: BudgetSettings,
@@ -75,6 +78,13 @@
     2_000
 }
 
+fn default_apply_ms() -> u64 {
+    2_000
+}
+
+/// Shortest bound within which gateways can learn of a change.
+const MIN_BOUND_MS: u64 = 200;
+
 /// Settings of a rank agent.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -122,7 +132,18 @@
                 allowed: "between 0 and 1",
             });
         }
-        Ok(())
+        let bounds = [
+            ("role.gateway.leave_ms", gateway.leave_ms),
+            ("role.gateway.apply_ms", gateway.apply_ms),
+        ];
+        match bounds.into_iter().find(|it| it.1 < MIN_BOUND_MS) {
+            Some((field, value)) => Err(SettingsError::OutOfBounds {
+                field,
+                value: value.to_string().into(),
+                allowed: "at least 200",
+            }),
+            None => Ok(()),
+        }
     }
 
     /// Returns the grace period from the stop signal to the end of the process.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -12,6 +12,7 @@
 mod event;
 mod load;
 mod peers;
+mod reader_mark;
 mod servers;
 mod state;
 mod subset;
@@ -31,6 +32,7 @@
 };
 pub use load::{LoadReport, ServerLoad};
 pub use peers::{GatewayLocation, PeerTable};
+pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
 pub use servers::{GroupMembership, KnownServer, ServerRecord, ServerTable};
 pub use state::{RoutingSettings, RoutingState, reduce};
 pub use subset::choose_subset;
--- a/tests/directory_reader.rs
+++ b/tests/directory_reader.rs
@@ -1,5 +1,5 @@
-//! One gateway of a failure domain reads the directory from the store; the others get it from that
-//! gateway, and read it themselves once that gateway has failed.
+//! One gateway of a failure domain reads the directory from the store and polls the operators'
+//! stream; the others follow that gateway, and read the store themselves once it has failed.
 
 use std::time::Duration;
 
@@ -93,3 +93,48 @@
     wait_for_log(&gateways[1], "server i-3 is listed").await;
     announcer.abort();
 }
+
+fn publish(store: &FakeStore, version: u64) {
+    let manifest = json!({"version": version, "routes": [], "services": []});
+    store.put("keyed.op", "config", Some(&manifest));
+}
+
+/// Number of reads of the operators' stream by all gateways within two seconds.
+async fn count_operator_reads(store: &FakeStore) -> u64 {
+    let before = store.reads_of("keyed.op");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    store.reads_of("keyed.op") - before
+}
+
+#[gtest]
+#[tokio::test]
+async fn one_gateway_polls_operators() {
+    /// Time within which a change must be in force, as the settings have it by default.
+    const APPLY_TIME: Duration = Duration::from_secs(2);
+    let store = FakeStore::start(free_address()).await;
+    publish(&store, 1);
+    list_server(&store, "i-1");
+    let mut gateways =
+        [(); 2].map(|()| GatewayProcess::start(&launcher(), store.fake_server.address, &[]));
+    gateways.sort_by_key(|it| it.peer);
+    let [reader, follower] = &gateways;
+    wait_for_log(reader, "catalog 1 in force").await;
+    wait_for_log(follower, "catalog 1 in force").await;
+    let reads_by_both = count_operator_reads(&store).await;
+    let announcer = announce_gateways(&[reader, follower]);
+    let deadline = Instant::now() + WAIT_LIMIT;
+    while count_operator_reads(&store).await * 3 > reads_by_both * 2 {
+        assert!(Instant::now() < deadline, "both gateways still poll the operators' stream");
+    }
+    for (version, is_killed) in [(2, false), (3, true), (4, true)] {
+        if is_killed {
+            // Once the reader is killed, the follower polls the store itself.
+            gateways[0].signal("-KILL");
+        }
+        let published = Instant::now();
+        publish(&store, version);
+        wait_for_log(&gateways[1], &format!("catalog {version} in force")).await;
+        expect_that!(published.elapsed(), lt(APPLY_TIME), "catalog {version}");
+    }
+    announcer.abort();
+}
