Subscribe to the agents of servers that get no work

Change: unusable servers are divided among the gateways as well, with fewer in other failure domains. Result: unused_servers_stay_subscribed failed first.

--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -99,7 +99,7 @@
     settings: RoutingSettings,
     catalog: Option<RouteCatalog>,
     servers: ServerTable,
-    /// Servers that this gateway sends requests to, of all services.
+    /// Servers that this gateway sends requests to while they are usable, of all services.
     subset: BTreeSet<ServerId>,
     /// By address, since agents do not know server ids.
     loads: HashMap<SocketAddr, ServerLoad>,
@@ -143,7 +143,8 @@
         &self.servers
     }
 
-    /// Returns the listed servers that this gateway sends requests to and wants load reports of.
+    /// Returns the listed servers whose agents this gateway subscribes to: those that it sends
+    /// requests to, and a part of those that get none at present.
     pub fn subset(&self) -> impl Iterator<Item = &KnownServer> {
         self.subset.iter().filter_map(|it| self.servers.server(it))
     }
@@ -252,9 +253,14 @@
     let RoutingSettings { address, failure_domain, .. } = &state.settings;
     let services: BTreeSet<&ServiceName> =
         state.servers.servers().map(|it| &it.record.service).collect();
-    let subsets =
-        services.iter().map(|it| choose_subset(state.servers.usable(it), *address, failure_domain));
-    state.subset = subsets.flatten().collect();
+    let subset_of = |service: &ServiceName| {
+        let usable: Vec<&KnownServer> = state.servers.usable(service).collect();
+        let ids: BTreeSet<&ServerId> = usable.iter().map(|it| &it.record.id).collect();
+        let listed = state.servers.servers().filter(|it| it.record.service == *service);
+        let unusable = listed.filter(|it| !ids.contains(&it.record.id)).collect();
+        choose_subset(usable, unusable, *address, failure_domain)
+    };
+    state.subset = services.into_iter().flat_map(subset_of).collect();
 }
 
 fn load_reported(
--- a/src/routing/subset.rs
+++ b/src/routing/subset.rs
@@ -16,25 +16,41 @@
 use super::KnownServer;
 use crate::units::{FailureDomain, ServerId};
 
-/// Number of servers up to which a gateway uses all of them.
+/// Number of servers of a service up to which a gateway uses all of them.
 const MAX_UNDIVIDED_SERVERS: usize = 64;
 /// Size of a subset.
 const SUBSET_SIZE: usize = 48;
 /// Number of servers in other failure domains that a subset has at least.
 const MIN_REMOTE_SERVERS: usize = 12;
+/// Number of unusable servers in other failure domains that a subset has at most.
+const MAX_UNUSABLE_REMOTE: usize = 6;
 
 /// Chooses the subset that the gateway at `own` in failure domain `domain` uses.
 ///
-/// `servers` are the servers of one service that may get new work.
-pub fn choose_subset<'a>(
-    servers: impl Iterator<Item = &'a KnownServer>,
+/// `usable` are the servers of one service that may get new work, `unusable` the others that are
+/// listed. The latter get no requests, but their agents learn from gateways who the members of their
+/// group are, so they are divided among the gateways in the same way.
+pub fn choose_subset(
+    usable: Vec<&KnownServer>,
+    unusable: Vec<&KnownServer>,
     own: SocketAddr,
     domain: &FailureDomain,
 ) -> BTreeSet<ServerId> {
-    let servers: Vec<&KnownServer> = servers.collect();
-    if servers.len() <= MAX_UNDIVIDED_SERVERS {
-        return servers.into_iter().map(|it| it.record.id.clone()).collect();
+    if usable.len() + unusable.len() <= MAX_UNDIVIDED_SERVERS {
+        return usable.into_iter().chain(unusable).map(|it| it.record.id.clone()).collect();
     }
+    let mut subset = choose_part(usable, SUBSET_SIZE, own, domain);
+    subset.extend(choose_part(unusable, MAX_UNUSABLE_REMOTE, own, domain));
+    subset
+}
+
+/// Chooses servers of the own failure domain, and others up to `max_remote`.
+fn choose_part(
+    servers: Vec<&KnownServer>,
+    max_remote: usize,
+    own: SocketAddr,
+    domain: &FailureDomain,
+) -> BTreeSet<ServerId> {
     let (mut local, mut remote): (Vec<&KnownServer>, Vec<&KnownServer>) =
         servers.into_iter().partition(|it| it.record.failure_domain == *domain);
     let seed = xxhash_rust::xxh3::xxh3_64(own.to_string().as_bytes());
@@ -42,6 +58,6 @@
     local.sort_by_cached_key(rank);
     remote.sort_by_cached_key(rank);
     local.truncate(SUBSET_SIZE - MIN_REMOTE_SERVERS);
-    remote.truncate(SUBSET_SIZE - local.len());
+    remote.truncate(max_remote.min(SUBSET_SIZE - local.len()));
     local.into_iter().chain(remote).map(|it| it.record.id.clone()).collect()
 }
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -519,3 +519,53 @@
     let effects = reduce(&mut state, Moment(100_000), event);
     expect_that!(effects.iter().find_map(server_of), some(eq("i-1")));
 }
+
+/// Servers of a large deployment in five failure domains, and the gateways of each.
+fn large_fleet() -> (Vec<ServerRecord>, Vec<RoutingState>) {
+    const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
+    let domain = |n: u16| DOMAINS[usize::from(n) % DOMAINS.len()];
+    let servers: Vec<ServerRecord> = (1..=192).map(|n| server(n, domain(n))).collect();
+    let gateways = (0..99).map(|n| {
+        RoutingState::new(RoutingSettings {
+            address: address(1_000 + n),
+            failure_domain: domain(n).parse().unwrap(),
+            ..settings(BudgetSettings::default(), u64::from(n))
+        })
+    });
+    (servers, gateways.collect())
+}
+
+/// No agent sends its reports to most of the gateways, and none is left out.
+#[gtest]
+fn large_fleet_is_divided() {
+    let (servers, mut gateways) = large_fleet();
+    let mut subscribers: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for gateway in &mut gateways {
+        reduce(gateway, Moment(0), RoutingEvent::DirectoryRead(servers.clone()));
+        let subset: Vec<SocketAddr> = gateway.subset().map(|it| it.record.address).collect();
+        expect_that!(subset.len(), eq(48));
+        subset.into_iter().for_each(|it| *subscribers.entry(it).or_default() += 1);
+    }
+    expect_that!(subscribers.len(), eq(servers.len()));
+    expect_that!(subscribers.values().copied().max(), some(le(99 / 2)));
+    expect_that!(subscribers.values().copied().min(), some(ge(3)));
+}
+
+/// Agents learn the members of their group from gateways only, so those of evacuated and leaving
+/// servers must be subscribed to as well: without them, a group gets no new expert map after all
+/// agents have restarted.
+#[gtest]
+fn unused_servers_stay_subscribed() {
+    let (mut servers, mut gateways) = large_fleet();
+    servers[7].is_draining = true;
+    let evacuated = BTreeSet::from(["b".parse().unwrap()]);
+    let mut subscribed: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for gateway in &mut gateways {
+        reduce(gateway, Moment(0), RoutingEvent::EvacuationsRead(evacuated.clone()));
+        reduce(gateway, Moment(0), RoutingEvent::DirectoryRead(servers.clone()));
+        gateway.subset().for_each(|it| *subscribed.entry(it.record.address).or_default() += 1);
+    }
+    expect_that!(subscribed.len(), eq(servers.len()));
+    expect_that!(subscribed.values().copied().min(), some(ge(3)));
+    expect_that!(subscribed.values().copied().max(), some(le(99 / 2)));
+}
