--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -194,7 +194,7 @@
     }
 
     /// Handles the status of any rank, including this agent's. Ignored if the epochs differ.
-    pub fn handle_status(&mut self, status: MemberStatus, now: Moment) {
+    pub fn handle_status(&mut self, mut status: MemberStatus, now: Moment) {
         if self.place().map(|it| it.epoch) != Some(status.epoch) {
             return;
         }
@@ -203,7 +203,6 @@
             self.add_counts(sample);
         }
         let previous = self.statuses.remove(&status.rank).map(|it| it.0);
-        let mut status = status;
         // Most statuses omit the experts, which change with the map only.
         if let Some(previous) = previous.filter(|it| it.map == status.map)
             && status.experts.is_empty()
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -127,7 +127,7 @@
         };
         match Datagram::decode(&buffer[..length]) {
             Some(Datagram::Load { server, report, subscribers, gateways }) => {
-                // Most reports omit the list of gateways; without a new one the count stays.
+                // Most reports omit the list of gateways. The reducer keeps the largest recent count.
                 let has_list = !gateways.is_empty();
                 shell.record_peers(gateways);
                 let known =
--- /dev/null
+++ b/src/routing/state/eligibility.rs
@@ -0,0 +1,159 @@
+//! Which servers may get a request: reachable, open, not paused, and able to take it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::rngs::SmallRng;
+
+use super::{RequestState, RoutingState};
+use crate::{
+    routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
+    units::{FailureDomain, GroupName, Moment, ServiceName},
+};
+
+/// Time after the first directory read in which some agents may not have reported yet.
+const REPORTS_WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// Chooses a server for an attempt of the request. Returns the random number generator to keep.
+pub(super) fn choose_server(
+    state: &RoutingState,
+    request: &RequestState,
+    now: Moment,
+) -> (PlacementChoice, SmallRng) {
+    let gateway_count = state.gateway_count();
+    let mut usable: Vec<&KnownServer> = state
+        .servers
+        .usable(&request.service)
+        .filter(|it| !request.tried_servers.contains(&it.record.id))
+        .filter(|it| can_accept(state, it, now))
+        .collect();
+    let in_subset = |it: &&&KnownServer| state.subset.contains(&it.record.id);
+    let subset: Vec<&KnownServer> = usable.iter().filter(in_subset).copied().collect();
+    if !subset.is_empty() {
+        usable = subset;
+    }
+    let unpaused = |it: &&&KnownServer| {
+        let address = it.record.address;
+        !state.loads.get(&address).is_some_and(|load| load.is_paused(now))
+    };
+    let reachable =
+        |it: &&&KnownServer| !is_domain_unreachable(state, &it.record.failure_domain, now);
+    let in_other_group = |it: &&&KnownServer| {
+        it.record.group.as_ref().is_none_or(|it| !request.failed_groups.contains(&it.name))
+    };
+    // Preferences, not requirements: each filter applies only if it leaves at least one server.
+    let mut chosen: Vec<&KnownServer> = usable.iter().filter(unpaused).copied().collect();
+    if chosen.is_empty() {
+        chosen = usable;
+    }
+    let reachable_servers: Vec<&KnownServer> = chosen.iter().filter(reachable).copied().collect();
+    if !reachable_servers.is_empty() {
+        chosen = reachable_servers;
+    }
+    let other_groups: Vec<&KnownServer> = chosen.iter().filter(in_other_group).copied().collect();
+    if !other_groups.is_empty() {
+        chosen = other_groups;
+    }
+    let candidates: Vec<Candidate<'_>> = chosen
+        .iter()
+        .map(|it| Candidate {
+            id: &it.record.id,
+            load: state
+                .loads
+                .get(&it.record.address)
+                .map_or(0.0, |load| load.estimate(gateway_count, now)),
+            slots: it.record.slots,
+        })
+        .collect();
+    let mut rng = state.rng.clone();
+    let choice = choose_candidate(&candidates, &state.settings.admission, &mut rng);
+    (choice, rng)
+}
+
+/// Whether all other failure domains count as unreachable.
+pub(super) fn is_isolated(state: &RoutingState, now: Moment) -> bool {
+    let own = &state.settings.failure_domain;
+    let mut others: Vec<&FailureDomain> = state
+        .servers
+        .servers()
+        .map(|it| &it.record.failure_domain)
+        .filter(|it| *it != own)
+        .collect();
+    others.sort_unstable();
+    others.dedup();
+    !others.is_empty() && others.iter().all(|it| is_domain_unreachable(state, it, now))
+}
+
+/// Whether a reachable server of the service accepts requests. Also `true` if no server of
+/// the service is eligible anywhere.
+pub(super) fn has_usable(state: &RoutingState, service: &ServiceName, now: Moment) -> bool {
+    let mut listed = state.servers.usable(service).peekable();
+    listed.peek().is_none()
+        || listed.any(|it| {
+            can_accept(state, it, now)
+                && !is_domain_unreachable(state, &it.record.failure_domain, now)
+        })
+}
+
+/// Whether another failure domain counts as unreachable: none of its agents reports and at least
+/// two have fallen silent, or at least half of its servers, and at least two, accept no connection.
+fn is_domain_unreachable(state: &RoutingState, domain: &FailureDomain, now: Moment) -> bool {
+    if *domain == state.settings.failure_domain {
+        return false;
+    }
+    let (mut total, mut unreachable, mut silent, mut reporting) = (0, 0, 0, 0);
+    for server in state.servers.servers().filter(|it| it.record.failure_domain == *domain) {
+        total += 1;
+        let Some(load) = state.loads.get(&server.record.address) else { continue };
+        unreachable += usize::from(load.is_unreachable() && load.is_paused(now));
+        silent += usize::from(load.is_silent(now));
+        reporting += usize::from(load.is_reporting(now));
+    }
+    reporting == 0 && silent > 1 || unreachable > 1 && unreachable * 2 >= total
+}
+
+/// Whether the server's group is open and, if the server is cold, its rate limit allows one more
+/// request.
+fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
+    let record = &server.record;
+    let report = state.loads.get(&record.address).and_then(|it| it.report(now));
+    let is_listed_open = record.group.as_ref().is_none_or(|it| it.is_open);
+    // The agent's report is fresher than the directory.
+    if !report.map_or(is_listed_open, |it| it.is_open) {
+        return false;
+    }
+    if now >= server.cold_until {
+        return true;
+    }
+    let catalog = state.catalog.as_ref();
+    let cold_rate =
+        catalog.and_then(|it| it.service(&record.service)).map_or(0.0, |it| it.cold_rate);
+    if cold_rate <= 0.0 {
+        return true;
+    }
+    let mut limiter = state.cold_limiters.get(&record.id).cloned().unwrap_or_default();
+    limiter.has_capacity(&state.settings.budget, cold_rate, state.gateway_count(), now)
+}
+
+/// Whether servers of the service can be expected soon: all agents of one of its groups report, so
+/// that the group is only forming, or this process has just started and lacks reports. An outage of
+/// a server or of a failure domain lasts longer than callers wait.
+pub(super) fn is_recovering(state: &RoutingState, service: &ServiceName, now: Moment) -> bool {
+    let is_starting = state.first_directory_at.is_none_or(|at| now.since(at) < REPORTS_WARM_UP);
+    // By group: the number of listed ranks, and whether all agents that report to this gateway do.
+    let mut groups: BTreeMap<&GroupName, (u16, bool)> = BTreeMap::new();
+    let mut has_full_group = false;
+    for server in state.servers.usable(service) {
+        let Some(membership) = &server.record.group else { continue };
+        let load = state.loads.get(&server.record.address);
+        let is_reporting = load.is_some_and(|it| it.is_reporting(now));
+        let (count, all_report) = groups.entry(&membership.name).or_insert((0, true));
+        *count += 1;
+        *all_report &= is_reporting || !state.subset.contains(&server.record.id);
+    }
+    for server in state.servers.usable(service) {
+        let group = server.record.group.as_ref().and_then(|it| groups.get(&it.name));
+        has_full_group |=
+            group.is_some_and(|(count, all)| *all && *count >= server.record.group_size.max(1));
+    }
+    is_starting || has_full_group
+}
--- a/src/routing/subset.rs
+++ b/src/routing/subset.rs
@@ -11,7 +11,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::KnownServer;
 use crate::units::{FailureDomain, ServerId};
@@ -53,7 +53,7 @@
 ) -> BTreeSet<ServerId> {
     let (mut local, mut remote): (Vec<&KnownServer>, Vec<&KnownServer>) =
         servers.into_iter().partition(|it| it.record.failure_domain == *domain);
-    let seed = xxhash_rust::xxh3::xxh3_64(own.to_string().as_bytes());
+    let seed = xxh3_64(own.to_string().as_bytes());
     let rank = |it: &&KnownServer| xxh3_64_with_seed(it.record.id.as_str().as_bytes(), seed);
     local.sort_by_cached_key(rank);
     remote.sort_by_cached_key(rank);
