Log how far lost answers came, what their prompts share, and whether the server ended

Change: 'attempt ended' has 'progress' and, for failures, 'parts', digests of the parts of the prompt that other requests may share. Routing is unchanged.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod event_stream;
 mod peers;
+mod probes;
 mod reports;
 mod requests;
 mod shell;
@@ -14,7 +15,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::{
     daemon::{DaemonError, reload_on_sighup, wait_for_stop_signal},
@@ -24,6 +25,7 @@
     routing::RoutingEvent,
     telemetry::{MetricSink, init_logging, serve_metrics},
 };
+use probes::MAX_QUEUED_PROBES;
 use shell::GatewayShell;
 
 /// Time until the platform's load balancer notices that a gateway is not ready: two readiness
@@ -50,13 +52,15 @@
     let metrics = MetricSink::open(&settings.telemetry)?;
     let DirectRole::Gateway(gateway) = settings.role.clone() else { return Ok(0) };
     let store = StoreClient::new(gateway.store)?;
-    let shell = Arc::new(GatewayShell::new(&settings, &gateway, metrics));
+    let (probe_sender, probes) = mpsc::channel(MAX_QUEUED_PROBES);
+    let shell = Arc::new(GatewayShell::new(&settings, &gateway, metrics, probe_sender));
     log::info!(version = env!("CARGO_PKG_VERSION"); "started");
     let (phase, phases) = watch::channel(ListenerPhase::Open);
     let served = serve(&shell, &settings, &gateway, phases).await?;
     tokio::spawn(sources::watch_operator(shell.clone(), store.clone()));
     tokio::spawn(sources::watch_directory(shell.clone(), store, peers::new_client()?));
     tokio::spawn(reports::exchange_datagrams(shell.clone(), settings.datagrams).await?);
+    tokio::spawn(probes::probe_servers(shell.clone(), probes));
     tokio::spawn(reload_on_sighup(arguments));
     wait_for_stop_signal().await?;
     stop(&shell, &settings, &phase, served).await;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -115,6 +115,7 @@
         caller_timeout: request.headers.time_left.map(|it| it.saturating_sub(waited)),
         waited,
         resumes: request.headers.resume_after.is_some(),
+        shared_parts: request.headers.shared_parts.clone(),
     }
 }
 
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -27,7 +27,10 @@
     platform::{
         AttemptHeaders, ResponseKind, build_attempt_headers, classify_response, strip_hop_by_hop,
     },
-    routing::{AttemptResult, AttemptSpec, RequestNumber, RouteKind, RoutingEffect, RoutingEvent},
+    routing::{
+        AnswerProgress, AttemptResult, AttemptSpec, RequestNumber, RouteKind, RoutingEffect,
+        RoutingEvent, join_parts,
+    },
 };
 
 /// Timeout of a connection attempt: many round-trip times.
@@ -73,6 +76,8 @@
     last_event: Option<SmolStr>,
     /// A server's error response, sent to the caller if no further attempt succeeds.
     server_error: Option<Response>,
+    /// How far the response of the attempt in progress came.
+    progress: AnswerProgress,
 }
 
 impl RequestTask {
@@ -83,7 +88,8 @@
     ) -> Self {
         let last_event = request.headers.resume_after.clone();
         let state = AnswerState::Waiting(answer_sender);
-        Self { shell, request, state, last_event, server_error: None }
+        let progress = AnswerProgress::default();
+        Self { shell, request, state, last_event, server_error: None, progress }
     }
 
     /// Runs the request to its end. The sender of `answered_rx` sends once the head of the response
@@ -108,7 +114,8 @@
                 Some(
                     RoutingEffect::Refuse(..)
                     | RoutingEffect::Finished(_)
-                    | RoutingEffect::StateChanged(_),
+                    | RoutingEffect::StateChanged(_)
+                    | RoutingEffect::ProbeServer { .. },
                 )
                 | None => break,
             };
@@ -119,7 +126,8 @@
             Some(
                 RoutingEffect::Attempt(..)
                 | RoutingEffect::Wait(..)
-                | RoutingEffect::StateChanged(_),
+                | RoutingEffect::StateChanged(_)
+                | RoutingEffect::ProbeServer { .. },
             ) => {}
         }
         self.shell.metrics.time("request.duration", self.request.arrived.elapsed());
@@ -162,6 +170,7 @@
         disconnected: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<RoutingEffect> {
         self.log_attempt(spec);
+        self.progress = AnswerProgress::default();
         let started = Instant::now();
         let deadline = self.shell.clock.instant(spec.deadline);
         // A run that may happen only once is not cancelled, since its effects cannot be undone.
@@ -174,12 +183,18 @@
         };
         let elapsed = started.elapsed();
         self.shell.metrics.time(&format!("attempt.{result}"), elapsed);
+        // Only failures are traced to what requests have in common.
+        let is_failure = result != AttemptResult::Answered;
+        let suspect_parts = if is_failure { spec.shared_parts.as_slice() } else { &[] };
         log::info!(
             request:% = self.request.request_id, server:% = spec.server, result:% = result,
-            elapsed_ms = millis(elapsed), last_event:% = self.last_event.as_deref().unwrap_or("");
+            progress:% = self.progress, elapsed_ms = millis(elapsed),
+            last_event:% = self.last_event.as_deref().unwrap_or(""),
+            parts:% = join_parts(suspect_parts);
             "attempt ended"
         );
-        let effect = self.shell.dispatch(RoutingEvent::AttemptEnded { number, result });
+        let progress = self.progress;
+        let effect = self.shell.dispatch(RoutingEvent::AttemptEnded { number, result, progress });
         if result == AttemptResult::Abandoned && Instant::now() >= deadline {
             let code = RefusalCode::DeadlineDuringRun;
             return Some(RoutingEffect::Refuse(number, Refusal::unknown(code)));
@@ -205,6 +220,7 @@
             Err(result) => return result,
         };
         let OpenCall { head, body, guard } = call;
+        self.progress = AnswerProgress::Head;
         let kind = classify_response(head.status, &head.headers, &self.request.head.headers);
         match kind {
             ResponseKind::NotRun => return AttemptResult::NotRun,
@@ -310,6 +326,7 @@
                     return AttemptResult::Abandoned;
                 }
                 self.last_event = event.id.or(self.last_event.take());
+                self.progress = self.progress.with_event();
                 limit = EVENT_TIMEOUT;
             }
         }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::{
     daemon::ProcessClock,
@@ -21,7 +21,7 @@
     telemetry::MetricSink,
 };
 
-use super::sources::PlatformView;
+use super::{probes::ServerProbe, sources::PlatformView};
 
 /// Timeout of requests whose callers state none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -36,6 +36,8 @@
     reader_mark: Mutex<Option<ReaderMark>>,
     /// Wakes the task that follows the reader.
     reader_replied: Notify,
+    /// Probes for the task that makes them.
+    probes: mpsc::Sender<ServerProbe>,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     /// Limits on HTTP messages and connections.
@@ -56,6 +58,7 @@
         settings: &DirectSettings,
         gateway: &GatewaySettings,
         metrics: MetricSink,
+        probes: mpsc::Sender<ServerProbe>,
     ) -> Self {
         let state = RoutingState::new(RoutingSettings {
             address: gateway.peer_listen,
@@ -75,6 +78,7 @@
             peers: Mutex::new(PeerTable::new(own, &gateway.seeds)),
             reader_mark: Mutex::new(None),
             reader_replied: Notify::new(),
+            probes,
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
@@ -93,12 +97,21 @@
         for effect in effects {
             match effect {
                 RoutingEffect::StateChanged(change) => self.log_change(&change),
+                RoutingEffect::ProbeServer { server, address } => {
+                    self.request_probe(ServerProbe { server, address });
+                }
                 other => request_effect = Some(other),
             }
         }
         request_effect
     }
 
+    fn request_probe(&self, probe: ServerProbe) {
+        if let Err(error) = self.probes.try_send(probe) {
+            log::warn!(error:% = error; "server not probed");
+        }
+    }
+
     fn log_change(&self, change: &RoutingChange) {
         self.metrics.count("beliefs.changed");
         let age_ms = self.directory_age_ms();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -16,6 +16,9 @@
 // Id of the only server that may run the request; another server refuses it with status 421.
 const EXPECTED_SERVER: HeaderName = HeaderName::from_static("expect-instance");
 const REQUEST_PRIORITY: HeaderName = HeaderName::from_static("request-priority");
+// The parts of the prompt in order, as `id:tokens` separated by commas. The last one belongs to the
+// request itself or to its session, the others are shared with other requests.
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
 // A server's signature on its response. Only its presence is checked.
 const SIGNATURE: HeaderName = HeaderName::from_static("response-stamp");
 // Present on a response if the server did not run the request.
@@ -23,6 +26,10 @@
 // Scheme in front of the API key in the authorization header.
 const AUTH_SCHEME: &str = "Token ";
 
+/// Maximum number of shared parts of a prompt that are looked at; the last ones, which fewer requests
+/// share, if there are more.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// Path at which the platform's load balancer probes the readiness of a gateway.
 pub const READY_PATH: &str = "/v1/readyz";
 
@@ -50,10 +57,12 @@
     pub api_key: Option<SmolStr>,
     /// Id of the last event that the caller received from an interrupted stream.
     pub resume_after: Option<SmolStr>,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<SmolStr>,
 }
 
 impl CallerHeaders {
-    /// Decodes the headers; others than the four fields are ignored.
+    /// Decodes the headers; others than these fields are ignored.
     ///
     /// ```
     /// use alderbay::platform::CallerHeaders;
@@ -71,10 +80,22 @@
                 .and_then(|it| it.strip_prefix(AUTH_SCHEME))
                 .map(|it| it.trim().into()),
             resume_after: text(&RESUME_AFTER).map(SmolStr::new),
+            shared_parts: text(&PROMPT_PARTS).map(decode_shared_parts).unwrap_or_default(),
         }
     }
 }
 
+/// Decodes the ids of all parts of a prompt but the last one. An id without a number of tokens is
+/// taken as it is.
+fn decode_shared_parts(text: &str) -> Vec<SmolStr> {
+    let mut parts: Vec<&str> = text.split(',').collect();
+    parts.pop();
+    let skipped = parts.len().saturating_sub(MAX_SHARED_PARTS);
+    let id = |part: &&str| part.split(':').next().unwrap_or_default().trim().to_ascii_lowercase();
+    let ids = parts[skipped..].iter().map(id).filter(|it| !it.is_empty());
+    ids.map(SmolStr::from).collect()
+}
+
 /// Values of the headers that the gateway sets on one attempt at a backend server.
 #[derive(Clone, Debug)]
 pub struct AttemptHeaders<'a> {
@@ -234,6 +255,26 @@
         assert_that!(sent, eq(&expected));
     }
 
+    #[gtest]
+    fn last_part_is_not_shared() {
+        let parts = |text: &'static str| {
+            CallerHeaders::decode(&headers(&[("prompt-prefix", text)])).shared_parts
+        };
+        assert_that!(
+            parts("5c1e07a2:800, 91BD3F06:410,e4402b7d:250"),
+            elements_are![eq("5c1e07a2"), eq("91bd3f06")]
+        );
+        assert_that!(parts("e4402b7d:250"), is_empty());
+        assert_that!(parts(",,:3,"), is_empty());
+        let many: Vec<String> = (0..=40).map(|it| format!("{it:x}:1")).collect();
+        let many = CallerHeaders::decode(&HeaderMap::from_iter([(
+            HeaderName::from_static("prompt-prefix"),
+            HeaderValue::from_str(&many.join(",")).unwrap(),
+        )]));
+        assert_that!(many.shared_parts, len(eq(MAX_SHARED_PARTS)));
+        assert_that!(many.shared_parts.last().map(SmolStr::as_str), some(eq("27")));
+    }
+
     #[gtest]
     fn response_to_another_request_is_foreign() {
         let request = headers(&[("request-id", "a")]);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -26,9 +26,10 @@
     AccountRecord, CallerLimits, CatalogVersion, EngineModel, ExpertLayout, RouteCatalog,
     RouteKind, RouteRecord, RouteTarget, ServiceRecord,
 };
+pub(crate) use event::join_parts;
 pub use event::{
-    AttemptResult, AttemptSpec, CatalogSource, RequestNumber, RoutingChange, RoutingEffect,
-    RoutingEvent, RoutingRequest,
+    AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, RequestNumber, RoutingChange,
+    RoutingEffect, RoutingEvent, RoutingRequest,
 };
 pub use load::{LoadReport, ServerLoad};
 pub use peers::{GatewayLocation, PeerTable};
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -8,7 +8,10 @@
 use super::{LoadReport, RouteCatalog, RouteKind, ServerRecord};
 use crate::{
     core::Refusal,
-    units::{ClientAccount, FailureDomain, Moment, RequestId, RouteName, ServerId, ServiceName},
+    units::{
+        ClientAccount, FailureDomain, Moment, PartDigest, RequestId, RouteName, ServerId,
+        ServiceName,
+    },
 };
 
 /// Number of a caller's request, unique while the gateway process runs.
@@ -57,6 +60,9 @@
     pub waited: Duration,
     /// Whether the request resumes a stream of which the caller has received the beginning.
     pub resumes: bool,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    #[serde(default)]
+    pub shared_parts: Vec<SmolStr>,
 }
 
 /// Result of one attempt at a backend server.
@@ -82,6 +88,46 @@
     Abandoned,
 }
 
+/// How far the response of an attempt came.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerProgress {
+    /// Nothing was received.
+    #[default]
+    Nothing,
+    /// The head of a response.
+    Head,
+    /// The head and this many events of a stream.
+    Events(u32),
+}
+
+impl AnswerProgress {
+    /// Returns the progress after one more event of the stream.
+    ///
+    /// ```
+    /// use alderbay::routing::AnswerProgress;
+    /// assert_eq!(AnswerProgress::Head.with_event(), AnswerProgress::Events(1));
+    /// ```
+    #[must_use]
+    pub fn with_event(self) -> Self {
+        match self {
+            Self::Nothing | Self::Head => Self::Events(1),
+            Self::Events(count) => Self::Events(count.saturating_add(1)),
+        }
+    }
+}
+
+impl fmt::Display for AnswerProgress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Nothing => f.write_str("nothing"),
+            Self::Head => f.write_str("head"),
+            Self::Events(count) => write!(f, "{count} events"),
+        }
+    }
+}
+
 impl AttemptResult {
     /// Whether the server may have run the request.
     pub fn may_have_run(self) -> bool {
@@ -149,6 +195,15 @@
         number: RequestNumber,
         /// Result of the attempt.
         result: AttemptResult,
+        /// How far the server's response came.
+        progress: AnswerProgress,
+    },
+    /// A server whose attempt was lost was tried for a connection.
+    ServerProbed {
+        /// The server.
+        server: ServerId,
+        /// Whether its address refuses connections, so that the server has ended.
+        has_ended: bool,
     },
     /// The caller got its response or has disconnected.
     RequestEnded(RequestNumber),
@@ -180,6 +235,8 @@
     pub attempt: u32,
     /// Estimated number of requests at the server when it was chosen.
     pub load: f64,
+    /// Digests of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PartDigest>,
 }
 
 /// An output of the reducer, carried out by the gateway.
@@ -195,6 +252,13 @@
     Finished(RequestNumber),
     /// Log and count a change of the routing state.
     StateChanged(RoutingChange),
+    /// Find out whether a server has ended, then dispatch [`RoutingEvent::ServerProbed`].
+    ProbeServer {
+        /// The server.
+        server: ServerId,
+        /// Address of the server.
+        address: SocketAddr,
+    },
 }
 
 /// A change of the routing state, for the log.
@@ -231,6 +295,13 @@
         /// Result of the attempt that triggered the pause.
         result: AttemptResult,
     },
+    /// A server ended while it began to answer requests.
+    ServerEnded {
+        /// The server.
+        server: ServerId,
+        /// The requests that it was beginning to answer for this gateway, with their shared parts.
+        suspects: Vec<(RequestId, Vec<PartDigest>)>,
+    },
     /// The platform's store cannot be read.
     StoreUnavailable,
     /// The platform's store can be read again.
@@ -259,6 +330,14 @@
             Self::ServerPaused { server, result } => {
                 write!(f, "server {server} is paused after attempt result {result}")
             }
+            Self::ServerEnded { server, suspects } => {
+                write!(f, "server {server} ended as it began to answer ")?;
+                for (n, (request, parts)) in suspects.iter().enumerate() {
+                    let separator = if n > 0 { ", " } else { "" };
+                    write!(f, "{separator}request {request} with parts {}", join_parts(parts))?;
+                }
+                Ok(())
+            }
             Self::StoreUnavailable => f.write_str("platform store is unavailable"),
             Self::StoreRecovered => f.write_str("platform store is available again"),
             Self::StoreRewound => f.write_str("platform store came back from an older copy"),
@@ -266,3 +345,8 @@
         }
     }
 }
+
+/// Writes digests separated by spaces, for logs.
+pub(crate) fn join_parts(parts: &[PartDigest]) -> String {
+    parts.iter().map(PartDigest::to_string).collect::<Vec<_>>().join(" ")
+}
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -2,6 +2,7 @@
 //! waits or refuses.
 
 mod eligibility;
+mod suspects;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -13,16 +14,20 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    AdmissionSettings, AttemptBudget, AttemptResult, AttemptSpec, BudgetSettings, CatalogSource,
-    ColdLimiter, KnownServer, LoadReport, PlacementChoice, RequestNumber, RetryReason,
-    RouteCatalog, RouteKind, RouteRecord, RoutingChange, RoutingEffect, RoutingEvent,
+    AdmissionSettings, AnswerProgress, AttemptBudget, AttemptResult, AttemptSpec, BudgetSettings,
+    CatalogSource, ColdLimiter, KnownServer, LoadReport, PlacementChoice, RequestNumber,
+    RetryReason, RouteCatalog, RouteKind, RouteRecord, RoutingChange, RoutingEffect, RoutingEvent,
     RoutingRequest, ServerLoad, ServerTable, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode},
-    units::{ClientAccount, FailureDomain, GroupName, Moment, RequestId, ServerId, ServiceName},
+    units::{
+        ClientAccount, FailureDomain, GroupName, Moment, PartDigest, RequestId, ServerId,
+        ServiceName,
+    },
 };
 use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
+use suspects::{EndingServer, record_suspect, server_probed};
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
 const DEFAULT_GATEWAY_COUNT: u32 = 12;
@@ -77,6 +82,8 @@
     route: RouteRecord,
     service: ServiceName,
     account: Option<ClientAccount>,
+    /// Digests of the parts of the prompt that other requests may share, in order.
+    shared_parts: Vec<PartDigest>,
     deadline: Moment,
     /// Servers already attempted, unreachable ones included.
     tried_servers: Vec<ServerId>,
@@ -109,6 +116,8 @@
     /// Largest number of gateways reported lately, and the time of that report.
     reported_gateways: Option<(u32, Moment)>,
     requests: BTreeMap<RequestNumber, RequestState>,
+    /// Servers that may have ended, until they are probed.
+    ending_servers: BTreeMap<ServerId, EndingServer>,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -127,6 +136,7 @@
             budgets: BTreeMap::new(),
             reported_gateways: None,
             requests: BTreeMap::new(),
+            ending_servers: BTreeMap::new(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -220,7 +230,10 @@
             vec![request_arrived(state, caller_request, now)]
         }
         RoutingEvent::WaitEnded(caller_request) => vec![wait_ended(state, caller_request, now)],
-        RoutingEvent::AttemptEnded { number, result } => attempt_ended(state, number, result, now),
+        RoutingEvent::AttemptEnded { number, result, progress } => {
+            attempt_ended(state, number, (result, progress), now)
+        }
+        RoutingEvent::ServerProbed { server, has_ended } => server_probed(state, server, has_ended),
         RoutingEvent::RequestEnded(number) => request_ended(state, number),
         RoutingEvent::StopRequested => {
             state.is_stopping = true;
@@ -312,12 +325,15 @@
     let first_try_timeout = route.timeout.mul_f64(FIRST_TRY_MIN_FRACTION);
     let is_first_try =
         caller_request.resumes || caller_timeout + caller_request.waited >= first_try_timeout;
+    let shared_parts =
+        caller_request.shared_parts.iter().map(|it| PartDigest::of_part(&service, it)).collect();
     let request = RequestState {
         request_id: caller_request.request_id,
         deadline: now.after(caller_timeout.min(route.timeout)),
         route: route.clone(),
         service,
         account,
+        shared_parts,
         tried_servers: Vec::new(),
         failed_groups: Vec::new(),
         attempts_sent: 0,
@@ -442,6 +458,7 @@
         latency_objective: request.route.latency_objective,
         attempt: request.attempts_sent + request.connect_failures + 1,
         load: estimate,
+        shared_parts: request.shared_parts.clone(),
     };
     RoutingEffect::Attempt(number, Box::new(spec))
 }
@@ -475,7 +492,7 @@
 fn attempt_ended(
     state: &mut RoutingState,
     number: RequestNumber,
-    result: AttemptResult,
+    (result, progress): (AttemptResult, AnswerProgress),
     now: Moment,
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
@@ -497,6 +514,7 @@
         .map(RoutingEffect::StateChanged)
         .into_iter()
         .collect();
+    effects.extend(record_suspect(state, number, (&id, address), (result, progress)));
     effects.push(next_effect(state, number, result, now));
     effects
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -2,9 +2,11 @@
 //!
 //! `FromStr` of each type parses the text that its `Display` writes.
 
+mod digests;
 mod ids;
 mod quantities;
 
+pub use digests::{DigestError, PartDigest};
 pub use ids::{
     ClientAccount, EditId, FailureDomain, GroupName, IdError, OperatorName, PlanId, RequestId,
     RouteName, ServerId, ServiceName, VmId,
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -10,10 +10,10 @@
 use alderbay::{
     core::{RefusalCode, RunOutcome},
     routing::{
-        AccountRecord, AttemptResult, BudgetSettings, CallerLimits, CatalogSource, CatalogVersion,
-        GroupMembership, LoadReport, RequestNumber, RouteCatalog, RouteKind, RouteRecord,
-        RouteTarget, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, RoutingSettings,
-        RoutingState, ServerRecord, ServiceRecord, reduce,
+        AccountRecord, AnswerProgress, AttemptResult, BudgetSettings, CallerLimits, CatalogSource,
+        CatalogVersion, GroupMembership, LoadReport, RequestNumber, RouteCatalog, RouteKind,
+        RouteRecord, RouteTarget, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest,
+        RoutingSettings, RoutingState, ServerRecord, ServiceRecord, reduce,
     },
     units::{ByteCount, Moment},
 };
@@ -89,6 +89,7 @@
         caller_timeout: Some(Duration::from_secs(8)),
         waited: Duration::ZERO,
         resumes: false,
+        shared_parts: Vec::new(),
     }
 }
 
@@ -168,7 +169,8 @@
     }
 
     fn end_attempt(&mut self, number: RequestNumber, result: AttemptResult) -> RoutingEffect {
-        self.dispatch_for_effect(RoutingEvent::AttemptEnded { number, result })
+        let progress = AnswerProgress::Nothing;
+        self.dispatch_for_effect(RoutingEvent::AttemptEnded { number, result, progress })
     }
 }
 
