Reproduce the prompt that ends one server after another, known red

Two gateways and eight servers that end when they begin to answer a prompt with one part, whatever else it holds; sound prompts share the account and the first part.

--- /dev/null
+++ b/tests/crashing_prompts.rs
@@ -0,0 +1,116 @@
+//! Tests of requests that end the servers that answer them.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::{
+    launcher,
+    support::{
+        fragile_servers::FragileServers,
+        gateway::{GatewayProcess, connect, read},
+        platform_store::FakeStore,
+        ports::free_address,
+    },
+};
+
+const SERVER_COUNT: usize = 8;
+/// Time after the fifth end within which gateways must have learned the cause.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of further sends that the users accept.
+const MAX_LATER_SENDS: usize = 3;
+const RUN_TIME: Duration = Duration::from_secs(9);
+const HARMFUL_PART: &str = "bad0";
+
+fn draft(id: &str, parts: &str) -> Request<Full<Bytes>> {
+    Request::post("/a/x")
+        .header("host", "h.example")
+        .header("request-id", id)
+        .header("time-budget-ms", "5000")
+        .header("authorization", "Token k1")
+        .header("prompt-prefix", parts)
+        .body(Full::from("a body"))
+        .unwrap()
+}
+
+/// The status, whether a retry is suggested, and the body of an answer; `None` if it broke off.
+async fn send(gateway: std::net::SocketAddr, request: Request<Full<Bytes>>) -> Option<DraftAnswer> {
+    let answer = connect(gateway).await?.send_request(request).await.ok()?;
+    let invites_retry = answer.headers().contains_key("retry-after");
+    let (status, text) = read(answer).await?;
+    Some(DraftAnswer { status, invites_retry, text })
+}
+
+#[derive(Debug)]
+struct DraftAnswer {
+    status: StatusCode,
+    invites_retry: bool,
+    text: String,
+}
+
+async fn start_store() -> Arc<FakeStore> {
+    let store = Arc::new(FakeStore::start(free_address()).await);
+    let manifest = json!({"version": 3, "routes": [{"name": "r", "hostname": "h.example",
+            "path-prefix": "/a/", "kind": "streaming", "timeout-ms": 8000,
+            "target-latency-ms": 400, "service": "s", "max-attempts": 2, "public": false,
+            "resumable": true}],
+        "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
+        "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
+    store.put("keyed.op", "config", Some(&manifest));
+    store
+}
+
+#[gtest]
+#[tokio::test]
+async fn harmful_prompt_ends_few_servers() {
+    let store = start_store().await;
+    let addresses = [(); SERVER_COUNT].map(|()| free_address());
+    let servers = FragileServers::start(&store, &addresses, &[HARMFUL_PART]).await;
+    let first = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
+    first.wait_ready().await;
+    let second = GatewayProcess::start(&launcher(), store.fake_server.address, &[first.peer]);
+    second.wait_ready().await;
+    let started = Instant::now();
+    let (mut sound, mut harmful) = (Vec::new(), Vec::new());
+    for n in 0_u32.. {
+        if started.elapsed() > RUN_TIME {
+            break;
+        }
+        let gateway = if n.is_multiple_of(2) { first.listen } else { second.listen };
+        let subject = format!("5a{:x}", n % 3);
+        let request = draft(&format!("q-{n}"), &format!("{subject}:40,{n:x}:600"));
+        sound.push(tokio::spawn(send(gateway, request)));
+        if n.is_multiple_of(4) || n % 4 == 3 {
+            let parts = format!("{subject}:40,{HARMFUL_PART}:30,f{n:x}:600");
+            harmful.push(tokio::spawn(send(gateway, draft(&format!("b-{n}"), &parts))));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let (end_count, later_sends) = servers.log(|log| {
+        let fifth = log.ends.get(4).map(|it| *it + CONTACT_TIME);
+        let is_later = |it: &&Instant| fifth.is_some_and(|fifth| **it > fifth);
+        (log.ends.len(), log.harmful_sends.iter().filter(is_later).count())
+    });
+    println!("{end_count} servers ended, {later_sends} harmful requests sent later");
+    expect_that!(later_sends, le(MAX_LATER_SENDS), "{end_count} servers ended");
+    let mut complete = 0;
+    let sound_count = sound.len();
+    for answer in sound {
+        let answer = answer.await.unwrap();
+        complete += usize::from(answer.is_some_and(|it| it.text.contains("id: 10\n")));
+    }
+    println!("{complete} of {sound_count} sound requests answered");
+    expect_that!(complete * 2, ge(sound_count));
+    for answer in harmful {
+        let Some(answer) = answer.await.unwrap() else { continue };
+        expect_that!(answer.status, not(eq(StatusCode::OK)), "{answer:?}");
+        // Only a request that has not run may be told to come back.
+        let may_retry = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        expect_that!(may_retry || !answer.invites_retry, eq(true), "{answer:?}");
+    }
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -8,6 +8,7 @@
 mod bad_input;
 mod cold_server;
 mod config_race;
+mod crashing_prompts;
 mod directory_reader;
 mod domain_cut;
 mod domain_drain;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -11,6 +11,8 @@
 pub mod engine;
 #[path = "support/fleet.rs"]
 pub mod fleet;
+#[path = "support/fragile_servers.rs"]
+pub mod fragile_servers;
 #[path = "support/gateway.rs"]
 pub mod gateway;
 #[path = "support/ledger_service.rs"]
--- /dev/null
+++ b/tests/support/fragile_servers.rs
@@ -0,0 +1,162 @@
+//! Fake backend servers that end when they begin to answer a request whose prompt has a certain
+//! part, and start again as new servers at the same address.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::Instant,
+};
+
+use super::platform_store::FakeStore;
+
+/// Time from the head of an answer until the server ends.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+/// Time until a server that has ended starts again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Pause between the events of an answer.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// Number of events of an answer.
+const EVENT_COUNT: u32 = 10;
+
+/// What happened at the servers.
+#[derive(Default)]
+pub struct CrashLog {
+    /// When each server ended.
+    pub ends: Vec<Instant>,
+    /// When each request with a harmful part reached a server.
+    pub harmful_sends: Vec<Instant>,
+    /// Number of servers started.
+    starts: u32,
+}
+
+/// A set of servers of service `s` that are listed in the store.
+#[derive(Clone)]
+pub struct FragileServers {
+    log: Arc<Mutex<CrashLog>>,
+    harmful: Arc<BTreeSet<String>>,
+}
+
+impl FragileServers {
+    /// Starts a server at each address. Requests with one of the parts `harmful` end their server.
+    pub async fn start(store: &Arc<FakeStore>, addresses: &[SocketAddr], harmful: &[&str]) -> Self {
+        let harmful = harmful.iter().map(|it| (*it).to_owned()).collect();
+        let servers = Self { log: Arc::default(), harmful: Arc::new(harmful) };
+        for address in addresses {
+            let listener = TcpListener::bind(address).await.unwrap();
+            tokio::spawn(servers.clone().run(store.clone(), *address, listener));
+        }
+        servers
+    }
+
+    /// Returns what was recorded, through `read`.
+    pub fn log<T>(&self, read: impl FnOnce(&CrashLog) -> T) -> T {
+        read(&self.log.lock().unwrap())
+    }
+
+    /// Runs one server after the other at an address.
+    async fn run(self, store: Arc<FakeStore>, address: SocketAddr, mut listener: TcpListener) {
+        loop {
+            let id = {
+                let mut log = self.log.lock().unwrap();
+                log.starts += 1;
+                format!("i-{}", log.starts)
+            };
+            let entry = json!({"service": "s", "address": address, "zone": "a", "version": "v1",
+                "slots": 12, "state": "ready", "warmup-left-ms": 0, "sequence": 1, "born": 1});
+            store.put("keyed.servers", &id, Some(&entry));
+            let (end, ended) = watch::channel(false);
+            let mut has_ended = ended.clone();
+            while !*ended.borrow() {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { continue };
+                        tokio::spawn(self.clone().serve(stream, id.clone(), end.clone(), ended.clone()));
+                    }
+                    _ = has_ended.changed() => {}
+                }
+            }
+            drop(listener);
+            tokio::time::sleep(RESTART_DELAY).await;
+            store.put("keyed.servers", &id, None);
+            listener = TcpListener::bind(address).await.unwrap();
+        }
+    }
+
+    /// Serves one connection until the server ends.
+    async fn serve(
+        self,
+        mut stream: TcpStream,
+        id: String,
+        end: watch::Sender<bool>,
+        mut ended: watch::Receiver<bool>,
+    ) {
+        // A process that ends resets its connections.
+        #[allow(deprecated)]
+        stream.set_linger(Some(Duration::ZERO)).unwrap();
+        tokio::select! {
+            () = self.answer(&mut stream, &id, &end) => {}
+            _ = ended.changed() => {}
+        }
+    }
+
+    async fn answer(&self, stream: &mut TcpStream, id: &str, end: &watch::Sender<bool>) {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let Ok(byte) = stream.read_u8().await else { return };
+            head.push(byte);
+        }
+        let head = String::from_utf8(head).unwrap().to_ascii_lowercase();
+        let header = |name: &str| {
+            let line = head.lines().find_map(|it| it.strip_prefix(name))?;
+            Some(line.trim_start_matches(':').trim().to_owned())
+        };
+        if header("expect-instance").as_deref() != Some(id) {
+            let answer = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+            let _ = stream.write_all(answer).await;
+            return;
+        }
+        let parts = header("prompt-prefix").unwrap_or_default();
+        let is_harmful =
+            parts.split(',').any(|it| self.harmful.contains(it.split(':').next().unwrap()));
+        if is_harmful {
+            self.log.lock().unwrap().harmful_sends.push(Instant::now());
+        }
+        let request = header("request-id").unwrap_or_default();
+        let answer_head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        if stream.write_all(answer_head.as_bytes()).await.is_err() {
+            return;
+        }
+        if is_harmful {
+            tokio::time::sleep(CRASH_DELAY).await;
+            let has_just_ended = !end.send_replace(true);
+            if has_just_ended {
+                self.log.lock().unwrap().ends.push(Instant::now());
+            }
+            return;
+        }
+        let resume_after: u32 = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
+        for event_id in resume_after + 1..=EVENT_COUNT {
+            tokio::time::sleep(EVENT_PAUSE).await;
+            let event = format!("id: {event_id}\ndata: x\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if stream.write_all(chunk.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        let _ = stream.write_all(b"0\r\n\r\n").await;
+        // The end of the answer must be read before the connection is reset.
+        let _ = stream.read_u8().await;
+    }
+}
