--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -281,6 +281,8 @@
     ClaimsUnavailable = "claims_unavailable", 503, "keys cannot be claimed now, so nothing was run";
     DeadlinePassed = "deadline_passed", 504, "the deadline passed before the request was run";
     OutcomeUnknown = "outcome_unknown", 502, "the backend server was lost; the request may have run";
+    ServerEnded = "server_ended", 502, "the backend server ended as it began to answer the request";
+    HarmfulPrompt = "harmful_prompt", 500, "backend servers end when they answer prompts with a part of this one";
     AnswerTooLarge = "answer_too_large", 502, "the backend server's answer is over the bound";
     AnswerBroken = "answer_broken", 502, "the backend server's answer broke off";
     DeadlineDuringRun = "deadline_during_run", 504, "the deadline passed while the request ran";
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -39,7 +39,8 @@
     move |_, request| Box::pin(answer(shell.clone(), request))
 }
 
-type AnswerFuture = std::pin::Pin<Box<dyn Future<Output = Response> + Send>>;
+/// Future of the response to one request.
+pub(super) type AnswerFuture = std::pin::Pin<Box<dyn Future<Output = Response> + Send>>;
 
 /// Handles the readiness probes of the platform's load balancer.
 pub(super) fn ready_handler(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface between gateways. `GET /v1/view` returns all data read from the platform's
 //! store, for gateways that cannot read it; `GET /v1/directory` returns the directory, for gateways
-//! that rely on this one as their reader.
+//! that rely on this one as their reader; [`super::quarantine`] serves the others.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -12,6 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    callers::AnswerFuture,
+    quarantine::{LIFT_PATH, QUARANTINE_PATH, lift_answer, quarantine_answer},
     shell::GatewayShell,
     sources::{apply_directory_view, apply_operator_view},
 };
@@ -73,14 +75,17 @@
 /// Handles requests of other gateways.
 pub(super) fn handler(
     shell: Arc<GatewayShell>,
-) -> impl Fn(SocketAddr, http::Request<Incoming>) -> std::future::Ready<Response> + Clone {
-    move |_, request| {
-        let answer = match request.uri().path() {
-            VIEW_PATH => view_answer(&shell, request.uri().query()),
-            DIRECTORY_PATH => directory_answer(&shell, request.uri().query()),
-            _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
-        };
-        std::future::ready(answer)
+) -> impl Fn(SocketAddr, http::Request<Incoming>) -> AnswerFuture + Clone {
+    move |_, request| Box::pin(answer(shell.clone(), request))
+}
+
+async fn answer(shell: Arc<GatewayShell>, request: http::Request<Incoming>) -> Response {
+    match request.uri().path() {
+        VIEW_PATH => view_answer(&shell, request.uri().query()),
+        DIRECTORY_PATH => directory_answer(&shell, request.uri().query()),
+        QUARANTINE_PATH => quarantine_answer(&shell, request).await,
+        LIFT_PATH => lift_answer(&shell, &request),
+        _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
--- /dev/null
+++ b/src/gateway/quarantine.rs
@@ -0,0 +1,173 @@
+//! Exchange of the records of servers that ended with other gateways, and the operators' interface
+//! to them.
+//!
+//! A gateway that learns something new exchanges its records with a few others, which do the same.
+//! So all gateways know within a few rounds, while what one of them sends does not grow with their
+//! number. Each second one exchange with a random gateway makes up for what got lost, and tells
+//! gateways that have just started.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use http::{Method, StatusCode};
+use hyper::body::Incoming;
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep, timeout};
+use volo_http::{client::Client, response::Response};
+
+use super::{peers, shell::GatewayShell};
+use crate::{
+    http::{json_response, read_body, text_response},
+    platform::{PlatformError, post_json},
+    routing::{BlockedPart, CrashReport, GatewayLocation, RoutingEvent},
+    units::{ByteCount, PartDigest},
+};
+
+/// Path at which gateways exchange their records. `GET` returns them with the blocked parts.
+pub(super) const QUARANTINE_PATH: &str = "/v1/quarantine";
+/// Path at which an operator lifts the block of the part in the query.
+pub(super) const LIFT_PATH: &str = "/v1/quarantine/lift";
+/// Number of gateways with which news is exchanged at once.
+const FANOUT: usize = 4;
+/// Number of rounds in which news is exchanged. One round would miss a few of hundreds of gateways.
+const NEWS_ROUNDS: u32 = 3;
+/// Time between two rounds.
+const NEWS_INTERVAL: Duration = Duration::from_millis(60);
+/// Interval between exchanges with a random gateway.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time after the start in which records are requested although this gateway has none.
+const START_UP_TIME: Duration = Duration::from_secs(10);
+/// Timeout of an exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of another gateway's records.
+const MAX_MESSAGE: ByteCount = ByteCount(256 << 10);
+
+/// Records that gateways exchange.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+struct QuarantineMessage {
+    /// The sender.
+    gateway: GatewayLocation,
+    reports: Vec<CrashReport>,
+}
+
+/// What operators see.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+struct QuarantineStatus {
+    blocked: Vec<BlockedStatus>,
+    reports: Vec<CrashReport>,
+}
+
+/// A blocked part as operators see it.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+struct BlockedStatus {
+    part: PartDigest,
+    #[serde(flatten)]
+    blocked: BlockedPart,
+}
+
+fn message(shell: &GatewayShell) -> QuarantineMessage {
+    let now = shell.clock.now();
+    let gateway = shell.peers().own().clone();
+    QuarantineMessage { gateway, reports: shell.read(|it| it.quarantine().reports(now)) }
+}
+
+fn apply(shell: &GatewayShell, message: QuarantineMessage) {
+    shell.record_peers(vec![message.gateway]);
+    if !message.reports.is_empty() {
+        shell.dispatch(RoutingEvent::QuarantineRead(message.reports));
+    }
+}
+
+/// Exchanges records whenever there is news, and with a random gateway each second.
+pub(super) async fn exchange_reports(shell: Arc<GatewayShell>) {
+    let client = match peers::new_client() {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!(error:% = error; "cannot exchange records of ended servers");
+            return;
+        }
+    };
+    let started = Instant::now();
+    loop {
+        let has_news = timeout(EXCHANGE_INTERVAL, shell.quarantine_changed()).await.is_ok();
+        let is_needed =
+            started.elapsed() < START_UP_TIME || shell.read(|it| !it.quarantine().is_empty());
+        if has_news {
+            for _ in 0..NEWS_ROUNDS {
+                exchange(&shell, &client, FANOUT).await;
+                sleep(NEWS_INTERVAL).await;
+            }
+        } else if is_needed {
+            exchange(&shell, &client, 1).await;
+        }
+    }
+}
+
+/// Exchanges records with a number of random gateways.
+async fn exchange(shell: &GatewayShell, client: &Client, peer_count: usize) {
+    let peers = shell.peers().addresses().choose_multiple(&mut rand::rng(), peer_count);
+    join_all(peers.into_iter().map(|it| exchange_with(shell, client, it))).await;
+}
+
+async fn exchange_with(shell: &GatewayShell, client: &Client, peer: SocketAddr) {
+    let uri = format!("http://{peer}{QUARANTINE_PATH}");
+    let reply: Result<QuarantineMessage, PlatformError> =
+        post_json(client, uri, &message(shell), EXCHANGE_TIMEOUT).await;
+    match reply {
+        Ok(reply) => apply(shell, reply),
+        Err(error) => {
+            log::debug!(peer:% = peer, error:% = error; "cannot exchange records of ended servers");
+        }
+    }
+}
+
+/// Merges another gateway's records and responds with the own ones, or shows them to an operator.
+pub(super) async fn quarantine_answer(
+    shell: &GatewayShell,
+    request: http::Request<Incoming>,
+) -> Response {
+    if request.method() == Method::GET {
+        return json_response(StatusCode::OK, &status(shell));
+    }
+    let body = read_body(request.into_body(), MAX_MESSAGE, EXCHANGE_TIMEOUT).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    };
+    match serde_json::from_slice(&body) {
+        Ok(received) => {
+            apply(shell, received);
+            json_response(StatusCode::OK, &message(shell))
+        }
+        Err(error) => text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
+fn status(shell: &GatewayShell) -> QuarantineStatus {
+    let now = shell.clock.now();
+    shell.read(|state| {
+        let blocked = state.quarantine().blocked().iter();
+        let blocked =
+            blocked.map(|(part, it)| BlockedStatus { part: *part, blocked: it.clone() }).collect();
+        QuarantineStatus { blocked, reports: state.quarantine().reports(now) }
+    })
+}
+
+/// Lifts the block of the part in the query.
+pub(super) fn lift_answer(shell: &GatewayShell, request: &http::Request<Incoming>) -> Response {
+    if request.method() != Method::POST {
+        return text_response(StatusCode::METHOD_NOT_ALLOWED, "use POST\n");
+    }
+    match request.uri().query().unwrap_or_default().parse::<PartDigest>() {
+        Ok(part) => {
+            log::warn!(part:% = part; "block of a prompt part lifted by an operator");
+            shell.dispatch(RoutingEvent::PartLifted(part));
+            json_response(StatusCode::OK, &status(shell))
+        }
+        Err(error) => text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -29,7 +29,7 @@
     },
     routing::{
         AnswerProgress, AttemptResult, AttemptSpec, RequestNumber, RouteKind, RoutingEffect,
-        RoutingEvent, join_parts,
+        RoutingEvent, SETTLED_EVENTS, join_parts,
     },
 };
 
@@ -70,6 +70,7 @@
 /// A caller's request in progress, run as a task of its own.
 pub(super) struct RequestTask {
     shell: Arc<GatewayShell>,
+    number: RequestNumber,
     request: CallerRequest,
     state: AnswerState,
     /// Id of the last event sent to the caller, or of the event after which it resumes.
@@ -88,14 +89,14 @@
     ) -> Self {
         let last_event = request.headers.resume_after.clone();
         let state = AnswerState::Waiting(answer_sender);
-        let progress = AnswerProgress::default();
-        Self { shell, request, state, last_event, server_error: None, progress }
+        let (number, progress) = (shell.next_number(), AnswerProgress::default());
+        Self { shell, number, request, state, last_event, server_error: None, progress }
     }
 
     /// Runs the request to its end. The sender of `answered_rx` sends once the head of the response
     /// goes to the caller, and is dropped without sending if the caller disconnects.
     pub(super) async fn run(mut self, answered_rx: oneshot::Receiver<()>) {
-        let number = self.shell.next_number();
+        let number = self.number;
         let mut disconnected = std::pin::pin!(caller_disconnected(answered_rx));
         let request = routing_request(number, &self.request);
         let mut effect = self.shell.dispatch(RoutingEvent::RequestArrived(request));
@@ -115,6 +116,7 @@
                     RoutingEffect::Refuse(..)
                     | RoutingEffect::Finished(_)
                     | RoutingEffect::StateChanged(_)
+                    | RoutingEffect::ShareQuarantine
                     | RoutingEffect::ProbeServer { .. },
                 )
                 | None => break,
@@ -127,6 +129,7 @@
                 RoutingEffect::Attempt(..)
                 | RoutingEffect::Wait(..)
                 | RoutingEffect::StateChanged(_)
+                | RoutingEffect::ShareQuarantine
                 | RoutingEffect::ProbeServer { .. },
             ) => {}
         }
@@ -308,6 +311,7 @@
                 None => {
                     self.begin_stream(&mut head);
                     self.state = AnswerState::Done;
+                    self.progress = AnswerProgress::Whole;
                     return AttemptResult::Answered;
                 }
             }
@@ -327,6 +331,9 @@
                 }
                 self.last_event = event.id.or(self.last_event.take());
                 self.progress = self.progress.with_event();
+                if self.progress == AnswerProgress::Events(SETTLED_EVENTS) {
+                    self.shell.dispatch(RoutingEvent::AnswerSettled(self.number));
+                }
                 limit = EVENT_TIMEOUT;
             }
         }
@@ -374,6 +381,9 @@
             }
         }
         let is_error = head.status.is_server_error();
+        if head.status.is_success() {
+            self.progress = AnswerProgress::Whole;
+        }
         let answer = build_answer(head, Body::from(collected.freeze()));
         match std::mem::replace(&mut self.state, AnswerState::Done) {
             AnswerState::Waiting(answer_sender) if is_error => {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -36,6 +36,8 @@
     reader_mark: Mutex<Option<ReaderMark>>,
     /// Wakes the task that follows the reader.
     reader_replied: Notify,
+    /// Wakes the task that exchanges records of ended servers with other gateways.
+    quarantine_changed: Notify,
     /// Probes for the task that makes them.
     probes: mpsc::Sender<ServerProbe>,
     next_request: AtomicU64,
@@ -78,6 +80,7 @@
             peers: Mutex::new(PeerTable::new(own, &gateway.seeds)),
             reader_mark: Mutex::new(None),
             reader_replied: Notify::new(),
+            quarantine_changed: Notify::new(),
             probes,
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
@@ -97,6 +100,7 @@
         for effect in effects {
             match effect {
                 RoutingEffect::StateChanged(change) => self.log_change(&change),
+                RoutingEffect::ShareQuarantine => self.quarantine_changed.notify_one(),
                 RoutingEffect::ProbeServer { server, address } => {
                     self.request_probe(ServerProbe { server, address });
                 }
@@ -189,6 +193,11 @@
         self.reader_replied.notified().await;
     }
 
+    /// Waits until there are records of ended servers that other gateways may not know.
+    pub(super) async fn quarantine_changed(&self) {
+        self.quarantine_changed.notified().await;
+    }
+
     /// Locks the table of other gateways.
     pub(super) fn peers(&self) -> MutexGuard<'_, PeerTable> {
         lock(&self.peers)
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -101,6 +101,25 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Sends a JSON document to another process and decodes the JSON of its response.
+///
+/// # Errors
+///
+/// The request fails or times out, its status is not 200, or the body has an unexpected shape.
+pub async fn post_json<T: serde::de::DeserializeOwned>(
+    client: &volo_http::client::Client,
+    uri: String,
+    document: &impl serde::Serialize,
+    timeout: Duration,
+) -> Result<T, PlatformError> {
+    let body = serde_json::to_vec(document)?;
+    let (parts, body) = fetch(client.post(uri).body(body.into()), timeout).await?;
+    if parts.status != http::StatusCode::OK {
+        return Err(PlatformError::Status(parts.status.as_u16()));
+    }
+    Ok(serde_json::from_slice(&body)?)
+}
+
 /// Sends a request and reads the complete response within `timeout`.
 async fn fetch(
     request: volo_http::client::RequestBuilder<volo_http::client::Client>,
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -3,8 +3,9 @@
 //! As in [`crate::core`], every input is an event and every output an effect: [`reduce`] reads no
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), server choice
-//! and overload refusals (`admission`), retry and cold-server budgets (`budget`), and the other
-//! gateways (`peers`), and the servers that one gateway uses (`subset`).
+//! and overload refusals (`admission`), retry and cold-server budgets (`budget`), prompts that end
+//! servers (`quarantine`), the other gateways (`peers`), and the servers that one gateway uses
+//! (`subset`).
 
 mod admission;
 mod budget;
@@ -12,6 +13,7 @@
 mod event;
 mod load;
 mod peers;
+mod quarantine;
 mod reader_mark;
 mod servers;
 mod state;
@@ -29,10 +31,11 @@
 pub(crate) use event::join_parts;
 pub use event::{
     AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, RequestNumber, RoutingChange,
-    RoutingEffect, RoutingEvent, RoutingRequest,
+    RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
 };
 pub use load::{LoadReport, ServerLoad};
 pub use peers::{GatewayLocation, PeerTable};
+pub use quarantine::{BlockedPart, CrashReport, QuarantineTable, QuarantineUpdate};
 pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
 pub use servers::{GroupMembership, KnownServer, ServerRecord, ServerTable};
 pub use state::{RoutingSettings, RoutingState, reduce};
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{LoadReport, RouteCatalog, RouteKind, ServerRecord};
+use super::{BlockedPart, CrashReport, LoadReport, RouteCatalog, RouteKind, ServerRecord};
 use crate::{
     core::Refusal,
     units::{
@@ -88,6 +88,9 @@
     Abandoned,
 }
 
+/// Number of events of a stream after which its response has not ended the server.
+pub const SETTLED_EVENTS: u32 = 4;
+
 /// How far the response of an attempt came.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -100,6 +103,8 @@
     Head,
     /// The head and this many events of a stream.
     Events(u32),
+    /// The whole response.
+    Whole,
 }
 
 impl AnswerProgress {
@@ -114,6 +119,7 @@
         match self {
             Self::Nothing | Self::Head => Self::Events(1),
             Self::Events(count) => Self::Events(count.saturating_add(1)),
+            Self::Whole => Self::Whole,
         }
     }
 }
@@ -124,6 +130,7 @@
             Self::Nothing => f.write_str("nothing"),
             Self::Head => f.write_str("head"),
             Self::Events(count) => write!(f, "{count} events"),
+            Self::Whole => f.write_str("whole"),
         }
     }
 }
@@ -198,6 +205,12 @@
         /// How far the server's response came.
         progress: AnswerProgress,
     },
+    /// The stream of a request has reached [`SETTLED_EVENTS`] events.
+    AnswerSettled(RequestNumber),
+    /// Another gateway sent its records of servers that ended.
+    QuarantineRead(Vec<CrashReport>),
+    /// An operator ordered that a part of prompts is no longer blocked.
+    PartLifted(PartDigest),
     /// A server whose attempt was lost was tried for a connection.
     ServerProbed {
         /// The server.
@@ -252,6 +265,8 @@
     Finished(RequestNumber),
     /// Log and count a change of the routing state.
     StateChanged(RoutingChange),
+    /// Exchange the records of servers that ended with other gateways.
+    ShareQuarantine,
     /// Find out whether a server has ended, then dispatch [`RoutingEvent::ServerProbed`].
     ProbeServer {
         /// The server.
@@ -302,6 +317,15 @@
         /// The requests that it was beginning to answer for this gateway, with their shared parts.
         suspects: Vec<(RequestId, Vec<PartDigest>)>,
     },
+    /// A part of prompts ends servers: requests with it are refused.
+    PartBlocked {
+        /// The part.
+        part: PartDigest,
+        /// What a request must have to be refused, and the evidence.
+        blocked: BlockedPart,
+    },
+    /// A part of prompts is no longer blocked.
+    PartUnblocked(PartDigest),
     /// The platform's store cannot be read.
     StoreUnavailable,
     /// The platform's store can be read again.
@@ -338,6 +362,13 @@
                 }
                 Ok(())
             }
+            Self::PartBlocked { part, blocked: BlockedPart { combination, end_count } } => {
+                write!(f, "prompt part {part} is blocked after {end_count} server ends")?;
+                let others: Vec<PartDigest> =
+                    combination.iter().copied().filter(|it| it != part).collect();
+                if others.is_empty() { Ok(()) } else { write!(f, ", with {}", join_parts(&others)) }
+            }
+            Self::PartUnblocked(part) => write!(f, "prompt part {part} is no longer blocked"),
             Self::StoreUnavailable => f.write_str("platform store is unavailable"),
             Self::StoreRecovered => f.write_str("platform store is available again"),
             Self::StoreRewound => f.write_str("platform store came back from an older copy"),
--- /dev/null
+++ b/src/routing/quarantine.rs
@@ -0,0 +1,357 @@
+//! Prompts that end the servers that answer them.
+//!
+//! A part of a prompt may make each server end that begins to answer a request with it, whatever
+//! else the request holds. Such requests must be refused before they reach a server, by all
+//! gateways, since callers send them to any. The evidence:
+//!
+//! - a [`CrashRecord`] says that a server ended as it began to answer a request with these parts;
+//! - an answer that goes on shows that none of the request's parts does this, so they are excused
+//!   from all records about that time.
+//!
+//! A part is blocked once [`MIN_ENDS`] ends at different times have it in common and nothing excuses
+//! it. Parts that always came together with it and are not excused either are blocked only together
+//! with it: requests with one of them go on, and their answers excuse it.
+//!
+//! Gateways exchange their records. Merging is idempotent, commutative and only adds, so any order
+//! and any number of exchanges give the same table, up to its bound.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::RoutingChange;
+use crate::units::{Moment, PartDigest, RequestId, ServerId};
+
+/// Number of ends that block a part. One may be a coincidence: servers also end for other reasons.
+const MIN_ENDS: usize = 2;
+/// Ends of several servers within this time count once: they may share another cause, such as a
+/// failure domain that lost its power.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
+/// Time in which records about one server are about the same end.
+const SAME_END_WINDOW: Duration = Duration::from_secs(2);
+/// Time for which an answer that went on excuses the parts of its prompt from later records. Bounded
+/// because a new version of the model may fail where the last one did not.
+const EXCUSE_TTL: Duration = Duration::from_secs(60);
+/// Number of parts remembered as harmless, twice: of the present and of the last generation.
+const MAX_HARMLESS_PARTS: usize = 4_096;
+/// Maximum number of records that are kept.
+const MAX_RECORDS: usize = 64;
+/// Maximum number of parts of a record of another gateway.
+const MAX_RECORD_PARTS: usize = 32;
+
+/// Point in time on this process's clock, which may lie before its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct EvidenceTime(i64);
+
+impl EvidenceTime {
+    fn at(now: Moment, age: Duration) -> Self {
+        let micros = |it: u128| i64::try_from(it).unwrap_or(i64::MAX);
+        Self(micros(now.0.into()).saturating_sub(micros(age.as_micros())))
+    }
+
+    fn age(self, now: Moment) -> Duration {
+        let micros = Self::at(now, Duration::ZERO).0.saturating_sub(self.0);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+    }
+
+    fn is_within(self, window: Duration, other: Self) -> bool {
+        u128::from(self.0.abs_diff(other.0)) < window.as_micros()
+    }
+
+    fn after(self, delay: Duration) -> Self {
+        Self(self.0.saturating_add(i64::try_from(delay.as_micros()).unwrap_or(i64::MAX)))
+    }
+}
+
+/// What is kept of a request whose server ended as it began to answer.
+#[derive(Clone, Debug, PartialEq)]
+struct CrashRecord {
+    at: EvidenceTime,
+    /// Digests of the shared parts of the prompt, in order.
+    parts: Vec<PartDigest>,
+    /// Parts that later or slightly earlier answers have shown to be harmless.
+    excused: BTreeSet<PartDigest>,
+}
+
+impl CrashRecord {
+    fn suspects(&self) -> impl Iterator<Item = PartDigest> + '_ {
+        self.parts.iter().copied().filter(|it| !self.excused.contains(it))
+    }
+
+    fn is_suspect(&self, part: PartDigest) -> bool {
+        self.parts.contains(&part) && !self.excused.contains(&part)
+    }
+}
+
+/// A request whose server ended as it began to answer, in the form in which gateways send it to each
+/// other.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The server that ended.
+    pub server: ServerId,
+    /// The request that it began to answer.
+    pub request: RequestId,
+    /// Digests of the shared parts of the prompt, in order.
+    pub parts: Vec<PartDigest>,
+    /// Parts that are known to be harmless.
+    pub excused: BTreeSet<PartDigest>,
+    /// Time since the server ended, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A part of prompts that is blocked.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct BlockedPart {
+    /// All parts that a request must have to be refused: this one, and those that came with it in
+    /// all records and that nothing excuses.
+    pub combination: BTreeSet<PartDigest>,
+    /// Number of server ends at different times that the part explains.
+    pub end_count: usize,
+}
+
+/// What one gateway knows about prompts that end servers.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantineTable {
+    records: BTreeMap<(ServerId, RequestId), CrashRecord>,
+    harmless: HarmlessParts,
+    blocked: BTreeMap<PartDigest, BlockedPart>,
+}
+
+/// Result of a change of the table.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct QuarantineUpdate {
+    /// Whether there is something that other gateways may not know.
+    pub has_news: bool,
+    /// Parts that are blocked now or no longer.
+    pub changes: Vec<RoutingChange>,
+}
+
+impl QuarantineTable {
+    /// Returns why a request with these shared parts must not be sent, or `None` if it may be.
+    pub fn blocked_part(&self, parts: &[PartDigest]) -> Option<(PartDigest, &BlockedPart)> {
+        parts.iter().find_map(|part| {
+            let blocked = self.blocked.get(part)?;
+            let is_match = blocked.combination.iter().all(|it| parts.contains(it));
+            is_match.then_some((*part, blocked))
+        })
+    }
+
+    /// Returns all blocked parts.
+    pub fn blocked(&self) -> &BTreeMap<PartDigest, BlockedPart> {
+        &self.blocked
+    }
+
+    /// Whether nothing is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Whether answers to requests with each of these parts have gone on lately.
+    pub fn are_harmless(&self, parts: &[PartDigest], now: Moment) -> bool {
+        let at = EvidenceTime::at(now, Duration::ZERO);
+        parts.iter().all(|it| self.harmless.excuses(*it, at))
+    }
+
+    /// Records that a server ended as it began to answer a request with these shared parts.
+    pub fn record_end(
+        &mut self,
+        server: ServerId,
+        request: RequestId,
+        parts: Vec<PartDigest>,
+        now: Moment,
+    ) -> QuarantineUpdate {
+        let report = CrashReport { server, request, parts, excused: BTreeSet::new(), age_ms: 0 };
+        self.merge(vec![report], now)
+    }
+
+    /// Records that the answer to a request with these shared parts has gone on.
+    pub fn record_harmless(&mut self, parts: &[PartDigest], now: Moment) -> QuarantineUpdate {
+        let at = EvidenceTime::at(now, Duration::ZERO);
+        for part in parts {
+            self.harmless.insert(*part, at);
+        }
+        if self.records.is_empty() {
+            return QuarantineUpdate::default();
+        }
+        self.excuse(parts, |record| record.at < at.after(EXCUSE_TTL))
+    }
+
+    /// Lifts the block of a part on an operator's order: no record up to now counts against it.
+    pub fn lift(&mut self, part: PartDigest) -> QuarantineUpdate {
+        self.excuse(&[part], |_| true)
+    }
+
+    fn excuse(
+        &mut self,
+        parts: &[PartDigest],
+        applies: impl Fn(&CrashRecord) -> bool,
+    ) -> QuarantineUpdate {
+        let mut has_news = false;
+        for record in self.records.values_mut().filter(|it| applies(it)) {
+            for part in parts.iter().filter(|it| record.parts.contains(it)) {
+                has_news |= record.excused.insert(*part);
+            }
+        }
+        let changes = if has_news { self.update_blocked() } else { Vec::new() };
+        QuarantineUpdate { has_news, changes }
+    }
+
+    /// Merges the records of another gateway.
+    pub fn merge(&mut self, reports: Vec<CrashReport>, now: Moment) -> QuarantineUpdate {
+        let mut has_news = false;
+        for report in reports {
+            has_news |= self.merge_report(report, now);
+        }
+        if !has_news {
+            return QuarantineUpdate::default();
+        }
+        let changes = self.update_blocked();
+        self.evict();
+        QuarantineUpdate { has_news, changes }
+    }
+
+    /// Merges one report. Returns whether it added anything.
+    fn merge_report(&mut self, report: CrashReport, now: Moment) -> bool {
+        let CrashReport { server, request, mut parts, excused, age_ms } = report;
+        parts.truncate(MAX_RECORD_PARTS);
+        let at = EvidenceTime::at(now, Duration::from_millis(age_ms));
+        let harmless = &self.harmless;
+        let known = self.records.entry((server, request));
+        let mut is_new = false;
+        let record = known.or_insert_with(|| {
+            is_new = true;
+            let known_harmless = parts.iter().copied().filter(|it| harmless.excuses(*it, at));
+            CrashRecord { at, excused: known_harmless.collect(), parts }
+        });
+        // Transfer takes time, so the earliest time is the most precise.
+        record.at = record.at.min(at);
+        let known_count = record.excused.len();
+        record.excused.extend(excused.into_iter().filter(|it| record.parts.contains(it)));
+        is_new || record.excused.len() > known_count
+    }
+
+    /// Returns the records in the form for other gateways.
+    pub fn reports(&self, now: Moment) -> Vec<CrashReport> {
+        let report = |((server, request), record): (&(ServerId, RequestId), &CrashRecord)| {
+            let age = record.at.age(now).as_millis();
+            CrashReport {
+                server: server.clone(),
+                request: request.clone(),
+                parts: record.parts.clone(),
+                excused: record.excused.clone(),
+                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            }
+        };
+        self.records.iter().map(report).collect()
+    }
+
+    /// Decides again which parts are blocked. Returns the changes.
+    fn update_blocked(&mut self) -> Vec<RoutingChange> {
+        let blocked = find_blocked(&self.records);
+        let previous = std::mem::replace(&mut self.blocked, blocked);
+        let is_changed = |part: &PartDigest, it: &BlockedPart| {
+            previous.get(part).is_none_or(|known| known.combination != it.combination)
+        };
+        let added = self.blocked.iter().filter(|(part, it)| is_changed(part, it));
+        let lifted = previous.keys().filter(|it| !self.blocked.contains_key(it));
+        added
+            .map(|(part, it)| RoutingChange::PartBlocked { part: *part, blocked: it.clone() })
+            .chain(lifted.map(|it| RoutingChange::PartUnblocked(*it)))
+            .collect()
+    }
+
+    /// Removes records above the bound: the oldest of those that block nothing first, so that callers
+    /// who invent parts cannot push out what blocks a part.
+    fn evict(&mut self) {
+        while self.records.len() > MAX_RECORDS {
+            let blocks = |it: &CrashRecord| it.suspects().any(|it| self.blocked.contains_key(&it));
+            let oldest = self.records.iter().min_by_key(|(_, it)| (blocks(it), it.at));
+            let Some(key) = oldest.map(|it| it.0.clone()) else { return };
+            self.records.remove(&key);
+        }
+    }
+}
+
+/// Finds the parts that explain several ends.
+///
+/// The first parts of prompts are shared by most requests, so they come with each harmful part. They
+/// count only in records that no later part explains.
+fn find_blocked(
+    records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
+) -> BTreeMap<PartDigest, BlockedPart> {
+    let mut blocked = BTreeMap::new();
+    let (mut first, mut later) = (BTreeSet::new(), BTreeSet::new());
+    for record in records.values() {
+        let is_first = |it: &PartDigest| record.parts.first() == Some(it);
+        let (firsts, laters): (Vec<_>, Vec<_>) = record.suspects().partition(is_first);
+        first.extend(firsts);
+        later.extend(laters);
+    }
+    for part in &later {
+        let with_part: Vec<_> = records.iter().filter(|it| it.1.is_suspect(*part)).collect();
+        blocked.extend(judge(&with_part).map(|it| (*part, it)));
+    }
+    let explained: BTreeSet<PartDigest> = blocked.keys().copied().collect();
+    for part in first.difference(&later) {
+        let is_unexplained = |it: &CrashRecord| !it.suspects().any(|it| explained.contains(&it));
+        let with_part: Vec<_> =
+            records.iter().filter(|it| it.1.is_suspect(*part) && is_unexplained(it.1)).collect();
+        blocked.extend(judge(&with_part).map(|it| (*part, it)));
+    }
+    blocked
+}
+
+/// Decides whether the records, which have a part in common, block it.
+fn judge(records: &[(&(ServerId, RequestId), &CrashRecord)]) -> Option<BlockedPart> {
+    let end_count = count_ends(records);
+    if end_count < MIN_ENDS {
+        return None;
+    }
+    let mut sets = records.iter().map(|it| it.1.suspects().collect::<BTreeSet<_>>());
+    let first = sets.next()?;
+    let combination = sets.fold(first, |common, it| &common & &it);
+    Some(BlockedPart { combination, end_count })
+}
+
+/// Counts the ends of servers at different times.
+fn count_ends(records: &[(&(ServerId, RequestId), &CrashRecord)]) -> usize {
+    let mut sorted: Vec<(EvidenceTime, &ServerId)> =
+        records.iter().map(|(key, it)| (it.at, &key.0)).collect();
+    sorted.sort_unstable();
+    let mut ends: Vec<(EvidenceTime, &ServerId)> = Vec::new();
+    for (at, server) in sorted {
+        let is_known = ends.iter().any(|it| it.1 == server && it.0.is_within(SAME_END_WINDOW, at));
+        let is_simultaneous = ends.last().is_some_and(|it| it.0.is_within(COMMON_CAUSE_WINDOW, at));
+        if !is_known && !is_simultaneous {
+            ends.push((at, server));
+        }
+    }
+    ends.len()
+}
+
+/// Parts of prompts whose answers went on, with the latest time. Two generations bound the memory.
+#[derive(Clone, Debug, Default)]
+struct HarmlessParts {
+    current: HashMap<PartDigest, EvidenceTime>,
+    last: HashMap<PartDigest, EvidenceTime>,
+}
+
+impl HarmlessParts {
+    fn insert(&mut self, part: PartDigest, at: EvidenceTime) {
+        if self.current.len() >= MAX_HARMLESS_PARTS && !self.current.contains_key(&part) {
+            self.last = std::mem::take(&mut self.current);
+        }
+        self.current.insert(part, at);
+    }
+
+    /// Whether an answer with the part went on after, or not long before, a time.
+    fn excuses(&self, part: PartDigest, at: EvidenceTime) -> bool {
+        let known = self.current.get(&part).or_else(|| self.last.get(&part));
+        known.is_some_and(|it| it.after(EXCUSE_TTL) > at)
+    }
+}
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -15,19 +15,23 @@
 
 use super::{
     AdmissionSettings, AnswerProgress, AttemptBudget, AttemptResult, AttemptSpec, BudgetSettings,
-    CatalogSource, ColdLimiter, KnownServer, LoadReport, PlacementChoice, RequestNumber,
-    RetryReason, RouteCatalog, RouteKind, RouteRecord, RoutingChange, RoutingEffect, RoutingEvent,
-    RoutingRequest, ServerLoad, ServerTable, choose_subset, retry_after,
+    CatalogSource, ColdLimiter, KnownServer, LoadReport, PlacementChoice, QuarantineTable,
+    RequestNumber, RetryReason, RouteCatalog, RouteKind, RouteRecord, RoutingChange, RoutingEffect,
+    RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerLoad, ServerTable, choose_subset,
+    retry_after,
 };
 use crate::{
-    core::{Refusal, RefusalCode},
+    core::{Refusal, RefusalCode, RunOutcome},
     units::{
         ClientAccount, FailureDomain, GroupName, Moment, PartDigest, RequestId, ServerId,
         ServiceName,
     },
 };
 use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
-use suspects::{EndingServer, record_suspect, server_probed};
+use suspects::{
+    EndingServer, answer_progressed, is_lost_at_beginning, quarantine_read, record_suspect,
+    server_probed, update_effects,
+};
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
 const DEFAULT_GATEWAY_COUNT: u32 = 12;
@@ -118,6 +122,7 @@
     requests: BTreeMap<RequestNumber, RequestState>,
     /// Servers that may have ended, until they are probed.
     ending_servers: BTreeMap<ServerId, EndingServer>,
+    quarantine: QuarantineTable,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -137,6 +142,7 @@
             reported_gateways: None,
             requests: BTreeMap::new(),
             ending_servers: BTreeMap::new(),
+            quarantine: QuarantineTable::default(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -172,6 +178,11 @@
         !is_isolated(self, now) || catalog.services().all(|it| has_usable(self, it, now))
     }
 
+    /// Returns what this gateway knows about prompts that end servers.
+    pub fn quarantine(&self) -> &QuarantineTable {
+        &self.quarantine
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.requests.len()
@@ -233,7 +244,14 @@
         RoutingEvent::AttemptEnded { number, result, progress } => {
             attempt_ended(state, number, (result, progress), now)
         }
-        RoutingEvent::ServerProbed { server, has_ended } => server_probed(state, server, has_ended),
+        RoutingEvent::ServerProbed { server, has_ended } => {
+            server_probed(state, &server, has_ended, now)
+        }
+        RoutingEvent::AnswerSettled(number) => {
+            answer_progressed(state, number, AnswerProgress::Events(SETTLED_EVENTS), now)
+        }
+        RoutingEvent::QuarantineRead(reports) => quarantine_read(state, reports, now),
+        RoutingEvent::PartLifted(part) => update_effects(state.quarantine.lift(part)),
         RoutingEvent::RequestEnded(number) => request_ended(state, number),
         RoutingEvent::StopRequested => {
             state.is_stopping = true;
@@ -410,6 +428,9 @@
     let Some(request) = state.requests.get(&number) else {
         return RoutingEffect::Finished(number);
     };
+    if state.quarantine.blocked_part(&request.shared_parts).is_some() {
+        return refuse(state, number, RefusalCode::HarmfulPrompt, now);
+    }
     let choice = choose_server(state, request, now);
     match choice {
         (PlacementChoice::Server(id), rng) => {
@@ -472,16 +493,18 @@
     let Some(request) = state.requests.get(&number) else {
         return RoutingEffect::Finished(number);
     };
+    let is_suspect = code == RefusalCode::ServerEnded || code == RefusalCode::HarmfulPrompt;
     let refusal = match request.may_have_run {
         // The request may have run, so the refusal must not promise that it has not.
         true if code == RefusalCode::DeadlinePassed => {
             Refusal::unknown(RefusalCode::DeadlineDuringRun)
         }
+        true if is_suspect => Refusal { outcome: RunOutcome::Ran, ..Refusal::unknown(code) },
         true => Refusal::unknown(RefusalCode::OutcomeUnknown),
         false => Refusal::not_run(code),
     };
-    // A caller that must not repeat its request gets no retry delay.
-    let may_retry = !request.may_have_run || request.route.kind.is_idempotent();
+    // A caller that must not repeat its request, or whose request ends servers, gets no retry delay.
+    let may_retry = !is_suspect && (!request.may_have_run || request.route.kind.is_idempotent());
     let is_full = code == RefusalCode::Overloaded;
     let reason = if is_full { RetryReason::Full } else { RetryReason::Outage };
     let (time_left, settings) = (request.deadline.since(now), state.settings.admission);
@@ -515,7 +538,10 @@
         .into_iter()
         .collect();
     effects.extend(record_suspect(state, number, (&id, address), (result, progress)));
-    effects.push(next_effect(state, number, result, now));
+    if result == AttemptResult::Answered {
+        effects.extend(answer_progressed(state, number, progress, now));
+    }
+    effects.push(next_effect(state, number, (result, progress), now));
     effects
 }
 
@@ -549,7 +575,7 @@
 fn next_effect(
     state: &mut RoutingState,
     number: RequestNumber,
-    result: AttemptResult,
+    (result, progress): (AttemptResult, AnswerProgress),
     now: Moment,
 ) -> RoutingEffect {
     let Some(request) = state.requests.get(&number) else {
@@ -583,6 +609,13 @@
             }
             RoutingEffect::Finished(number)
         }
+        // The request may be the cause: another server would end too.
+        AttemptResult::Lost
+            if is_lost_at_beginning(result, progress)
+                && !state.quarantine.are_harmless(&request.shared_parts, now) =>
+        {
+            refuse(state, number, RefusalCode::ServerEnded, now)
+        }
         AttemptResult::Lost | AttemptResult::Stalled => {
             if kind.is_idempotent() && has_time && has_attempts && withdraw_retry(state, number) {
                 let request = state.requests.get_mut(&number);
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -8,8 +8,11 @@
 
 use super::RoutingState;
 use crate::{
-    routing::{AnswerProgress, AttemptResult, RequestNumber, RoutingChange, RoutingEffect},
-    units::{PartDigest, RequestId, ServerId},
+    routing::{
+        AnswerProgress, AttemptResult, CrashReport, QuarantineUpdate, RequestNumber, RoutingChange,
+        RoutingEffect, SETTLED_EVENTS,
+    },
+    units::{Moment, PartDigest, RequestId, ServerId},
 };
 
 /// Number of events of a stream up to which its response counts as just begun.
@@ -23,11 +26,11 @@
 }
 
 /// Whether the attempt was lost while the server began to write its response.
-fn is_lost_at_beginning(result: AttemptResult, progress: AnswerProgress) -> bool {
+pub(super) fn is_lost_at_beginning(result: AttemptResult, progress: AnswerProgress) -> bool {
     let has_just_begun = match progress {
         AnswerProgress::Head => true,
         AnswerProgress::Events(count) => count <= MAX_BEGINNING_EVENTS,
-        AnswerProgress::Nothing => false,
+        AnswerProgress::Nothing | AnswerProgress::Whole => false,
     };
     result == AttemptResult::Lost && has_just_begun
 }
@@ -54,16 +57,59 @@
     Some(RoutingEffect::ProbeServer { server: server.clone(), address })
 }
 
-/// Concludes from a probe whether the server has ended.
+/// Concludes from a probe whether the server has ended. A server that was leaving has ended as
+/// planned.
 pub(super) fn server_probed(
     state: &mut RoutingState,
-    server: ServerId,
+    server: &ServerId,
     has_ended: bool,
+    now: Moment,
 ) -> Vec<RoutingEffect> {
-    let Some(ending) = state.ending_servers.remove(&server) else { return Vec::new() };
-    if !has_ended {
+    let Some(ending) = state.ending_servers.remove(server) else { return Vec::new() };
+    let is_leaving = state.servers.server(server).is_some_and(|it| it.record.is_draining);
+    if !has_ended || is_leaving {
         return Vec::new();
     }
-    let EndingServer { suspects, .. } = ending;
-    vec![RoutingEffect::StateChanged(RoutingChange::ServerEnded { server, suspects })]
+    let change =
+        RoutingChange::ServerEnded { server: server.clone(), suspects: ending.suspects.clone() };
+    let mut effects = vec![RoutingEffect::StateChanged(change)];
+    for (request, parts) in ending.suspects {
+        let update = state.quarantine.record_end(server.clone(), request, parts, now);
+        effects.extend(update_effects(update));
+    }
+    effects
+}
+
+/// Records that the response to a request goes on, so that no part of its prompt ends servers.
+pub(super) fn answer_progressed(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    progress: AnswerProgress,
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    let is_settled = match progress {
+        AnswerProgress::Whole => true,
+        AnswerProgress::Events(count) => count >= SETTLED_EVENTS,
+        AnswerProgress::Nothing | AnswerProgress::Head => false,
+    };
+    let Some(request) = state.requests.get(&number).filter(|_| is_settled) else {
+        return Vec::new();
+    };
+    update_effects(state.quarantine.record_harmless(&request.shared_parts, now))
+}
+
+/// Merges the records of another gateway.
+pub(super) fn quarantine_read(
+    state: &mut RoutingState,
+    reports: Vec<CrashReport>,
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    update_effects(state.quarantine.merge(reports, now))
+}
+
+/// Returns the effects of a change of the quarantine.
+pub(super) fn update_effects(update: QuarantineUpdate) -> Vec<RoutingEffect> {
+    let share = update.has_news.then_some(RoutingEffect::ShareQuarantine);
+    let changes = update.changes.into_iter().map(RoutingEffect::StateChanged);
+    changes.chain(share).collect()
 }
--- /dev/null
+++ b/tests/prompt_quarantine.rs
@@ -0,0 +1,305 @@
+//! Tests of what counts as evidence that a part of prompts ends servers, and of its exchange between
+//! many gateways, without processes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use alderbay::{
+    routing::{QuarantineTable, RoutingChange},
+    units::{Moment, PartDigest, RequestId, ServerId},
+};
+use googletest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
+
+const SECOND: u64 = 1_000_000;
+const MILLISECOND: u64 = 1_000;
+
+fn part(text: &str) -> PartDigest {
+    PartDigest::of_part(&"s".parse().unwrap(), text)
+}
+
+fn parts(texts: &[&str]) -> Vec<PartDigest> {
+    texts.iter().map(|it| part(it)).collect()
+}
+
+/// One gateway's table with a simulated clock.
+#[derive(Default)]
+struct TestTable {
+    table: QuarantineTable,
+    now: u64,
+    next_request: u32,
+}
+
+impl TestTable {
+    /// A server ends as it begins to answer a request with these parts.
+    fn end(&mut self, server: &str, texts: &[&str]) -> Vec<RoutingChange> {
+        self.next_request += 1;
+        let request: RequestId = format!("q-{}", self.next_request).parse().unwrap();
+        let server: ServerId = server.parse().unwrap();
+        self.table.record_end(server, request, parts(texts), Moment(self.now)).changes
+    }
+
+    fn harmless(&mut self, texts: &[&str]) {
+        self.table.record_harmless(&parts(texts), Moment(self.now));
+    }
+
+    fn pass(&mut self, micros: u64) {
+        self.now += micros;
+    }
+
+    fn is_blocked(&self, texts: &[&str]) -> bool {
+        self.table.blocked_part(&parts(texts)).is_some()
+    }
+}
+
+#[gtest]
+fn two_ends_block_a_part() {
+    let mut table = TestTable::default();
+    table.harmless(&["a"]);
+    expect_that!(table.end("i-1", &["a", "bad"]), is_empty());
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(false));
+    table.pass(SECOND);
+    expect_that!(table.end("i-2", &["a", "bad"]), len(eq(1)));
+    expect_that!(table.is_blocked(&["b", "bad"]), eq(true));
+    expect_that!(table.is_blocked(&["a", "b"]), eq(false));
+}
+
+#[gtest]
+fn first_part_is_not_blocked_alone() {
+    // No answer has gone on yet, as after all gateways have started again.
+    let mut table = TestTable::default();
+    for server in ["i-1", "i-2", "i-3"] {
+        table.end(server, &["a", "bad"]);
+        table.pass(SECOND);
+    }
+    // The end of another server, by coincidence as it began to answer a sound request.
+    table.end("i-4", &["a", "rare"]);
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(true));
+    expect_that!(table.is_blocked(&["a", "rare"]), eq(false));
+    expect_that!(table.is_blocked(&["a"]), eq(false));
+    // As soon as one answer goes on, the first part no longer limits the block.
+    table.harmless(&["a", "rare"]);
+    expect_that!(table.is_blocked(&["b", "bad"]), eq(true));
+}
+
+#[gtest]
+fn ends_at_once_block_nothing() {
+    let mut table = TestTable::default();
+    for n in 0..8 {
+        table.end(&format!("i-{n}"), &["a", "b"]);
+        table.pass(10 * MILLISECOND);
+    }
+    expect_that!(table.is_blocked(&["a", "b"]), eq(false));
+}
+
+#[gtest]
+fn one_end_counts_once() {
+    let mut table = TestTable::default();
+    table.end("i-1", &["a", "b"]);
+    // Another gateway, which was slow, reports the same end.
+    table.pass(SECOND);
+    table.end("i-1", &["a", "b"]);
+    expect_that!(table.is_blocked(&["a", "b"]), eq(false));
+}
+
+#[gtest]
+fn answers_lift_a_false_block() {
+    let mut table = TestTable::default();
+    table.end("i-1", &["a", "b"]);
+    table.pass(SECOND);
+    table.end("i-2", &["a", "b"]);
+    expect_that!(table.is_blocked(&["a", "b"]), eq(true));
+    // An attempt that was in progress when the part was blocked.
+    table.harmless(&["a", "b"]);
+    expect_that!(table.is_blocked(&["a", "b"]), eq(false));
+}
+
+#[gtest]
+fn part_that_turns_harmful_is_blocked() {
+    let mut table = TestTable::default();
+    table.harmless(&["a", "b"]);
+    for n in 0..3 {
+        table.pass(61 * SECOND);
+        table.harmless(&["a"]);
+        table.end(&format!("i-{n}"), &["a", "b"]);
+    }
+    expect_that!(table.is_blocked(&["a", "b"]), eq(true));
+    expect_that!(table.is_blocked(&["a"]), eq(false));
+}
+
+#[gtest]
+fn operator_lifts_a_block() {
+    let mut table = TestTable::default();
+    table.harmless(&["a"]);
+    for server in ["i-1", "i-2"] {
+        table.end(server, &["a", "bad"]);
+        table.pass(SECOND);
+    }
+    table.table.lift(part("bad"));
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(false));
+    // What happens after the order counts again.
+    for server in ["i-3", "i-4"] {
+        table.end(server, &["a", "bad"]);
+        table.pass(SECOND);
+    }
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(true));
+}
+
+#[gtest]
+fn invented_parts_push_out_no_block() {
+    let mut table = TestTable::default();
+    table.harmless(&["a"]);
+    for server in ["i-1", "i-2"] {
+        table.end(server, &["a", "bad"]);
+        table.pass(SECOND);
+    }
+    for n in 0..10_000 {
+        table.pass(SECOND);
+        table.end(&format!("i-x{n}"), &["a", &format!("invented{n}")]);
+        table.harmless(&[&format!("other{n}")]);
+    }
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(true));
+    let reports = table.table.reports(Moment(table.now));
+    expect_that!(reports.len(), le(64));
+}
+
+/// Tables of many gateways that exchange their records as their processes do: at news with four
+/// random ones in three rounds, and each second with one.
+struct TestFleet {
+    tables: Vec<QuarantineTable>,
+    /// Gateways with news, and the number of rounds left in which they exchange it.
+    news: BTreeMap<usize, u32>,
+    rng: SmallRng,
+    now: u64,
+    exchanges: usize,
+}
+
+/// Time from one round of exchanges to the next.
+const ROUND: u64 = 60 * MILLISECOND;
+const NEWS_ROUNDS: u32 = 3;
+/// Two ends, each with two pieces of news: the record, and the parts that others know as harmless.
+/// Each piece is exchanged with four gateways in three rounds. Four seconds of exchanges once a second.
+const MAX_EXCHANGES: f64 = 2.0 * 2.0 * 4.0 * 3.0 + 4.0;
+
+impl TestFleet {
+    fn new(size: usize, seed: u64) -> Self {
+        Self {
+            tables: vec![QuarantineTable::default(); size],
+            news: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            now: 0,
+            exchanges: 0,
+        }
+    }
+
+    fn exchange(&mut self, one: usize, other: usize) {
+        self.exchanges += 1;
+        let reports = self.tables[one].reports(Moment(self.now));
+        if self.tables[other].merge(reports, Moment(self.now)).has_news {
+            self.news.insert(other, NEWS_ROUNDS);
+        }
+        let reports = self.tables[other].reports(Moment(self.now));
+        if self.tables[one].merge(reports, Moment(self.now)).has_news {
+            self.news.insert(one, NEWS_ROUNDS);
+        }
+    }
+
+    /// Lets all gateways with news exchange it, and each other one with one random gateway about
+    /// once a second.
+    fn round(&mut self) {
+        self.now += ROUND;
+        let size = self.tables.len();
+        for (one, rounds) in std::mem::take(&mut self.news) {
+            if rounds > 1 {
+                self.news.entry(one).or_insert(rounds - 1);
+            }
+            for other in (0..size).choose_multiple(&mut self.rng, 4) {
+                self.exchange(one, other);
+            }
+        }
+        for one in 0..size {
+            if self.rng.random_bool(ROUND as f64 / SECOND as f64) && !self.tables[one].is_empty() {
+                let other = self.rng.random_range(0..size);
+                self.exchange(one, other);
+            }
+        }
+    }
+
+    fn record_end(&mut self, gateway: usize, end: usize, texts: &[&str]) {
+        let server = format!("i-{end}").parse().unwrap();
+        let request = format!("q-{end}").parse().unwrap();
+        let now = Moment(self.now);
+        if self.tables[gateway].record_end(server, request, parts(texts), now).has_news {
+            self.news.insert(gateway, NEWS_ROUNDS);
+        }
+    }
+}
+
+#[gtest]
+fn all_gateways_learn_within_a_second() {
+    for (size, seed) in [(9, 1), (99, 2), (380, 3)] {
+        let mut fleet = TestFleet::new(size, seed);
+        let subject = |n: usize| format!("subject{n}");
+        // Each gateway has seen answers to some subjects only.
+        for n in 0..size {
+            let known: Vec<String> = (0..5).map(|it| subject((n + it) % 20)).collect();
+            let known: Vec<&str> = known.iter().map(String::as_str).collect();
+            fleet.tables[n].record_harmless(&parts(&known), Moment(0));
+        }
+        for end in 0..2 {
+            let gateway = fleet.rng.random_range(0..size);
+            fleet.record_end(gateway, end, &[&subject(end), "bad"]);
+            (0..17).for_each(|_| fleet.round());
+        }
+        let harmful = parts(&[&subject(5), "bad"]);
+        let knowing = fleet.tables.iter().filter(|it| it.blocked_part(&harmful).is_some());
+        expect_that!(knowing.count(), eq(size), "{size} gateways, seed {seed}");
+        let sound = (0..20).map(|it| parts(&[&subject(it)]));
+        let is_refused = |it: &Vec<PartDigest>| {
+            fleet.tables.iter().any(|table| table.blocked_part(it).is_some())
+        };
+        expect_that!(sound.filter(is_refused).count(), eq(0), "{size} gateways, seed {seed}");
+        let per_gateway = fleet.exchanges as f64 / size as f64;
+        println!("{size} gateways, seed {seed}: {per_gateway:.1} exchanges begun a gateway");
+        expect_that!(per_gateway, lt(MAX_EXCHANGES), "{size} gateways, seed {seed}");
+    }
+}
+
+#[gtest]
+fn restarted_gateway_is_told() {
+    let mut fleet = TestFleet::new(9, 4);
+    for end in 0..2 {
+        fleet.record_end(end, end, &["a", "bad"]);
+        (0..17).for_each(|_| fleet.round());
+    }
+    fleet.tables[3] = QuarantineTable::default();
+    let limit = Duration::from_secs(3).as_micros() / u128::from(ROUND);
+    for _ in 0..limit {
+        fleet.round();
+    }
+    expect_that!(fleet.tables[3].blocked_part(&parts(&["a", "bad"])), some(anything()));
+}
+
+#[gtest]
+fn order_of_exchanges_does_not_matter() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut source = TestTable::default();
+        for n in 0..6 {
+            source.pass(rng.random_range(0..3) * SECOND);
+            let texts = [["a", "b"], ["a", "bad"], ["c", "bad"]][rng.random_range(0..3)];
+            source.end(&format!("i-{n}"), &texts);
+            if rng.random_bool(0.3) {
+                source.harmless(&[["a", "b", "c"][rng.random_range(0..3)]]);
+            }
+        }
+        let now = Moment(source.now);
+        let mut reports = source.table.reports(now);
+        let mut other = QuarantineTable::default();
+        while !reports.is_empty() {
+            let report = reports.remove(rng.random_range(0..reports.len()));
+            other.merge(vec![report.clone()], now);
+            other.merge(vec![report], now);
+        }
+        expect_that!(other.blocked(), eq(source.table.blocked()), "seed {seed}");
+    }
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -24,6 +24,7 @@
 mod operator_tool;
 mod plan_limits;
 mod popularity_shift;
+mod prompt_quarantine;
 mod reducer_replay;
 mod retry_budget;
 mod run_once;
