Heed servers that say they leave or want no requests for a while

Change: both are read from the head of each response of the right server. A server that says that it leaves gets no new work from this gateway, whatever directory, peers or a rewound store say, as long as its incarnation (id and start time) lives; its address and id may be used by others at once. One that answers 503 with Retry-After is no candidate until that time is over, plus up to 0.3 s so that gateways do not return together; values above ten minutes count as that, zero, negative and unreadable ones are ignored with a log line. Where all servers rest, callers are refused at once with a Retry-After that names the end of the first rest, as far as they wait.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -25,11 +25,12 @@
         OpenCall, RelayAborted, RelaySender, caller_disconnected, connect, relay_body, start_call,
     },
     platform::{
-        AttemptHeaders, ResponseKind, build_attempt_headers, classify_response, strip_hop_by_hop,
+        AttemptHeaders, ResponseKind, build_attempt_headers, classify_response,
+        decode_server_notice, strip_hop_by_hop,
     },
     routing::{
         AnswerProgress, AttemptResult, AttemptSpec, RequestNumber, RouteKind, RoutingEffect,
-        RoutingEvent, SETTLED_EVENTS, join_parts,
+        RoutingEvent, SETTLED_EVENTS, ServerNotice, join_parts,
     },
 };
 
@@ -225,6 +226,11 @@
         let OpenCall { head, body, guard } = call;
         self.progress = AnswerProgress::Head;
         let kind = classify_response(head.status, &head.headers, &self.request.head.headers);
+        match kind {
+            ResponseKind::NotRun | ResponseKind::Genuine => self.record_notice(&head),
+            // Another server's word, or nobody's, says nothing about this one.
+            ResponseKind::WrongServer | ResponseKind::Foreign => {}
+        }
         match kind {
             ResponseKind::NotRun => return AttemptResult::NotRun,
             ResponseKind::WrongServer => return AttemptResult::WrongServer,
@@ -240,6 +246,14 @@
         result
     }
 
+    /// Passes on what the server says about itself in the head of its response.
+    fn record_notice(&self, head: &Parts) {
+        let notice = decode_server_notice(head.status, &head.headers);
+        if notice != ServerNotice::default() {
+            self.shell.dispatch(RoutingEvent::ServerNoticed { number: self.number, notice });
+        }
+    }
+
     /// Connects, sends the request and waits for the head of the response.
     async fn send_request(&self, spec: &AttemptSpec) -> Result<OpenCall, AttemptResult> {
         let stream = connect(spec.address, CONNECT_TIMEOUT).await.map_err(|error| {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -16,7 +16,7 @@
 pub use engine::{EngineClient, OrderOutcome};
 pub use headers::{
     AttemptHeaders, CallerHeaders, READY_PATH, ResponseKind, build_attempt_headers,
-    classify_response, echo_request_id, set_retry_after, strip_hop_by_hop,
+    classify_response, decode_server_notice, echo_request_id, set_retry_after, strip_hop_by_hop,
 };
 pub use log_service::{LogClient, LogPage, LogRecord};
 pub use manifest::{OperatorKey, decode_catalog};
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,7 +5,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use smol_str::SmolStr;
 
-use crate::units::{ClientAccount, RequestId, ServerId};
+use crate::{
+    routing::ServerNotice,
+    units::{ClientAccount, RequestId, ServerId},
+};
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
 // Time until the caller's deadline in milliseconds.
@@ -23,9 +26,15 @@
 const SIGNATURE: HeaderName = HeaderName::from_static("response-stamp");
 // Present on a response if the server did not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
+// Present on a response if the server shuts down soon.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 // Scheme in front of the API key in the authorization header.
 const AUTH_SCHEME: &str = "Token ";
 
+/// Longest time for which a server's wish for rest is respected. A server that means more has most
+/// likely sent a wrong number.
+const MAX_REST: Duration = Duration::from_secs(600);
+
 /// Maximum number of shared parts of a prompt that are looked at; the last ones, which fewer requests
 /// share, if there are more.
 const MAX_SHARED_PARTS: usize = 32;
@@ -194,6 +203,37 @@
     ResponseKind::Genuine
 }
 
+/// Decodes what a server says about itself in the head of a response, whatever the response is.
+///
+/// `Retry-After` counts only with status 503, in seconds that may have a fraction. A negative or
+/// unreadable value, or a date, is logged and ignored; more than ten minutes counts as ten minutes.
+///
+/// ```
+/// use std::time::Duration;
+/// use alderbay::platform::decode_server_notice;
+/// use http::{HeaderMap, HeaderValue, StatusCode};
+/// let headers = HeaderMap::from_iter([(
+///     http::header::RETRY_AFTER,
+///     HeaderValue::from_static("1.5"),
+/// )]);
+/// let notice = decode_server_notice(StatusCode::SERVICE_UNAVAILABLE, &headers);
+/// assert_eq!(notice.rest, Some(Duration::from_millis(1_500)));
+/// assert!(!notice.is_leaving);
+/// ```
+pub fn decode_server_notice(status: StatusCode, headers: &HeaderMap) -> ServerNotice {
+    let is_leaving = headers.get(SERVER_LEAVING).is_some_and(|it| it.as_bytes() == b"1");
+    let wish = headers.get(header::RETRY_AFTER).filter(|_| status.as_u16() == 503);
+    let rest = wish.and_then(|value| {
+        let seconds = value.to_str().ok().and_then(|it| it.trim().parse::<f64>().ok());
+        let seconds = seconds.filter(|it| *it >= 0.0);
+        if seconds.is_none() {
+            log::info!("unreadable delay in a server's response, ignored");
+        }
+        seconds.map(|it| Duration::from_secs_f64(it.min(MAX_REST.as_secs_f64())))
+    });
+    ServerNotice { is_leaving, rest: rest.filter(|it| !it.is_zero()) }
+}
+
 /// Copies the request id of `request`, if there is one, to a response of the gateway itself.
 pub fn echo_request_id(request: &HeaderMap, response: &mut HeaderMap) {
     if let Some(id) = request.get(REQUEST_ID) {
@@ -255,6 +295,22 @@
         assert_that!(sent, eq(&expected));
     }
 
+    #[gtest]
+    fn wishes_for_rest_are_bounded() {
+        let rest = |status, text: &'static str| {
+            decode_server_notice(status, &headers(&[("retry-after", text)])).rest
+        };
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        assert_that!(rest(unavailable, "0.25"), some(eq(Duration::from_millis(250))));
+        assert_that!(rest(unavailable, " 2 "), some(eq(Duration::from_secs(2))));
+        assert_that!(rest(unavailable, "1e300"), some(eq(MAX_REST)));
+        assert_that!(rest(unavailable, "inf"), some(eq(MAX_REST)));
+        for text in ["0", "-1", "NaN", "", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"] {
+            assert_that!(rest(unavailable, text), none(), "{text}");
+        }
+        assert_that!(rest(StatusCode::TOO_MANY_REQUESTS, "2"), none());
+    }
+
     #[gtest]
     fn last_part_is_not_shared() {
         let parts = |text: &'static str| {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -31,13 +31,13 @@
 pub(crate) use event::join_parts;
 pub use event::{
     AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, RequestNumber, RoutingChange,
-    RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
+    RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerNotice,
 };
 pub use load::{LoadReport, ServerLoad};
 pub use peers::{GatewayLocation, PeerTable};
 pub use quarantine::{BlockedPart, CrashReport, QuarantineTable, QuarantineUpdate};
 pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
-pub use servers::{GroupMembership, KnownServer, ServerRecord, ServerTable};
+pub use servers::{GroupMembership, Incarnation, KnownServer, ServerRecord, ServerTable};
 pub use state::{RoutingSettings, RoutingState, reduce};
 pub use subset::choose_subset;
 pub use views::{
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -69,6 +69,8 @@
     Server(ServerId),
     /// All candidates are full.
     Full,
+    /// All servers that could take the request want none for at least this time.
+    Resting(Duration),
     /// There are no candidates.
     NoCandidate,
 }
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -65,6 +65,16 @@
     pub shared_parts: Vec<SmolStr>,
 }
 
+/// What a server says about itself with a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ServerNotice {
+    /// Whether the server is about to shut down.
+    pub is_leaving: bool,
+    /// Time for which the server wants no requests from this gateway; `None` if it takes them.
+    pub rest: Option<Duration>,
+}
+
 /// Result of one attempt at a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -205,6 +215,13 @@
         /// How far the server's response came.
         progress: AnswerProgress,
     },
+    /// The server of a request's attempt said something about itself.
+    ServerNoticed {
+        /// Request that the attempt belongs to.
+        number: RequestNumber,
+        /// What the server said.
+        notice: ServerNotice,
+    },
     /// The stream of a request has reached [`SETTLED_EVENTS`] events.
     AnswerSettled(RequestNumber),
     /// Another gateway sent its records of servers that ended.
@@ -294,6 +311,15 @@
     ServerListed(ServerId),
     /// A server started to drain.
     ServerDraining(ServerId),
+    /// A server said in a response that it is about to shut down.
+    ServerLeaving(ServerId),
+    /// A server said in a response that it wants no requests for a while.
+    ServerResting {
+        /// The server.
+        server: ServerId,
+        /// Time for which it gets none from this gateway.
+        rest: Duration,
+    },
     /// A server was removed from the table.
     ServerRemoved(ServerId),
     /// A server's group opened or broke, or the server joined or left a group.
@@ -346,6 +372,10 @@
             Self::DomainRestored(domain) => write!(f, "failure domain {domain} is in use again"),
             Self::ServerListed(id) => write!(f, "server {id} is listed"),
             Self::ServerDraining(id) => write!(f, "server {id} is draining"),
+            Self::ServerLeaving(id) => write!(f, "server {id} says that it leaves"),
+            Self::ServerResting { server, rest } => {
+                write!(f, "server {server} wants no requests for {} ms", rest.as_millis())
+            }
             Self::ServerRemoved(id) => write!(f, "server {id} is removed"),
             Self::GroupChanged { server, is_open } => {
                 let state = if *is_open { "open" } else { "broken" };
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -79,6 +79,13 @@
     pub is_replaced: bool,
 }
 
+impl KnownServer {
+    /// Returns the id and start time of the server.
+    pub fn incarnation(&self) -> Incarnation {
+        (self.record.id.clone(), self.record.started_ms)
+    }
+}
+
 /// All servers that may exist, the evacuated domains, and the store's availability.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -92,9 +99,16 @@
     /// When the store last came back from a copy; `None` if it never did.
     rewound_at: Option<Moment>,
     /// Servers that were removed lately, by id and start time, with the time of their removal.
-    removed: BTreeMap<(ServerId, Option<u64>), Moment>,
+    removed: BTreeMap<Incarnation, Moment>,
+    /// Servers that said in a response that they leave, with the time.
+    leaving: BTreeMap<Incarnation, Moment>,
+    /// Servers that want no requests for a while, with the end of that time.
+    resting: BTreeMap<Incarnation, Moment>,
 }
 
+/// Id and start time of a server; an id may be used again.
+pub type Incarnation = (ServerId, Option<u64>);
+
 impl ServerTable {
     /// Returns all servers, unusable ones included.
     pub fn servers(&self) -> impl Iterator<Item = &KnownServer> {
@@ -188,6 +202,7 @@
             }
         }
         self.mark_address_conflicts();
+        self.prune_notices(now);
         changes
     }
 
@@ -198,6 +213,38 @@
         }
     }
 
+    /// Records that a server said that it leaves: it gets no new work, whatever the directory says.
+    /// Returns whether this is news.
+    pub fn mark_leaving(&mut self, incarnation: Incarnation, now: Moment) -> bool {
+        self.leaving.insert(incarnation, now).is_none()
+    }
+
+    /// Whether a server is shutting down, by the directory or by its own word.
+    pub fn is_leaving(&self, server: &KnownServer) -> bool {
+        server.record.is_draining || self.leaving.contains_key(&server.incarnation())
+    }
+
+    /// Records that a server wants no requests until `end`; never shortens its rest.
+    pub fn mark_resting(&mut self, incarnation: Incarnation, end: Moment) {
+        let known = self.resting.entry(incarnation).or_insert(end);
+        *known = end.max(*known);
+    }
+
+    /// Returns the end of a server's rest, or `None` if it takes requests.
+    pub fn rest_end(&self, server: &KnownServer, now: Moment) -> Option<Moment> {
+        self.resting.get(&server.incarnation()).copied().filter(|it| now < *it)
+    }
+
+    /// Forgets what servers that are no longer listed have said, and ended rests.
+    fn prune_notices(&mut self, now: Moment) {
+        let servers = &self.servers;
+        let is_listed = |(id, started_ms): &Incarnation| {
+            servers.get(id).is_some_and(|it| it.record.started_ms == *started_ms)
+        };
+        self.leaving.retain(|it, at| is_listed(it) || now.since(*at) < REMOVED_TTL);
+        self.resting.retain(|_, end| now < *end);
+    }
+
     /// Marks all but the latest started of the servers listed at the same address as replaced.
     fn mark_address_conflicts(&mut self) {
         let mut newest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
@@ -244,8 +291,8 @@
         self.returned_at.map(|it| it.after(LAPSE_GRACE))
     }
 
-    /// Returns the servers of a service that may get new work: those not draining,
-    /// replaced or evacuated.
+    /// Returns the servers of a service that may get new work: those not draining, leaving, replaced
+    /// or evacuated. Some of them may rest.
     pub fn usable<'a>(
         &'a self,
         service: &'a ServiceName,
@@ -253,7 +300,7 @@
         self.servers.values().filter(move |it| {
             let record = &it.record;
             record.service == *service
-                && !record.is_draining
+                && !self.is_leaving(it)
                 && !it.is_replaced
                 && !self.evacuated.contains(&record.failure_domain)
         })
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -10,15 +10,15 @@
     time::Duration,
 };
 
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
 use super::{
     AdmissionSettings, AnswerProgress, AttemptBudget, AttemptResult, AttemptSpec, BudgetSettings,
-    CatalogSource, ColdLimiter, KnownServer, LoadReport, PlacementChoice, QuarantineTable,
-    RequestNumber, RetryReason, RouteCatalog, RouteKind, RouteRecord, RoutingChange, RoutingEffect,
-    RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerLoad, ServerTable, choose_subset,
-    retry_after,
+    CatalogSource, ColdLimiter, Incarnation, KnownServer, LoadReport, PlacementChoice,
+    QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteKind, RouteRecord,
+    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerLoad,
+    ServerNotice, ServerTable, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
@@ -60,6 +60,9 @@
 /// Remaining time below which another attempt cannot complete.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 
+/// Time over which gateways spread their return to a server that wanted no requests.
+const REST_JITTER: Duration = Duration::from_millis(300);
+
 /// Settings of the reducer.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -102,7 +105,7 @@
     wait_deadline: Moment,
     is_waiting: bool,
     /// Server of the attempt in progress.
-    current_attempt: Option<(ServerId, SocketAddr)>,
+    current_attempt: Option<(Incarnation, SocketAddr)>,
 }
 
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
@@ -247,6 +250,9 @@
         RoutingEvent::ServerProbed { server, has_ended } => {
             server_probed(state, &server, has_ended, now)
         }
+        RoutingEvent::ServerNoticed { number, notice } => {
+            server_noticed(state, number, notice, now)
+        }
         RoutingEvent::AnswerSettled(number) => {
             answer_progressed(state, number, AnswerProgress::Events(SETTLED_EVENTS), now)
         }
@@ -437,6 +443,10 @@
             state.rng = rng;
             start_attempt(state, number, &id, now)
         }
+        (PlacementChoice::Resting(delay), rng) => {
+            state.rng = rng;
+            refuse_until_rested(state, number, delay, now)
+        }
         (PlacementChoice::Full, rng) => {
             state.rng = rng;
             refuse(state, number, RefusalCode::Overloaded, now)
@@ -448,6 +458,26 @@
     }
 }
 
+/// Refuses a request because all servers want no requests. The caller is told when the first of
+/// them takes requests again, if it waits that long.
+fn refuse_until_rested(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    delay: Duration,
+    now: Moment,
+) -> RoutingEffect {
+    let deadline = state.requests.get(&number).map(|it| it.deadline);
+    let max_wait = state.settings.admission.max_wait;
+    match refuse(state, number, RefusalCode::Overloaded, now) {
+        RoutingEffect::Refuse(number, Refusal { code, outcome, retry_after: Some(drawn) }) => {
+            let longest = deadline.map_or(drawn, |it| it.since(now).mul_f64(max_wait));
+            let retry_after = Some(drawn.max(delay).min(longest));
+            RoutingEffect::Refuse(number, Refusal { code, outcome, retry_after })
+        }
+        effect => effect,
+    }
+}
+
 fn start_attempt(
     state: &mut RoutingState,
     number: RequestNumber,
@@ -467,7 +497,7 @@
     };
     request.is_waiting = false;
     request.tried_servers.push(id.clone());
-    request.current_attempt = Some((id.clone(), record.address));
+    request.current_attempt = Some(((id.clone(), record.started_ms), record.address));
     let spec = AttemptSpec {
         server: id.clone(),
         address: record.address,
@@ -519,7 +549,7 @@
     now: Moment,
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
-    let Some((id, address)) = request.current_attempt.take() else { return Vec::new() };
+    let Some(((id, _), address)) = request.current_attempt.take() else { return Vec::new() };
     request.may_have_run |= result.may_have_run();
     let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
     match result {
@@ -545,6 +575,31 @@
     effects
 }
 
+/// Records what a server said about itself with a response.
+fn server_noticed(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    notice: ServerNotice,
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    let attempt = state.requests.get(&number).and_then(|it| it.current_attempt.clone());
+    let Some((incarnation, _)) = attempt else { return Vec::new() };
+    let server = incarnation.0.clone();
+    let mut changes = Vec::new();
+    if let Some(rest) = notice.rest {
+        // Gateways that were told at the same time do not come back at the same time.
+        let jitter = state.rng.random_range(0.0..REST_JITTER.as_secs_f64());
+        let rest = rest + Duration::from_secs_f64(jitter);
+        state.servers.mark_resting(incarnation.clone(), now.after(rest));
+        changes.push(RoutingChange::ServerResting { server: server.clone(), rest });
+    }
+    if notice.is_leaving && state.servers.mark_leaving(incarnation, now) {
+        update_subset(state);
+        changes.push(RoutingChange::ServerLeaving(server));
+    }
+    change_effects(changes)
+}
+
 /// Records an attempt's result in the server's health. Returns a change if the server is paused.
 fn update_health(
     state: &mut RoutingState,
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -26,6 +26,12 @@
         .filter(|it| !request.tried_servers.contains(&it.record.id))
         .filter(|it| can_accept(state, it, now))
         .collect();
+    let rest_ends: Vec<Moment> =
+        usable.iter().filter_map(|it| state.servers.rest_end(it, now)).collect();
+    if let Some(first_end) = rest_ends.iter().min().filter(|_| rest_ends.len() == usable.len()) {
+        return (PlacementChoice::Resting(first_end.since(now)), state.rng.clone());
+    }
+    usable.retain(|it| state.servers.rest_end(it, now).is_none());
     let in_subset = |it: &&&KnownServer| state.subset.contains(&it.record.id);
     let subset: Vec<&KnownServer> = usable.iter().filter(in_subset).copied().collect();
     if !subset.is_empty() {
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -66,7 +66,7 @@
     now: Moment,
 ) -> Vec<RoutingEffect> {
     let Some(ending) = state.ending_servers.remove(server) else { return Vec::new() };
-    let is_leaving = state.servers.server(server).is_some_and(|it| it.record.is_draining);
+    let is_leaving = state.servers.server(server).is_some_and(|it| state.servers.is_leaving(it));
     if !has_ended || is_leaving {
         return Vec::new();
     }
--- a/tests/gateway_herding.rs
+++ b/tests/gateway_herding.rs
@@ -30,7 +30,7 @@
 fn alderbay_choice(candidates: &[Candidate<'_>], rng: &mut SmallRng) -> Option<ServerId> {
     match choose_candidate(candidates, &AdmissionSettings::default(), rng) {
         PlacementChoice::Server(id) => Some(id),
-        PlacementChoice::Full | PlacementChoice::NoCandidate => None,
+        PlacementChoice::Full | PlacementChoice::Resting(_) | PlacementChoice::NoCandidate => None,
     }
 }
 
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -20,9 +20,9 @@
 };
 
 /// A gateway process, two backend servers and the platform's store.
-struct TestSite {
+pub(crate) struct TestSite {
     store: FakeStore,
-    log: ServerLog,
+    pub(crate) log: ServerLog,
     gateway: GatewayProcess,
 }
 
@@ -32,7 +32,7 @@
         "max-attempts": 2, "public": false, "resumable": true})
 }
 
-async fn start_site(kind: &str) -> TestSite {
+pub(crate) async fn start_site(kind: &str) -> TestSite {
     let store = FakeStore::start(free_address()).await;
     let log = ServerLog::default();
     for id in ["i-1", "i-2"] {
@@ -79,12 +79,12 @@
         changed.elapsed()
     }
 
-    async fn send(&self, path: &str) -> Option<(StatusCode, String)> {
+    pub(crate) async fn send(&self, path: &str) -> Option<(StatusCode, String)> {
         read(connect(self.gateway.listen).await?.send_request(request(path)).await.ok()?).await
     }
 }
 
-fn complete_answer() -> Option<(StatusCode, String)> {
+pub(crate) fn complete_answer() -> Option<(StatusCode, String)> {
     Some((StatusCode::OK, "an answer".into()))
 }
 
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -20,7 +20,7 @@
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-const SECOND_US: u64 = 1_000_000;
+pub(crate) const SECOND_US: u64 = 1_000_000;
 /// Requests per second that a cold server of the catalog can take.
 const COLD_RATE: f64 = 36.0;
 
@@ -49,11 +49,11 @@
     ))
 }
 
-fn address(n: u16) -> SocketAddr {
+pub(crate) fn address(n: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 9_000 + n))
 }
 
-fn server(n: u16, domain: &str) -> ServerRecord {
+pub(crate) fn server(n: u16, domain: &str) -> ServerRecord {
     ServerRecord {
         id: format!("i-{n}").parse().unwrap(),
         service: "s".parse().unwrap(),
@@ -94,15 +94,15 @@
 }
 
 /// State of a gateway's reducer with a simulated clock.
-struct TestGateway {
-    state: RoutingState,
+pub(crate) struct TestGateway {
+    pub(crate) state: RoutingState,
     /// Simulated time in microseconds.
-    now: u64,
+    pub(crate) now: u64,
     next_number: u64,
 }
 
 impl TestGateway {
-    fn new(kind: RouteKind, servers: Vec<ServerRecord>) -> Self {
+    pub(crate) fn new(kind: RouteKind, servers: Vec<ServerRecord>) -> Self {
         Self::with(settings(BudgetSettings::default(), 7), kind, servers)
     }
 
@@ -119,17 +119,17 @@
         gateway
     }
 
-    fn dispatch(&mut self, event: RoutingEvent) -> Vec<RoutingEffect> {
+    pub(crate) fn dispatch(&mut self, event: RoutingEvent) -> Vec<RoutingEffect> {
         reduce(&mut self.state, Moment(self.now), event)
     }
 
     /// Dispatches an event and returns its last effect that is not a change of state.
-    fn dispatch_for_effect(&mut self, event: RoutingEvent) -> RoutingEffect {
+    pub(crate) fn dispatch_for_effect(&mut self, event: RoutingEvent) -> RoutingEffect {
         let effects = self.dispatch(event);
         effects.into_iter().rfind(|it| !matches!(it, RoutingEffect::StateChanged(_))).unwrap()
     }
 
-    fn arrive(&mut self) -> (RequestNumber, RoutingEffect) {
+    pub(crate) fn arrive(&mut self) -> (RequestNumber, RoutingEffect) {
         self.arrive_with("key", "/a/x")
     }
 
@@ -168,20 +168,24 @@
         effect
     }
 
-    fn end_attempt(&mut self, number: RequestNumber, result: AttemptResult) -> RoutingEffect {
+    pub(crate) fn end_attempt(
+        &mut self,
+        number: RequestNumber,
+        result: AttemptResult,
+    ) -> RoutingEffect {
         let progress = AnswerProgress::Nothing;
         self.dispatch_for_effect(RoutingEvent::AttemptEnded { number, result, progress })
     }
 }
 
-fn server_of(effect: &RoutingEffect) -> Option<String> {
+pub(crate) fn server_of(effect: &RoutingEffect) -> Option<String> {
     match effect {
         RoutingEffect::Attempt(_, order) => Some(order.server.to_string()),
         _ => None,
     }
 }
 
-fn refusal_of(effect: &RoutingEffect) -> Option<(RefusalCode, RunOutcome)> {
+pub(crate) fn refusal_of(effect: &RoutingEffect) -> Option<(RefusalCode, RunOutcome)> {
     match effect {
         RoutingEffect::Refuse(_, refusal) => Some((refusal.code, refusal.outcome)),
         _ => None,
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -133,6 +133,13 @@
                 "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
             )
         }
+        ("/a/leaving", 0) => answer_text(&request, "an answer")
+            .replace("Response-Stamp: s", "Response-Stamp: s\r\nServer-Leaving: 1"),
+        ("/a/resting", 0) => {
+            format!(
+                "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request}\r\nNot-Run: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n"
+            )
+        }
         ("/a/stream" | "/a/slow" | "/st/x", _) => {
             let pause = Duration::from_millis(if path == "/a/slow" { 400 } else { 5 });
             let cut_after = (path == "/a/stream" && earlier_runs == 0).then_some(2);
