Take a stream without length or chunks as whole where its connection ends in order

Callers got their stream twice asked for, or broken off after its last event: a stream without a length or chunks never counted as complete, so its rest was asked of another server, which had nothing to add. Change: an orderly end after an event is whole; a reset, an end inside an event or before the first one is not.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -304,6 +304,8 @@
 
     /// Relays a stream of events to the caller, only complete events, and skips those it has
     /// already.
+    ///
+    /// A stream without a length or chunks is whole if its connection ends in order after an event.
     async fn relay_stream(&mut self, head: Parts, mut body: Incoming) -> AttemptResult {
         let is_delimited = body.size_hint().exact().is_some() || is_chunked(&head);
         let mut splitter = SseSplitter::default();
@@ -321,7 +323,10 @@
                     splitter.push(&data);
                 }
                 Some(Err(_)) => return AttemptResult::Lost,
-                None if splitter.has_partial() || !is_delimited => return AttemptResult::Lost,
+                None if splitter.has_partial() => return AttemptResult::Lost,
+                None if !is_delimited && self.progress == AnswerProgress::Head => {
+                    return AttemptResult::Lost;
+                }
                 None => {
                     self.begin_stream(&mut head);
                     self.state = AnswerState::Done;
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -26,13 +26,17 @@
     gateway: GatewayProcess,
 }
 
-fn route(prefix: &str, kind: &str) -> serde_json::Value {
+fn route(prefix: &str, kind: &str, is_resumable: bool) -> serde_json::Value {
     json!({"name": format!("r-{kind}"), "hostname": "h.example", "path-prefix": prefix,
         "kind": kind, "timeout-ms": 6000, "target-latency-ms": 300, "service": "s",
-        "max-attempts": 2, "public": false, "resumable": true})
+        "max-attempts": 2, "public": false, "resumable": is_resumable})
 }
 
 pub(crate) async fn start_site(kind: &str) -> TestSite {
+    start_site_with(kind, true).await
+}
+
+async fn start_site_with(kind: &str, is_resumable: bool) -> TestSite {
     let store = FakeStore::start(free_address()).await;
     let log = ServerLog::default();
     for id in ["i-1", "i-2"] {
@@ -44,7 +48,7 @@
     }
     // The gateway must ignore an entry of another writer that does not describe a server.
     store.put("keyed.servers", "i-3", Some(&json!({"service": 7})));
-    let manifest = json!({"version": 3, "routes": [route("/a/", kind)],
+    let manifest = json!({"version": 3, "routes": [route("/a/", kind, is_resumable)],
         "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
         "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
     store.put("keyed.op", "config", Some(&manifest));
@@ -67,7 +71,7 @@
 impl TestSite {
     /// Publishes another route and returns the time until the gateway serves it.
     async fn time_to_apply(&self) -> Duration {
-        let manifest = json!({"version": 9, "routes": [route("/a/", "safe"), route("/new/", "safe")],
+        let manifest = json!({"version": 9, "routes": [route("/a/", "safe", true), route("/new/", "safe", true)],
             "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
             "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
         self.store.put("keyed.op", "config", Some(&manifest));
@@ -158,6 +162,31 @@
     expect_that!(runs[0].server, not(eq(&runs[1].server)));
 }
 
+fn all_events() -> Option<(StatusCode, String)> {
+    let events: String = (1..=4).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect();
+    Some((StatusCode::OK, events))
+}
+
+#[gtest]
+#[tokio::test]
+async fn unframed_stream_is_not_asked_twice() {
+    let site = start_site("streaming").await;
+    expect_that!(site.send("/a/unframed").await, eq(&all_events()));
+    expect_that!(site.log.runs("/a/unframed").len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn broken_unframed_stream_is_no_success() {
+    for path in ["/a/unframed-cut", "/a/unframed-reset"] {
+        let site = start_site("streaming").await;
+        expect_that!(site.send(path).await, eq(&all_events()), "{path}");
+        let runs = site.log.runs(path);
+        expect_that!(runs.len(), eq(2), "{path}");
+        expect_that!(runs[1].headers.get("last-event-id").map(String::as_str), some(eq("2")));
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn caller_disconnect_cancels() {
@@ -259,7 +288,7 @@
 #[tokio::test]
 async fn catalog_changes_apply() {
     let site = start_site("safe").await;
-    let manifest = json!({"version": 9, "routes": [route("/b/", "safe")],
+    let manifest = json!({"version": 9, "routes": [route("/b/", "safe", true)],
         "services": [{"name": "s"}], "tenants": [{"name": "acc", "api-keys": ["k1"]}]});
     site.store.put("keyed.op", "config", Some(&manifest));
     let deadline = Instant::now() + READY_TIMEOUT;
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -140,12 +140,42 @@
                 "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request}\r\nNot-Run: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n"
             )
         }
-        ("/a/stream" | "/a/slow" | "/st/x", _) => {
-            let pause = Duration::from_millis(if path == "/a/slow" { 400 } else { 5 });
+        ("/a/stream" | "/a/slow" | "/a/pausing" | "/st/x", _) => {
+            let pause = match path.as_str() {
+                "/a/slow" => 400,
+                "/a/pausing" => 1_300,
+                _ => 5,
+            };
+            let pause = Duration::from_millis(pause);
             let cut_after = (path == "/a/stream" && earlier_runs == 0).then_some(2);
             stream_events(&mut stream, &request, resume_after, cut_after, pause).await;
             return;
         }
+        ("/a/unframed", _) => {
+            unframed_events(&mut stream, &request, resume_after, UnframedEnd::InOrder).await;
+            return;
+        }
+        ("/a/unframed-cut", 0) => {
+            unframed_events(&mut stream, &request, resume_after, UnframedEnd::InsideEvent).await;
+            return;
+        }
+        ("/a/unframed-reset", 0) => {
+            unframed_events(&mut stream, &request, resume_after, UnframedEnd::Reset).await;
+            return;
+        }
+        ("/a/unframed-cut" | "/a/unframed-reset", _) => {
+            unframed_events(&mut stream, &request, resume_after, UnframedEnd::InOrder).await;
+            return;
+        }
+        ("/a/dripping", 0) => {
+            drip(&mut stream, &request).await;
+            return;
+        }
+        ("/a/dripping", _) => {
+            let pause = Duration::from_millis(5);
+            stream_events(&mut stream, &request, resume_after, None, pause).await;
+            return;
+        }
         ("/a/hang", _) => {
             let mut unexpected = [0; 1];
             if let Ok(0) | Err(_) = stream.read(&mut unexpected).await {
@@ -187,3 +217,55 @@
     }
     let _ = stream.write_all(b"0\r\n\r\n").await;
 }
+
+/// How an answer without a length or chunks ends.
+#[derive(Clone, Copy, PartialEq)]
+enum UnframedEnd {
+    /// After the last event, with the connection.
+    InOrder,
+    /// In the middle of the third event, with the connection.
+    InsideEvent,
+    /// After the second event, with a reset of the connection.
+    Reset,
+}
+
+const UNFRAMED_HEAD: &str = "Response-Stamp: s\r\nContent-Type: text/event-stream\r\n";
+
+/// Streams the events up to 4 without a length or chunks.
+async fn unframed_events(
+    stream: &mut TcpStream,
+    request: &str,
+    resume_after: u64,
+    end: UnframedEnd,
+) {
+    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\n{UNFRAMED_HEAD}\r\n");
+    let _ = stream.write_all(head.as_bytes()).await;
+    for id in resume_after + 1..=4 {
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        let length = match end {
+            UnframedEnd::InsideEvent if id == 3 => 8,
+            UnframedEnd::Reset if id == 3 => 0,
+            UnframedEnd::InOrder | UnframedEnd::InsideEvent | UnframedEnd::Reset => event.len(),
+        };
+        let _ = stream.write_all(&event.as_bytes()[..length]).await;
+        // The reader must have got this before a reset, which discards what is on its way.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        if length < event.len() {
+            break;
+        }
+    }
+    if end == UnframedEnd::Reset {
+        #[allow(deprecated)]
+        let _ = stream.set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// Streams two events, then single bytes of a third one that never ends.
+async fn drip(stream: &mut TcpStream, request: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\n{UNFRAMED_HEAD}\r\n");
+    let _ = stream.write_all(head.as_bytes()).await;
+    let _ = stream.write_all(b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n").await;
+    while stream.write_all(b"x").await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
