End a stalled stream that sends bytes without completing an event

Callers of a stream whose server sent a byte now and then waited until their deadline: each frame started the time-out anew, whether it completed an event or not. Change: the deadline is that of the next event, and only an event moves it. Result: gateway_path::dripping_stream_is_resumed failed before (no answer within 5 s, one run) and passes: the stream is resumed after event 2 at another server.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -310,9 +310,10 @@
         let is_delimited = body.size_hint().exact().is_some() || is_chunked(&head);
         let mut splitter = SseSplitter::default();
         let mut head = Some(head);
-        let mut limit = FIRST_EVENT_TIMEOUT;
+        // Bytes that complete no event do not postpone it.
+        let mut event_deadline = Instant::now() + FIRST_EVENT_TIMEOUT;
         loop {
-            let frame = match timeout(limit, self.next_frame(&mut body)).await {
+            let frame = match timeout_at(event_deadline, self.next_frame(&mut body)).await {
                 Ok(Some(frame)) => frame,
                 Ok(None) => return AttemptResult::Abandoned,
                 Err(_) => return AttemptResult::Stalled,
@@ -353,7 +354,7 @@
                 if self.progress == AnswerProgress::Events(SETTLED_EVENTS) {
                     self.shell.dispatch(RoutingEvent::AnswerSettled(self.number));
                 }
-                limit = EVENT_TIMEOUT;
+                event_deadline = Instant::now() + EVENT_TIMEOUT;
             }
         }
     }
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -187,6 +187,14 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn dripping_stream_is_resumed() {
+    let site = start_site("streaming").await;
+    expect_that!(site.send("/a/dripping").await, eq(&all_events()));
+    expect_that!(site.log.runs("/a/dripping").len(), eq(2));
+}
+
 #[gtest]
 #[tokio::test]
 async fn caller_disconnect_cancels() {
