Do not cut slow streams that may run only once

Callers of a stream that may not be resumed lost it at the first pause of more than a second, though its server was only slow: the time-out that moves a resumable stream to another server applied to all. Change: a stream that no other server can continue is given up at its deadline, not for its silence. Result: gateway_path::slow_stream_that_runs_once_is_not_cut (pauses of 1.3 s) failed before and passes.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 use tokio::{
     sync::oneshot,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep_until, timeout, timeout_at},
 };
 use volo_http::{body::Body, response::Response};
 
@@ -238,7 +238,7 @@
             ResponseKind::Genuine => {}
         }
         let result = if spec.kind.is_stream() && head.status == StatusCode::OK {
-            self.relay_stream(head, body).await
+            self.relay_stream(head, body, spec.kind).await
         } else {
             self.collect_answer(head, body).await
         };
@@ -306,18 +306,25 @@
     /// already.
     ///
     /// A stream without a length or chunks is whole if its connection ends in order after an event.
-    async fn relay_stream(&mut self, head: Parts, mut body: Incoming) -> AttemptResult {
+    async fn relay_stream(
+        &mut self,
+        head: Parts,
+        mut body: Incoming,
+        kind: RouteKind,
+    ) -> AttemptResult {
         let is_delimited = body.size_hint().exact().is_some() || is_chunked(&head);
         let mut splitter = SseSplitter::default();
         let mut head = Some(head);
         // Bytes that complete no event do not postpone it.
         let mut event_deadline = Instant::now() + FIRST_EVENT_TIMEOUT;
         loop {
-            let frame = match timeout_at(event_deadline, self.next_frame(&mut body)).await {
-                Ok(Some(frame)) => frame,
-                Ok(None) => return AttemptResult::Abandoned,
-                Err(_) => return AttemptResult::Stalled,
+            let frame = tokio::select! {
+                biased;
+                frame = self.next_frame(&mut body) => frame,
+                // Only a stream that another server can resume is given up for its silence.
+                () = sleep_until(event_deadline), if kind.is_idempotent() => return AttemptResult::Stalled,
             };
+            let Some(frame) = frame else { return AttemptResult::Abandoned };
             match frame {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -195,6 +195,20 @@
     expect_that!(site.log.runs("/a/dripping").len(), eq(2));
 }
 
+#[gtest]
+#[tokio::test]
+async fn slow_stream_that_runs_once_is_not_cut() {
+    let site = start_site_with("streaming", false).await;
+    let request = || {
+        let mut request = request("/a/pausing");
+        request.headers_mut().insert("time-budget-ms", "9000".parse().unwrap());
+        request
+    };
+    let answer = connect(site.gateway.listen).await.unwrap().send_request(request()).await.unwrap();
+    expect_that!(read(answer).await, eq(&all_events()));
+    expect_that!(site.log.runs("/a/pausing").len(), eq(1));
+}
+
 #[gtest]
 #[tokio::test]
 async fn caller_disconnect_cancels() {
