Send a request on where only its connection was lost, not its server

Change: such a request waits for the try of the server's address, at most 0.4 s, and goes on elsewhere if the server runs. Result: prompt_quarantine::lost_connection_is_no_evidence failed before (refused at once) and passes, as do request_that_ended_its_server_is_not_sent_on and harmless_prompt_goes_on_at_once.

--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -29,8 +29,8 @@
 };
 use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
 use suspects::{
-    EndingServer, answer_progressed, is_lost_at_beginning, quarantine_read, record_suspect,
-    server_probed, update_effects,
+    EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning,
+    quarantine_read, record_suspect, server_probed, update_effects,
 };
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
@@ -57,6 +57,8 @@
 const MAX_CATALOG_WAIT: Duration = Duration::from_millis(1_500);
 /// Maximum number of requests that wait for a server at the same time.
 const MAX_WAITING: usize = 200;
+/// Longest wait for the probe of a server that may have ended.
+const MAX_PROBE_WAIT: Duration = Duration::from_millis(400);
 /// Remaining time below which another attempt cannot complete.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 
@@ -101,6 +103,8 @@
     /// Attempts that got no connection.
     connect_failures: u32,
     may_have_run: bool,
+    /// Whether the request may have ended the server of its last attempt.
+    suspicion: Suspicion,
     /// The request may wait for a server until this time.
     wait_deadline: Moment,
     is_waiting: bool,
@@ -363,6 +367,7 @@
         attempts_sent: 0,
         connect_failures: 0,
         may_have_run: false,
+        suspicion: Suspicion::None,
         wait_deadline: if is_first_try {
             now
         } else {
@@ -387,7 +392,32 @@
     if !state.requests.contains_key(&number) {
         return request_arrived(state, caller_request, now);
     }
-    place_request(state, number, now)
+    resolve_suspicion(state, number, now)
+}
+
+/// Goes on with a request that waited, for a server or for the probe of its last server.
+fn resolve_suspicion(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    now: Moment,
+) -> RoutingEffect {
+    let Some(request) = state.requests.get_mut(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    match request.suspicion {
+        Suspicion::None => place_request(state, number, now),
+        Suspicion::Probing { until } if now < until => {
+            RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
+        }
+        // Without a response nobody knows whether the server has ended.
+        Suspicion::Probing { .. } | Suspicion::ServerEnded => {
+            refuse(state, number, RefusalCode::ServerEnded, now)
+        }
+        Suspicion::ServerRuns => {
+            request.suspicion = Suspicion::None;
+            fail_over(state, number, now)
+        }
+    }
 }
 
 /// Returns how long a request that is not its caller's first try may wait for a server.
@@ -567,7 +597,7 @@
         .map(RoutingEffect::StateChanged)
         .into_iter()
         .collect();
-    effects.extend(record_suspect(state, number, (&id, address), (result, progress)));
+    effects.extend(record_suspect(state, number, (&id, address), (result, progress), now));
     if result == AttemptResult::Answered {
         effects.extend(answer_progressed(state, number, progress, now));
     }
@@ -664,26 +694,39 @@
             }
             RoutingEffect::Finished(number)
         }
-        // The request may be the cause: another server would end too.
+        // The request may have ended its server, and another one would end too.
         AttemptResult::Lost
-            if is_lost_at_beginning(result, progress)
+            if kind.is_idempotent()
+                && is_lost_at_beginning(result, progress)
                 && !state.quarantine.are_harmless(&request.shared_parts, now) =>
         {
-            refuse(state, number, RefusalCode::ServerEnded, now)
-        }
-        AttemptResult::Lost | AttemptResult::Stalled => {
-            if kind.is_idempotent() && has_time && has_attempts && withdraw_retry(state, number) {
-                let request = state.requests.get_mut(&number);
-                request.into_iter().for_each(|it| it.wait_deadline = now.after(FAILOVER_WAIT));
-                return place_request(state, number, now);
-            }
-            let code = match has_time {
-                true => RefusalCode::OutcomeUnknown,
-                false => RefusalCode::DeadlinePassed,
-            };
-            refuse(state, number, code, now)
+            let suspicion = Suspicion::Probing { until: now.after(MAX_PROBE_WAIT) };
+            let request = state.requests.get_mut(&number);
+            request.into_iter().for_each(|it| it.suspicion = suspicion);
+            RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
         }
+        AttemptResult::Lost | AttemptResult::Stalled => fail_over(state, number, now),
+    }
+}
+
+/// Tries another server after an attempt that may have run, or refuses the request.
+fn fail_over(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
+    let Some(request) = state.requests.get(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    let has_time = now.after(MIN_ATTEMPT_TIME) < request.deadline;
+    let has_attempts = request.attempts_sent < request.route.max_attempts.max(1);
+    let may_repeat = request.route.kind.is_idempotent() && has_time && has_attempts;
+    if may_repeat && withdraw_retry(state, number) {
+        let request = state.requests.get_mut(&number);
+        request.into_iter().for_each(|it| it.wait_deadline = now.after(FAILOVER_WAIT));
+        return place_request(state, number, now);
     }
+    let code = match has_time {
+        true => RefusalCode::OutcomeUnknown,
+        false => RefusalCode::DeadlinePassed,
+    };
+    refuse(state, number, code, now)
 }
 
 /// Withdraws one retry from the service's budget. Returns `false` if none is left.
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -4,7 +4,7 @@
 //! are suspects; the others are bystanders. A lost connection alone does not show that the server
 //! has ended, so its address is tried first.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use super::RoutingState;
 use crate::{
@@ -18,11 +18,49 @@
 /// Number of events of a stream up to which its response counts as just begun.
 const MAX_BEGINNING_EVENTS: u32 = 1;
 
+/// Time after which a probe without a result is made again at the next lost attempt.
+const PROBE_TTL: Duration = Duration::from_secs(2);
+/// Interval at which a request looks whether the probe of its last server has ended.
+pub(super) const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Whether a request may have ended the server of its last attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Suspicion {
+    /// There is no reason to think so.
+    None,
+    /// The server is being probed.
+    Probing {
+        /// End of the wait for the result.
+        until: Moment,
+    },
+    /// The server has ended.
+    ServerEnded,
+    /// The server still runs: only the connection was lost.
+    ServerRuns,
+}
+
+impl Suspicion {
+    fn is_probing(self) -> bool {
+        match self {
+            Self::Probing { .. } => true,
+            Self::None | Self::ServerEnded | Self::ServerRuns => false,
+        }
+    }
+}
+
 /// A server that may have ended, until its address is tried.
 #[derive(Clone, Debug)]
 pub(super) struct EndingServer {
-    /// The requests that the server was beginning to answer, with their shared parts.
-    suspects: Vec<(RequestId, Vec<PartDigest>)>,
+    since: Moment,
+    /// The requests that the server was beginning to answer.
+    suspects: Vec<SuspectRequest>,
+}
+
+#[derive(Clone, Debug)]
+struct SuspectRequest {
+    number: RequestNumber,
+    request_id: RequestId,
+    shared_parts: Vec<PartDigest>,
 }
 
 /// Whether the attempt was lost while the server began to write its response.
@@ -42,17 +80,23 @@
     number: RequestNumber,
     (server, address): (&ServerId, SocketAddr),
     (result, progress): (AttemptResult, AnswerProgress),
+    now: Moment,
 ) -> Option<RoutingEffect> {
     if !is_lost_at_beginning(result, progress) {
         return None;
     }
     let request = state.requests.get(&number).filter(|it| !it.shared_parts.is_empty())?;
-    let suspect = (request.request_id.clone(), request.shared_parts.clone());
-    if let Some(ending) = state.ending_servers.get_mut(server) {
+    let suspect = SuspectRequest {
+        number,
+        request_id: request.request_id.clone(),
+        shared_parts: request.shared_parts.clone(),
+    };
+    let is_pending = |it: &&mut EndingServer| now.since(it.since) < PROBE_TTL;
+    if let Some(ending) = state.ending_servers.get_mut(server).filter(is_pending) {
         ending.suspects.push(suspect);
         return None;
     }
-    let ending = EndingServer { suspects: vec![suspect] };
+    let ending = EndingServer { since: now, suspects: vec![suspect] };
     state.ending_servers.insert(server.clone(), ending);
     Some(RoutingEffect::ProbeServer { server: server.clone(), address })
 }
@@ -67,14 +111,24 @@
 ) -> Vec<RoutingEffect> {
     let Some(ending) = state.ending_servers.remove(server) else { return Vec::new() };
     let is_leaving = state.servers.server(server).is_some_and(|it| state.servers.is_leaving(it));
-    if !has_ended || is_leaving {
+    let is_crash = has_ended && !is_leaving;
+    let verdict = if is_crash { Suspicion::ServerEnded } else { Suspicion::ServerRuns };
+    for suspect in &ending.suspects {
+        let request = state.requests.get_mut(&suspect.number);
+        // A request whose prompt is known as harmless has gone on meanwhile.
+        if let Some(request) = request.filter(|it| it.suspicion.is_probing()) {
+            request.suspicion = verdict;
+        }
+    }
+    if !is_crash {
         return Vec::new();
     }
-    let change =
-        RoutingChange::ServerEnded { server: server.clone(), suspects: ending.suspects.clone() };
+    let suspects = ending.suspects.iter();
+    let suspects = suspects.map(|it| (it.request_id.clone(), it.shared_parts.clone())).collect();
+    let change = RoutingChange::ServerEnded { server: server.clone(), suspects };
     let mut effects = vec![RoutingEffect::StateChanged(change)];
-    for (request, parts) in ending.suspects {
-        let update = state.quarantine.record_end(server.clone(), request, parts, now);
+    for SuspectRequest { request_id, shared_parts, .. } in ending.suspects {
+        let update = state.quarantine.record_end(server.clone(), request_id, shared_parts, now);
         effects.extend(update_effects(update));
     }
     effects
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -68,7 +68,7 @@
     }
 }
 
-fn settings(budget: BudgetSettings, seed: u64) -> RoutingSettings {
+pub(crate) fn settings(budget: BudgetSettings, seed: u64) -> RoutingSettings {
     RoutingSettings {
         address: address(0),
         failure_domain: "a".parse().unwrap(),
@@ -79,7 +79,7 @@
     }
 }
 
-fn request(number: RequestNumber) -> RoutingRequest {
+pub(crate) fn request(number: RequestNumber) -> RoutingRequest {
     RoutingRequest {
         number,
         request_id: format!("q-{}", number.0).parse().unwrap(),
@@ -106,7 +106,11 @@
         Self::with(settings(BudgetSettings::default(), 7), kind, servers)
     }
 
-    fn with(settings: RoutingSettings, kind: RouteKind, servers: Vec<ServerRecord>) -> Self {
+    pub(crate) fn with(
+        settings: RoutingSettings,
+        kind: RouteKind,
+        servers: Vec<ServerRecord>,
+    ) -> Self {
         let mut gateway = Self { state: RoutingState::new(settings), now: 0, next_number: 0 };
         gateway.dispatch(RoutingEvent::CatalogRead {
             source: CatalogSource::Store,
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -4,12 +4,18 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use alderbay::{
-    routing::{QuarantineTable, RoutingChange},
+    core::{RefusalCode, RunOutcome},
+    routing::{
+        AnswerProgress, AttemptResult, BudgetSettings, QuarantineTable, RequestNumber, RouteKind,
+        RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest,
+    },
     units::{Moment, PartDigest, RequestId, ServerId},
 };
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 
+use crate::gateway_routing::{TestGateway, refusal_of, request, server, server_of, settings};
+
 const SECOND: u64 = 1_000_000;
 const MILLISECOND: u64 = 1_000;
 
@@ -303,3 +309,86 @@
         expect_that!(other.blocked(), eq(source.table.blocked()), "seed {seed}");
     }
 }
+
+/// A gateway of two servers that may repeat requests as often as it wants.
+fn gateway() -> TestGateway {
+    let budget = BudgetSettings { retry_burst: 1_000.0, ..BudgetSettings::default() };
+    let servers = vec![server(1, "a"), server(2, "a")];
+    TestGateway::with(settings(budget, 7), RouteKind::ResumableStream, servers)
+}
+
+/// A request with a shared part arrives and is lost as its server begins to answer. Returns the
+/// server, the request, and the effect of the loss.
+fn lose_at_beginning(
+    gateway: &mut TestGateway,
+    number: u64,
+    shared_part: &str,
+) -> (ServerId, RoutingRequest, RoutingEffect) {
+    let number = RequestNumber(number);
+    let request = RoutingRequest { shared_parts: vec![shared_part.into()], ..request(number) };
+    let placed = gateway.dispatch_for_effect(RoutingEvent::RequestArrived(request.clone()));
+    let server = server_of(&placed).unwrap().parse().unwrap();
+    let (result, progress) = (AttemptResult::Lost, AnswerProgress::Head);
+    let ended = RoutingEvent::AttemptEnded { number, result, progress };
+    (server, request, gateway.dispatch_for_effect(ended))
+}
+
+/// Lets a request wait for the result of the probe, if there is one.
+fn wait_for_probe(
+    gateway: &mut TestGateway,
+    (server, request, mut effect): (ServerId, RoutingRequest, RoutingEffect),
+    has_ended: Option<bool>,
+) -> RoutingEffect {
+    let mut waited = Duration::ZERO;
+    while let RoutingEffect::Wait(_, delay) = effect {
+        gateway.now += u64::try_from(delay.as_micros()).unwrap();
+        waited += delay;
+        assert!(waited < Duration::from_secs(1), "waits without end");
+        if let Some(has_ended) = has_ended {
+            gateway.dispatch(RoutingEvent::ServerProbed { server: server.clone(), has_ended });
+        }
+        let request = RoutingRequest { waited, ..request.clone() };
+        effect = gateway.dispatch_for_effect(RoutingEvent::WaitEnded(request));
+    }
+    effect
+}
+
+#[gtest]
+fn lost_connection_is_no_evidence() {
+    let mut gateway = gateway();
+    let lost = lose_at_beginning(&mut gateway, 1, "rare");
+    let first = lost.0.to_string();
+    let effect = wait_for_probe(&mut gateway, lost, Some(false));
+    expect_that!(server_of(&effect), some(not(eq(&first))));
+    expect_that!(gateway.state.quarantine().is_empty(), eq(true));
+}
+
+#[gtest]
+fn request_that_ended_its_server_is_not_sent_on() {
+    for (seen, has_ended) in [("ended", Some(true)), ("unknown", None)] {
+        let mut gateway = gateway();
+        let lost = lose_at_beginning(&mut gateway, 1, "rare");
+        let effect = wait_for_probe(&mut gateway, lost, has_ended);
+        let expected = (RefusalCode::ServerEnded, RunOutcome::Ran);
+        expect_that!(refusal_of(&effect), some(eq(expected)), "{seen}");
+        let RoutingEffect::Refuse(_, refusal) = effect else { panic!("not refused") };
+        expect_that!(refusal.retry_after, none(), "{seen}");
+    }
+}
+
+#[gtest]
+fn harmless_prompt_goes_on_at_once() {
+    let mut gateway = gateway();
+    let number = RequestNumber(1);
+    let sound = RoutingRequest { shared_parts: vec!["known".into()], ..request(number) };
+    gateway.dispatch(RoutingEvent::RequestArrived(sound));
+    gateway.dispatch(RoutingEvent::AnswerSettled(number));
+    let (server, _, effect) = lose_at_beginning(&mut gateway, 2, "known");
+    expect_that!(server_of(&effect), some(not(eq(&server.to_string()))));
+    // The result of the probe does not disturb the attempt in progress.
+    gateway.dispatch(RoutingEvent::ServerProbed { server, has_ended: true });
+    let number = RequestNumber(2);
+    let (result, progress) = (AttemptResult::Answered, AnswerProgress::Whole);
+    let ended = RoutingEvent::AttemptEnded { number, result, progress };
+    expect_that!(gateway.dispatch_for_effect(ended), eq(&RoutingEffect::Finished(number)));
+}
