--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -1,6 +1,7 @@
 //! The gateway's routing state and its reducer: accepts requests, places their attempts, retries,
 //! waits or refuses.
 
+mod attempts;
 mod eligibility;
 mod suspects;
 
@@ -10,15 +11,15 @@
     time::Duration,
 };
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
 use super::{
-    AdmissionSettings, AnswerProgress, AttemptBudget, AttemptResult, AttemptSpec, BudgetSettings,
-    CatalogSource, ColdLimiter, Incarnation, KnownServer, LoadReport, PlacementChoice,
-    QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteKind, RouteRecord,
-    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerLoad,
-    ServerNotice, ServerTable, choose_subset, retry_after,
+    AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec, BudgetSettings, CatalogSource,
+    ColdLimiter, Incarnation, KnownServer, LoadReport, PlacementChoice, QuarantineTable,
+    RequestNumber, RetryReason, RouteCatalog, RouteRecord, RoutingChange, RoutingEffect,
+    RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerLoad, ServerTable, choose_subset,
+    retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
@@ -27,18 +28,17 @@
         ServiceName,
     },
 };
+use attempts::{attempt_ended, fail_over, server_noticed};
 use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
 use suspects::{
-    EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning,
-    quarantine_read, record_suspect, server_probed, update_effects,
+    EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
+    server_probed, update_effects,
 };
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
 const DEFAULT_GATEWAY_COUNT: u32 = 12;
 /// Time for which the largest reported number of gateways stays in use.
 const GATEWAY_COUNT_WINDOW: Duration = Duration::from_secs(10);
-/// Number of failed connection attempts after which a request is refused.
-const MAX_CONNECT_FAILURES: u32 = 2;
 /// Fraction of the route's timeout that the caller's timeout must reach for the request to count as
 /// the caller's first try.
 const FIRST_TRY_MIN_FRACTION: f64 = 0.9;
@@ -50,21 +50,10 @@
 /// Longest wait of a stream for a server. Callers give up after two seconds without an event, and
 /// the first event takes a while.
 const MAX_STREAM_WAIT: Duration = Duration::from_millis(1_400);
-/// Longest wait for another server after a lost or stalled attempt. Shorter than
-/// [`MAX_STREAM_WAIT`] because detecting the failure took time already.
-const FAILOVER_WAIT: Duration = Duration::from_millis(800);
 /// Longest wait of a request for the first catalog of a process that has just started.
 const MAX_CATALOG_WAIT: Duration = Duration::from_millis(1_500);
 /// Maximum number of requests that wait for a server at the same time.
 const MAX_WAITING: usize = 200;
-/// Longest wait for the probe of a server that may have ended.
-const MAX_PROBE_WAIT: Duration = Duration::from_millis(400);
-/// Remaining time below which another attempt cannot complete.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
-
-/// Time over which gateways spread their return to a server that wanted no requests.
-const REST_JITTER: Duration = Duration::from_millis(300);
-
 /// Settings of the reducer.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -572,171 +561,6 @@
     RoutingEffect::Refuse(number, Refusal { retry_after: delay, ..refusal })
 }
 
-fn attempt_ended(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    (result, progress): (AttemptResult, AnswerProgress),
-    now: Moment,
-) -> Vec<RoutingEffect> {
-    let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
-    let Some(((id, _), address)) = request.current_attempt.take() else { return Vec::new() };
-    request.may_have_run |= result.may_have_run();
-    let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
-    match result {
-        AttemptResult::NeverSent => request.connect_failures += 1,
-        AttemptResult::Lost | AttemptResult::Stalled | AttemptResult::NotRun => {
-            request.attempts_sent += 1;
-            request.failed_groups.extend(group.map(|it| it.name.clone()));
-        }
-        AttemptResult::Answered
-        | AttemptResult::ServerError
-        | AttemptResult::WrongServer
-        | AttemptResult::Abandoned => request.attempts_sent += 1,
-    }
-    let mut effects: Vec<RoutingEffect> = update_health(state, &id, address, result, now)
-        .map(RoutingEffect::StateChanged)
-        .into_iter()
-        .collect();
-    effects.extend(record_suspect(state, number, (&id, address), (result, progress), now));
-    if result == AttemptResult::Answered {
-        effects.extend(answer_progressed(state, number, progress, now));
-    }
-    effects.push(next_effect(state, number, (result, progress), now));
-    effects
-}
-
-/// Records what a server said about itself with a response.
-fn server_noticed(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    notice: ServerNotice,
-    now: Moment,
-) -> Vec<RoutingEffect> {
-    let attempt = state.requests.get(&number).and_then(|it| it.current_attempt.clone());
-    let Some((incarnation, _)) = attempt else { return Vec::new() };
-    let server = incarnation.0.clone();
-    let mut changes = Vec::new();
-    if let Some(rest) = notice.rest {
-        // Gateways that were told at the same time do not come back at the same time.
-        let jitter = state.rng.random_range(0.0..REST_JITTER.as_secs_f64());
-        let rest = rest + Duration::from_secs_f64(jitter);
-        state.servers.mark_resting(incarnation.clone(), now.after(rest));
-        changes.push(RoutingChange::ServerResting { server: server.clone(), rest });
-    }
-    if notice.is_leaving && state.servers.mark_leaving(incarnation, now) {
-        update_subset(state);
-        changes.push(RoutingChange::ServerLeaving(server));
-    }
-    change_effects(changes)
-}
-
-/// Records an attempt's result in the server's health. Returns a change if the server is paused.
-fn update_health(
-    state: &mut RoutingState,
-    id: &ServerId,
-    address: SocketAddr,
-    result: AttemptResult,
-    now: Moment,
-) -> Option<RoutingChange> {
-    let load = state.loads.entry(address).or_default();
-    load.end_attempt();
-    let is_paused = match result {
-        AttemptResult::NeverSent => {
-            load.record_connect_failure(now);
-            true
-        }
-        AttemptResult::Lost | AttemptResult::Stalled => load.record_outcome(true, now),
-        AttemptResult::ServerError | AttemptResult::NotRun => load.record_outcome(true, now),
-        AttemptResult::Answered => load.record_outcome(false, now),
-        AttemptResult::WrongServer => {
-            state.servers.mark_replaced(id);
-            false
-        }
-        AttemptResult::Abandoned => false,
-    };
-    is_paused.then(|| RoutingChange::ServerPaused { server: id.clone(), result })
-}
-
-fn next_effect(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    (result, progress): (AttemptResult, AnswerProgress),
-    now: Moment,
-) -> RoutingEffect {
-    let Some(request) = state.requests.get(&number) else {
-        return RoutingEffect::Finished(number);
-    };
-    let kind = request.route.kind;
-    let has_time = now.after(MIN_ATTEMPT_TIME) < request.deadline;
-    let has_attempts = request.attempts_sent < request.route.max_attempts.max(1);
-    match result {
-        AttemptResult::Answered | AttemptResult::Abandoned => RoutingEffect::Finished(number),
-        AttemptResult::NeverSent if !has_time => {
-            refuse(state, number, RefusalCode::DeadlinePassed, now)
-        }
-        AttemptResult::NeverSent if request.connect_failures >= MAX_CONNECT_FAILURES => {
-            refuse(state, number, RefusalCode::NoServer, now)
-        }
-        AttemptResult::NeverSent => place_request(state, number, now),
-        AttemptResult::NotRun | AttemptResult::WrongServer => {
-            if has_time && has_attempts && withdraw_retry(state, number) {
-                return place_request(state, number, now);
-            }
-            refuse(state, number, RefusalCode::Overloaded, now)
-        }
-        AttemptResult::ServerError => {
-            if kind == RouteKind::Idempotent
-                && has_time
-                && has_attempts
-                && withdraw_retry(state, number)
-            {
-                return place_request(state, number, now);
-            }
-            RoutingEffect::Finished(number)
-        }
-        // The request may have ended its server, and another one would end too.
-        AttemptResult::Lost
-            if kind.is_idempotent()
-                && is_lost_at_beginning(result, progress)
-                && !state.quarantine.are_harmless(&request.shared_parts, now) =>
-        {
-            let suspicion = Suspicion::Probing { until: now.after(MAX_PROBE_WAIT) };
-            let request = state.requests.get_mut(&number);
-            request.into_iter().for_each(|it| it.suspicion = suspicion);
-            RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
-        }
-        AttemptResult::Lost | AttemptResult::Stalled => fail_over(state, number, now),
-    }
-}
-
-/// Tries another server after an attempt that may have run, or refuses the request.
-fn fail_over(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
-    let Some(request) = state.requests.get(&number) else {
-        return RoutingEffect::Finished(number);
-    };
-    let has_time = now.after(MIN_ATTEMPT_TIME) < request.deadline;
-    let has_attempts = request.attempts_sent < request.route.max_attempts.max(1);
-    let may_repeat = request.route.kind.is_idempotent() && has_time && has_attempts;
-    if may_repeat && withdraw_retry(state, number) {
-        let request = state.requests.get_mut(&number);
-        request.into_iter().for_each(|it| it.wait_deadline = now.after(FAILOVER_WAIT));
-        return place_request(state, number, now);
-    }
-    let code = match has_time {
-        true => RefusalCode::OutcomeUnknown,
-        false => RefusalCode::DeadlinePassed,
-    };
-    refuse(state, number, code, now)
-}
-
-/// Withdraws one retry from the service's budget. Returns `false` if none is left.
-fn withdraw_retry(state: &mut RoutingState, number: RequestNumber) -> bool {
-    let Some(service) = state.requests.get(&number).map(|it| it.service.clone()) else {
-        return false;
-    };
-    budget_of(state, &service).0.withdraw()
-}
-
 fn request_ended(state: &mut RoutingState, number: RequestNumber) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.remove(&number) else { return Vec::new() };
     // The caller left while an attempt was in progress.
