--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -23,7 +23,7 @@
 /// Number of failed connection attempts after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 2;
 /// Longest wait for another server after a lost or stalled attempt. Shorter than
-/// [`MAX_STREAM_WAIT`] because detecting the failure took time already.
+/// [`super::MAX_STREAM_WAIT`] because detecting the failure took time already.
 const FAILOVER_WAIT: Duration = Duration::from_millis(800);
 /// Remaining time below which another attempt cannot complete.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
