Tell gateways that start or were frozen sooner which prompts end servers

Cause (from a read): a gateway that starts first asked after a second, and one that was frozen or cut off while there was news, with no record of its own, waited for one random push a second: one in twenty would wait longer than 3 s.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -3,7 +3,7 @@
 //!
 //! A gateway that learns something new exchanges its records with a few others, which do the same.
 //! So all gateways know within a few rounds, while what one of them sends does not grow with their
-//! number. Each second one exchange with a random gateway makes up for what got lost, and tells
+//! number. Each second exchanges with two random gateways make up for what got lost, and tells
 //! gateways that have just started.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -34,7 +34,10 @@
 const NEWS_ROUNDS: u32 = 3;
 /// Time between two rounds.
 const NEWS_INTERVAL: Duration = Duration::from_millis(60);
-/// Interval between exchanges with a random gateway.
+/// Number of gateways with which records are exchanged each interval, so that one that was frozen or
+/// cut off while there was news is told soon.
+const PERIODIC_FANOUT: usize = 2;
+/// Interval between exchanges with random gateways.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after the start in which records are requested although this gateway has none.
 const START_UP_TIME: Duration = Duration::from_secs(10);
@@ -82,7 +85,7 @@
     }
 }
 
-/// Exchanges records whenever there is news, and with a random gateway each second.
+/// Exchanges records at the start, whenever there is news, and with random gateways each second.
 pub(super) async fn exchange_reports(shell: Arc<GatewayShell>) {
     let client = match peers::new_client() {
         Ok(client) => client,
@@ -92,6 +95,8 @@
         }
     };
     let started = Instant::now();
+    // A gateway that starts again must not learn from its own requests what others know.
+    exchange(&shell, &client, FANOUT).await;
     loop {
         let has_news = timeout(EXCHANGE_INTERVAL, shell.quarantine_changed()).await.is_ok();
         let is_needed =
@@ -102,7 +107,7 @@
                 sleep(NEWS_INTERVAL).await;
             }
         } else if is_needed {
-            exchange(&shell, &client, 1).await;
+            exchange(&shell, &client, PERIODIC_FANOUT).await;
         }
     }
 }
