--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -3,7 +3,7 @@
 //!
 //! A gateway that learns something new exchanges its records with a few others, which do the same.
 //! So all gateways know within a few rounds, while what one of them sends does not grow with their
-//! number. Each second exchanges with two random gateways make up for what got lost, and tells
+//! number. Each second exchanges with two random gateways make up for what got lost, and tell
 //! gateways that have just started.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
