Log the limit that a server names with each answer

The logs could not tell whether gateways did not heed a server's limit or each heeded it alone: nothing read the header. `attempt ended` now names it. A value that cannot be read is told from none.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -29,8 +29,8 @@
         decode_server_notice, strip_hop_by_hop,
     },
     routing::{
-        AnswerProgress, AttemptResult, AttemptSpec, RequestNumber, RouteKind, RoutingEffect,
-        RoutingEvent, SETTLED_EVENTS, ServerNotice, join_parts,
+        AnswerProgress, AttemptResult, AttemptSpec, LimitNotice, RequestNumber, RouteKind,
+        RoutingEffect, RoutingEvent, SETTLED_EVENTS, ServerNotice, join_parts,
     },
 };
 
@@ -80,6 +80,8 @@
     server_error: Option<Response>,
     /// How far the response of the attempt in progress came.
     progress: AnswerProgress,
+    /// What that response says about the number of requests that its server takes.
+    server_limit: LimitNotice,
 }
 
 impl RequestTask {
@@ -91,7 +93,17 @@
         let last_event = request.headers.resume_after.clone();
         let state = AnswerState::Waiting(answer_sender);
         let (number, progress) = (shell.next_number(), AnswerProgress::default());
-        Self { shell, number, request, state, last_event, server_error: None, progress }
+        let server_limit = LimitNotice::default();
+        Self {
+            shell,
+            number,
+            request,
+            state,
+            last_event,
+            server_error: None,
+            progress,
+            server_limit,
+        }
     }
 
     /// Runs the request to its end. The sender of `answered_rx` sends once the head of the response
@@ -175,6 +187,7 @@
     ) -> Option<RoutingEffect> {
         self.log_attempt(spec);
         self.progress = AnswerProgress::default();
+        self.server_limit = LimitNotice::default();
         let started = Instant::now();
         let deadline = self.shell.clock.instant(spec.deadline);
         // A run that may happen only once is not cancelled, since its effects cannot be undone.
@@ -194,7 +207,7 @@
             request:% = self.request.request_id, server:% = spec.server, result:% = result,
             progress:% = self.progress, elapsed_ms = millis(elapsed),
             last_event:% = self.last_event.as_deref().unwrap_or(""),
-            parts:% = join_parts(suspect_parts);
+            parts:% = join_parts(suspect_parts), server_limit:% = self.server_limit;
             "attempt ended"
         );
         let progress = self.progress;
@@ -247,8 +260,9 @@
     }
 
     /// Passes on what the server says about itself in the head of its response.
-    fn record_notice(&self, head: &Parts) {
+    fn record_notice(&mut self, head: &Parts) {
         let notice = decode_server_notice(head.status, &head.headers);
+        self.server_limit = notice.limit;
         if notice != ServerNotice::default() {
             self.shell.dispatch(RoutingEvent::ServerNoticed { number: self.number, notice });
         }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    routing::ServerNotice,
-    units::{ClientAccount, RequestId, ServerId},
+    routing::{LimitNotice, ServerNotice},
+    units::{ClientAccount, RequestId, RequestRate, ServerId},
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -28,6 +28,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
 // Present on a response if the server shuts down soon.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+// Number of requests per second that the server takes from all gateways together; with a fraction.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 // Scheme in front of the API key in the authorization header.
 const AUTH_SCHEME: &str = "Token ";
 
@@ -35,6 +37,9 @@
 /// likely sent a wrong number.
 const MAX_REST: Duration = Duration::from_secs(600);
 
+/// Largest limit that is told from none at all, in requests per second. No server comes near it.
+const MAX_LIMIT: f64 = 1e6;
+
 /// Maximum number of shared parts of a prompt that are looked at; the last ones, which fewer requests
 /// share, if there are more.
 const MAX_SHARED_PARTS: usize = 32;
@@ -208,6 +213,9 @@
 /// `Retry-After` counts only with status 503, in seconds that may have a fraction. A negative or
 /// unreadable value, or a date, is logged and ignored; more than ten minutes counts as ten minutes.
 ///
+/// A limit on requests is a number per second that is not negative and may have a fraction; more than
+/// a million counts as a million.
+///
 /// ```
 /// use std::time::Duration;
 /// use alderbay::platform::decode_server_notice;
@@ -231,7 +239,17 @@
         }
         seconds.map(|it| Duration::from_secs_f64(it.min(MAX_REST.as_secs_f64())))
     });
-    ServerNotice { is_leaving, rest: rest.filter(|it| !it.is_zero()) }
+    let limit = decode_limit(headers);
+    ServerNotice { is_leaving, rest: rest.filter(|it| !it.is_zero()), limit }
+}
+
+fn decode_limit(headers: &HeaderMap) -> LimitNotice {
+    let Some(value) = headers.get(SERVER_LIMIT) else { return LimitNotice::Absent };
+    let rate = value.to_str().ok().and_then(|it| it.trim().parse::<f64>().ok());
+    // `min` would turn a value that is not a number into the maximum.
+    let rate = rate.filter(|it| !it.is_nan());
+    let rate = rate.and_then(|it| RequestRate::try_from(it.min(MAX_LIMIT)).ok());
+    rate.map_or(LimitNotice::Unreadable, LimitNotice::Named)
 }
 
 /// Copies the request id of `request`, if there is one, to a response of the gateway itself.
@@ -311,6 +329,23 @@
         assert_that!(rest(StatusCode::TOO_MANY_REQUESTS, "2"), none());
     }
 
+    #[gtest]
+    fn named_limits_are_bounded() {
+        let limit = |text: &'static str| {
+            decode_server_notice(StatusCode::OK, &headers(&[("server-limit", text)])).limit
+        };
+        let named = |rate: f64| eq(LimitNotice::Named(rate.try_into().unwrap()));
+        assert_that!(limit("2.4"), named(2.4));
+        assert_that!(limit(" 0 "), named(0.0));
+        assert_that!(limit("1e300"), named(MAX_LIMIT));
+        assert_that!(limit("inf"), named(MAX_LIMIT));
+        for text in ["-1", "-inf", "NaN", "", "few", "2,4"] {
+            assert_that!(limit(text), eq(LimitNotice::Unreadable), "{text}");
+        }
+        let absent = decode_server_notice(StatusCode::OK, &HeaderMap::new()).limit;
+        assert_that!(absent, eq(LimitNotice::Absent));
+    }
+
     #[gtest]
     fn last_part_is_not_shared() {
         let parts = |text: &'static str| {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -30,8 +30,8 @@
 };
 pub(crate) use event::join_parts;
 pub use event::{
-    AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, RequestNumber, RoutingChange,
-    RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerNotice,
+    AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, LimitNotice, RequestNumber,
+    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerNotice,
 };
 pub use load::{LoadReport, ServerLoad};
 pub use peers::{GatewayLocation, PeerTable};
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -9,8 +9,8 @@
 use crate::{
     core::Refusal,
     units::{
-        ClientAccount, FailureDomain, Moment, PartDigest, RequestId, RouteName, ServerId,
-        ServiceName,
+        ClientAccount, FailureDomain, Moment, PartDigest, RequestId, RequestRate, RouteName,
+        ServerId, ServiceName,
     },
 };
 
@@ -65,14 +65,41 @@
     pub shared_parts: Vec<SmolStr>,
 }
 
+/// What a response says about the number of requests that its server takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitNotice {
+    /// The server takes what it can bear.
+    #[default]
+    Absent,
+    /// The server takes this many requests from all gateways together.
+    Named(RequestRate),
+    /// The server names a limit that cannot be read.
+    Unreadable,
+}
+
+impl fmt::Display for LimitNotice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => f.write_str("none"),
+            Self::Named(rate) => rate.fmt(f),
+            Self::Unreadable => f.write_str("unreadable"),
+        }
+    }
+}
+
 /// What a server says about itself with a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ServerNotice {
     /// Whether the server is about to shut down.
     pub is_leaving: bool,
     /// Time for which the server wants no requests from this gateway; `None` if it takes them.
     pub rest: Option<Duration>,
+    /// Limit on the requests that the server takes.
+    #[serde(default)]
+    pub limit: LimitNotice,
 }
 
 /// Result of one attempt at a backend server.
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -5,7 +5,10 @@
 
 use alderbay::{
     core::{RefusalCode, RunOutcome},
-    routing::{AttemptResult, RequestNumber, RouteKind, RoutingEffect, RoutingEvent, ServerNotice},
+    routing::{
+        AttemptResult, LimitNotice, RequestNumber, RouteKind, RoutingEffect, RoutingEvent,
+        ServerNotice,
+    },
     units::Moment,
 };
 use googletest::prelude::*;
@@ -17,10 +20,11 @@
     gateway_routing::{SECOND_US, TestGateway, refusal_of, server, server_of},
 };
 
-const LEAVING: ServerNotice = ServerNotice { is_leaving: true, rest: None };
+const LEAVING: ServerNotice =
+    ServerNotice { is_leaving: true, rest: None, limit: LimitNotice::Absent };
 
 fn resting(rest: Duration) -> ServerNotice {
-    ServerNotice { is_leaving: false, rest: Some(rest) }
+    ServerNotice { rest: Some(rest), ..ServerNotice::default() }
 }
 
 /// Runs requests until one is sent to the server `id`, which answers it with the notice.
