Test that servers get no more requests than they say they take (known red)

Gateways as processes, two and nine, 50 requests a second, three of six servers name limits of 1, 2.4 and 0 a second.

--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -28,6 +28,7 @@
 mod reducer_replay;
 mod retry_budget;
 mod run_once;
+mod server_limits;
 mod server_notices;
 mod slow_caller;
 mod store_rewind;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -17,6 +17,8 @@
 pub mod gateway;
 #[path = "support/ledger_service.rs"]
 pub mod ledger_service;
+#[path = "support/limited_servers.rs"]
+pub mod limited_servers;
 #[path = "support/load.rs"]
 pub mod load;
 #[path = "support/log_service.rs"]
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -87,8 +87,16 @@
     String::from_utf8(head).ok()
 }
 
-async fn serve(mut stream: TcpStream, id: String, log: ServerLog) {
-    let Some(head) = read_head(&mut stream).await else { return };
+/// A request with the names of its headers in lower case.
+pub struct ReceivedRequest {
+    pub path: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// Reads one request. None if the connection ends before.
+pub async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
+    let head = read_head(stream).await?;
     let mut lines = head.lines();
     let path = lines.next().and_then(|it| it.split(' ').nth(1)).unwrap_or_default().to_owned();
     let headers: BTreeMap<String, String> = lines
@@ -97,9 +105,14 @@
         .collect();
     let length = headers.get("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
-    if stream.read_exact(&mut body).await.is_err() {
+    stream.read_exact(&mut body).await.ok()?;
+    Some(ReceivedRequest { path, headers, body })
+}
+
+async fn serve(mut stream: TcpStream, id: String, log: ServerLog) {
+    let Some(ReceivedRequest { path, headers, .. }) = read_request(&mut stream).await else {
         return;
-    }
+    };
     if headers.get("expect-instance") != Some(&id) {
         let _ = stream
             .write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
