Share the limit that a server names between a few gateways

Callers saw nothing; servers in need got up to four times what they take. Cause: no gateway read a server's limit, so placement went by load alone, and a limited server looks as good as any. Change: limits belong to an incarnation and are ordered by cause, so that neither late answers nor old news raise one. Gateways tell each other of changes with the records that they exchange already. Two gateways and one more for each request per second send to a limited server, spaced by a token bucket each; all choose the same ones by hashing. The others leave it alone, but for one request in ten seconds from all of them. Without agents' reports each takes an even share. A caller for whom all servers are limited is told when the next request can be sent. Why it works: the sum of the shares is 0.9 of the limit, and one request at once from each sender stays below the five that may come on top.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,9 +6,9 @@
 
 mod callers;
 mod event_stream;
+mod exchange;
 mod peers;
 mod probes;
-mod quarantine;
 mod reports;
 mod requests;
 mod shell;
@@ -61,7 +61,7 @@
     tokio::spawn(sources::watch_operator(shell.clone(), store.clone()));
     tokio::spawn(sources::watch_directory(shell.clone(), store, peers::new_client()?));
     tokio::spawn(reports::exchange_datagrams(shell.clone(), settings.datagrams).await?);
-    tokio::spawn(quarantine::exchange_reports(shell.clone()));
+    tokio::spawn(exchange::exchange_records(shell.clone()));
     tokio::spawn(probes::probe_servers(shell.clone(), probes));
     tokio::spawn(reload_on_sighup(arguments));
     wait_for_stop_signal().await?;
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/exchange.rs
@@ -1,5 +1,5 @@
-//! Exchange of the records of servers that ended with other gateways, and the operators' interface
-//! to them.
+//! Exchange of records with other gateways, of servers that ended and of limits that servers named,
+//! and the operators' interface to them.
 //!
 //! A gateway that learns something new exchanges its records with a few others, which do the same.
 //! So all gateways know within a few rounds, while what one of them sends does not grow with their
@@ -20,12 +20,13 @@
 use crate::{
     http::{json_response, read_body, text_response},
     platform::{PlatformError, post_json},
-    routing::{BlockedPart, CrashReport, GatewayLocation, RoutingEvent},
-    units::{ByteCount, PartDigest},
+    routing::{BlockedPart, CrashReport, GatewayLocation, Incarnation, LimitReport, RoutingEvent},
+    units::{ByteCount, PartDigest, RequestRate, ServerId},
 };
 
-/// Path at which gateways exchange their records. `GET` returns them with the blocked parts.
-pub(super) const QUARANTINE_PATH: &str = "/v1/quarantine";
+/// Path at which gateways exchange their records. `GET` returns them with the blocked parts and the
+/// limits. Named after the first kind of record, since gateways of earlier releases use it.
+pub(super) const EXCHANGE_PATH: &str = "/v1/quarantine";
 /// Path at which an operator lifts the block of the part in the query.
 pub(super) const LIFT_PATH: &str = "/v1/quarantine/lift";
 /// Number of gateways with which news is exchanged at once.
@@ -49,18 +50,33 @@
 /// Records that gateways exchange.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
-struct QuarantineMessage {
+struct RecordMessage {
     /// The sender.
     gateway: GatewayLocation,
     reports: Vec<CrashReport>,
+    /// What the sender heard of servers' limits. Gateways of earlier releases do not send it.
+    #[serde(default)]
+    limits: Vec<LimitReport>,
 }
 
 /// What operators see.
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
-struct QuarantineStatus {
+struct RecordStatus {
     blocked: Vec<BlockedStatus>,
     reports: Vec<CrashReport>,
+    limits: Vec<LimitStatus>,
+}
+
+/// A server's limit as operators see it.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+struct LimitStatus {
+    server: ServerId,
+    /// Requests per second that the server takes from all gateways together.
+    limit: RequestRate,
+    /// Requests per second that this gateway sends at most.
+    share: RequestRate,
 }
 
 /// A blocked part as operators see it.
@@ -72,25 +88,32 @@
     blocked: BlockedPart,
 }
 
-fn message(shell: &GatewayShell) -> QuarantineMessage {
+fn message(shell: &GatewayShell) -> RecordMessage {
     let now = shell.clock.now();
     let gateway = shell.peers().own().clone();
-    QuarantineMessage { gateway, reports: shell.read(|it| it.quarantine().reports(now)) }
+    shell.read(|it| RecordMessage {
+        gateway,
+        reports: it.quarantine().reports(now),
+        limits: it.limits().reports(now, &mut rand::rng()),
+    })
 }
 
-fn apply(shell: &GatewayShell, message: QuarantineMessage) {
+fn apply(shell: &GatewayShell, message: RecordMessage) {
     shell.record_peers(vec![message.gateway]);
     if !message.reports.is_empty() {
         shell.dispatch(RoutingEvent::QuarantineRead(message.reports));
     }
+    if !message.limits.is_empty() {
+        shell.dispatch(RoutingEvent::LimitsRead(message.limits));
+    }
 }
 
 /// Exchanges records at the start, whenever there is news, and with random gateways each second.
-pub(super) async fn exchange_reports(shell: Arc<GatewayShell>) {
+pub(super) async fn exchange_records(shell: Arc<GatewayShell>) {
     let client = match peers::new_client() {
         Ok(client) => client,
         Err(error) => {
-            log::error!(error:% = error; "cannot exchange records of ended servers");
+            log::error!(error:% = error; "cannot exchange records");
             return;
         }
     };
@@ -98,9 +121,9 @@
     // A gateway that starts again must not learn from its own requests what others know.
     exchange(&shell, &client, FANOUT).await;
     loop {
-        let has_news = timeout(EXCHANGE_INTERVAL, shell.quarantine_changed()).await.is_ok();
-        let is_needed =
-            started.elapsed() < START_UP_TIME || shell.read(|it| !it.quarantine().is_empty());
+        let has_news = timeout(EXCHANGE_INTERVAL, shell.records_changed()).await.is_ok();
+        let has_records = shell.read(|it| !it.quarantine().is_empty() || !it.limits().is_empty());
+        let is_needed = has_records || started.elapsed() < START_UP_TIME;
         if has_news {
             for _ in 0..NEWS_ROUNDS {
                 exchange(&shell, &client, FANOUT).await;
@@ -119,19 +142,19 @@
 }
 
 async fn exchange_with(shell: &GatewayShell, client: &Client, peer: SocketAddr) {
-    let uri = format!("http://{peer}{QUARANTINE_PATH}");
-    let reply: Result<QuarantineMessage, PlatformError> =
+    let uri = format!("http://{peer}{EXCHANGE_PATH}");
+    let reply: Result<RecordMessage, PlatformError> =
         post_json(client, uri, &message(shell), EXCHANGE_TIMEOUT).await;
     match reply {
         Ok(reply) => apply(shell, reply),
         Err(error) => {
-            log::debug!(peer:% = peer, error:% = error; "cannot exchange records of ended servers");
+            log::debug!(peer:% = peer, error:% = error; "cannot exchange records");
         }
     }
 }
 
 /// Merges another gateway's records and responds with the own ones, or shows them to an operator.
-pub(super) async fn quarantine_answer(
+pub(super) async fn exchange_answer(
     shell: &GatewayShell,
     request: http::Request<Incoming>,
 ) -> Response {
@@ -152,13 +175,19 @@
     }
 }
 
-fn status(shell: &GatewayShell) -> QuarantineStatus {
+fn status(shell: &GatewayShell) -> RecordStatus {
     let now = shell.clock.now();
     shell.read(|state| {
         let blocked = state.quarantine().blocked().iter();
         let blocked =
             blocked.map(|(part, it)| BlockedStatus { part: *part, blocked: it.clone() }).collect();
-        QuarantineStatus { blocked, reports: state.quarantine().reports(now) }
+        let limit_status = |((server, _), limit, share): (&Incarnation, _, _)| LimitStatus {
+            server: server.clone(),
+            limit,
+            share,
+        };
+        let limits = state.limits().limits().map(limit_status).collect();
+        RecordStatus { blocked, reports: state.quarantine().reports(now), limits }
     })
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface between gateways. `GET /v1/view` returns all data read from the platform's
 //! store, for gateways that cannot read it; `GET /v1/directory` returns the directory, for gateways
-//! that rely on this one as their reader; [`super::quarantine`] serves the others.
+//! that rely on this one as their reader; [`super::exchange`] serves the others.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -13,7 +13,7 @@
 
 use super::{
     callers::AnswerFuture,
-    quarantine::{LIFT_PATH, QUARANTINE_PATH, lift_answer, quarantine_answer},
+    exchange::{EXCHANGE_PATH, LIFT_PATH, exchange_answer, lift_answer},
     shell::GatewayShell,
     sources::{apply_directory_view, apply_operator_view},
 };
@@ -83,7 +83,7 @@
     match request.uri().path() {
         VIEW_PATH => view_answer(&shell, request.uri().query()),
         DIRECTORY_PATH => directory_answer(&shell, request.uri().query()),
-        QUARANTINE_PATH => quarantine_answer(&shell, request).await,
+        EXCHANGE_PATH => exchange_answer(&shell, request).await,
         LIFT_PATH => lift_answer(&shell, &request),
         _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
     }
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -129,7 +129,7 @@
                     RoutingEffect::Refuse(..)
                     | RoutingEffect::Finished(_)
                     | RoutingEffect::StateChanged(_)
-                    | RoutingEffect::ShareQuarantine
+                    | RoutingEffect::ShareRecords
                     | RoutingEffect::ProbeServer { .. },
                 )
                 | None => break,
@@ -142,7 +142,7 @@
                 RoutingEffect::Attempt(..)
                 | RoutingEffect::Wait(..)
                 | RoutingEffect::StateChanged(_)
-                | RoutingEffect::ShareQuarantine
+                | RoutingEffect::ShareRecords
                 | RoutingEffect::ProbeServer { .. },
             ) => {}
         }
@@ -263,7 +263,8 @@
     fn record_notice(&mut self, head: &Parts) {
         let notice = decode_server_notice(head.status, &head.headers);
         self.server_limit = notice.limit;
-        if notice != ServerNotice::default() {
+        // An answer without a notice may end a limit.
+        if notice != ServerNotice::default() || self.shell.read(|it| !it.limits().is_empty()) {
             self.shell.dispatch(RoutingEvent::ServerNoticed { number: self.number, notice });
         }
     }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -19,12 +19,15 @@
         RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce,
     },
     telemetry::MetricSink,
+    units::Moment,
 };
 
 use super::{probes::ServerProbe, sources::PlatformView};
 
 /// Timeout of requests whose callers state none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which the reducer is told which gateways were seen lately.
+const GATEWAYS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The reducer's state and the other data shared by the tasks of a gateway.
 pub(super) struct GatewayShell {
@@ -36,8 +39,10 @@
     reader_mark: Mutex<Option<ReaderMark>>,
     /// Wakes the task that follows the reader.
     reader_replied: Notify,
-    /// Wakes the task that exchanges records of ended servers with other gateways.
-    quarantine_changed: Notify,
+    /// Wakes the task that exchanges records with other gateways.
+    records_changed: Notify,
+    /// When the reducer was last told which gateways were seen.
+    gateways_told_at: Mutex<Option<Moment>>,
     /// Probes for the task that makes them.
     probes: mpsc::Sender<ServerProbe>,
     next_request: AtomicU64,
@@ -80,7 +85,8 @@
             peers: Mutex::new(PeerTable::new(own, &gateway.seeds)),
             reader_mark: Mutex::new(None),
             reader_replied: Notify::new(),
-            quarantine_changed: Notify::new(),
+            records_changed: Notify::new(),
+            gateways_told_at: Mutex::new(None),
             probes,
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
@@ -100,7 +106,7 @@
         for effect in effects {
             match effect {
                 RoutingEffect::StateChanged(change) => self.log_change(&change),
-                RoutingEffect::ShareQuarantine => self.quarantine_changed.notify_one(),
+                RoutingEffect::ShareRecords => self.records_changed.notify_one(),
                 RoutingEffect::ProbeServer { server, address } => {
                     self.request_probe(ServerProbe { server, address });
                 }
@@ -166,8 +172,20 @@
 
     /// Records gateways that an agent or another gateway reports.
     pub(super) fn record_peers(&self, gateways: Vec<GatewayLocation>) {
-        if !gateways.is_empty() {
-            self.peers().record_seen(gateways, self.clock.now());
+        if gateways.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        self.peers().record_seen(gateways, now);
+        let is_due = {
+            let mut told_at = lock(&self.gateways_told_at);
+            let is_due = told_at.is_none_or(|at| now.since(at) >= GATEWAYS_INTERVAL);
+            *told_at = if is_due { Some(now) } else { *told_at };
+            is_due
+        };
+        if is_due {
+            let recent = self.peers().recent(now);
+            self.dispatch(RoutingEvent::GatewaysSeen(recent));
         }
     }
 
@@ -193,9 +211,9 @@
         self.reader_replied.notified().await;
     }
 
-    /// Waits until there are records of ended servers that other gateways may not know.
-    pub(super) async fn quarantine_changed(&self) {
-        self.quarantine_changed.notified().await;
+    /// Waits until there are records that other gateways may not know.
+    pub(super) async fn records_changed(&self) {
+        self.records_changed.notified().await;
     }
 
     /// Locks the table of other gateways.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -4,13 +4,14 @@
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), server choice
 //! and overload refusals (`admission`), retry and cold-server budgets (`budget`), prompts that end
-//! servers (`quarantine`), the other gateways (`peers`), and the servers that one gateway uses
-//! (`subset`).
+//! servers (`quarantine`), limits that servers name (`limits`), the other gateways (`peers`), and the
+//! servers that one gateway uses (`subset`).
 
 mod admission;
 mod budget;
 mod catalog;
 mod event;
+mod limits;
 mod load;
 mod peers;
 mod quarantine;
@@ -33,6 +34,7 @@
     AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, LimitNotice, RequestNumber,
     RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerNotice,
 };
+pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadReport, ServerLoad};
 pub use peers::{GatewayLocation, PeerTable};
 pub use quarantine::{BlockedPart, CrashReport, QuarantineTable, QuarantineUpdate};
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -43,7 +43,7 @@
 }
 
 /// Returns this gateway's share of a limit over all gateways.
-fn gateway_share(total: f64, gateway_count: u32) -> f64 {
+pub(super) fn gateway_share(total: f64, gateway_count: u32) -> f64 {
     total * SAFETY_FACTOR / f64::from(gateway_count.max(1) + GATEWAY_RESERVE)
 }
 
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{BlockedPart, CrashReport, LoadReport, RouteCatalog, RouteKind, ServerRecord};
+use super::{
+    BlockedPart, CrashReport, GatewayLocation, LimitReport, LimitSource, LoadReport, RouteCatalog,
+    RouteKind, ServerRecord,
+};
 use crate::{
     core::Refusal,
     units::{
@@ -253,6 +256,10 @@
     AnswerSettled(RequestNumber),
     /// Another gateway sent its records of servers that ended.
     QuarantineRead(Vec<CrashReport>),
+    /// Another gateway sent what it heard of servers' limits.
+    LimitsRead(Vec<LimitReport>),
+    /// The gateways that were seen lately, this one included.
+    GatewaysSeen(Vec<GatewayLocation>),
     /// An operator ordered that a part of prompts is no longer blocked.
     PartLifted(PartDigest),
     /// A server whose attempt was lost was tried for a connection.
@@ -309,8 +316,8 @@
     Finished(RequestNumber),
     /// Log and count a change of the routing state.
     StateChanged(RoutingChange),
-    /// Exchange the records of servers that ended with other gateways.
-    ShareQuarantine,
+    /// Exchange the records of servers that ended, and servers' limits, with other gateways.
+    ShareRecords,
     /// Find out whether a server has ended, then dispatch [`RoutingEvent::ServerProbed`].
     ProbeServer {
         /// The server.
@@ -347,6 +354,20 @@
         /// Time for which it gets none from this gateway.
         rest: Duration,
     },
+    /// A server takes fewer requests than it could bear, or no longer does.
+    ServerLimited {
+        /// The server.
+        server: ServerId,
+        /// Requests per second that it takes from all gateways together; `None` if it names no limit
+        /// any more.
+        limit: Option<RequestRate>,
+        /// Where this gateway heard of it.
+        source: LimitSource,
+        /// Time since the server's answer.
+        age: Duration,
+    },
+    /// A server names a limit that cannot be read.
+    ServerLimitUnreadable(ServerId),
     /// A server was removed from the table.
     ServerRemoved(ServerId),
     /// A server's group opened or broke, or the server joined or left a group.
@@ -403,6 +424,21 @@
             Self::ServerResting { server, rest } => {
                 write!(f, "server {server} wants no requests for {} ms", rest.as_millis())
             }
+            Self::ServerLimited { server, limit, source, age } => {
+                let source = match source {
+                    LimitSource::Answer => "it",
+                    LimitSource::Peer => "another gateway",
+                };
+                let age_ms = age.as_millis();
+                match limit {
+                    Some(limit) => write!(f, "server {server} takes {limit} requests a second")?,
+                    None => write!(f, "server {server} has no limit any more")?,
+                }
+                write!(f, ", heard from {source} {age_ms} ms ago")
+            }
+            Self::ServerLimitUnreadable(id) => {
+                write!(f, "server {id} names a limit that cannot be read, ignored")
+            }
             Self::ServerRemoved(id) => write!(f, "server {id} is removed"),
             Self::GroupChanged { server, is_open } => {
                 let state = if *is_open { "open" } else { "broken" };
--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -99,6 +99,17 @@
         self.peers.iter().filter_map(location).chain([self.own.clone()]).collect()
     }
 
+    /// Returns the gateways that were reported recently, this one included.
+    pub fn recent(&self, now: Moment) -> Vec<GatewayLocation> {
+        let is_recent = |at: Moment| now.since(at) < COUNT_MAX_AGE;
+        let location = |(address, it): (&SocketAddr, &PeerRecord)| {
+            let failure_domain = it.failure_domain.clone()?;
+            let is_seen = it.last_seen.is_some_and(is_recent);
+            is_seen.then_some(GatewayLocation { address: *address, failure_domain })
+        };
+        self.peers.iter().filter_map(location).chain([self.own.clone()]).collect()
+    }
+
     /// Returns the gateway that reads the directory for this one, or `None` if this one reads it
     /// itself.
     ///
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -16,10 +16,10 @@
 
 use super::{
     AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec, BudgetSettings, CatalogSource,
-    ColdLimiter, Incarnation, KnownServer, LoadReport, PlacementChoice, QuarantineTable,
-    RequestNumber, RetryReason, RouteCatalog, RouteRecord, RoutingChange, RoutingEffect,
-    RoutingEvent, RoutingRequest, SETTLED_EVENTS, ServerLoad, ServerTable, choose_subset,
-    retry_after,
+    ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable, LoadReport,
+    PlacementChoice, QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteRecord,
+    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet,
+    ServerLoad, ServerTable, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
@@ -98,7 +98,15 @@
     wait_deadline: Moment,
     is_waiting: bool,
     /// Server of the attempt in progress.
-    current_attempt: Option<(Incarnation, SocketAddr)>,
+    current_attempt: Option<CurrentAttempt>,
+}
+
+/// The server of an attempt in progress, and when the attempt began.
+#[derive(Clone, Debug)]
+struct CurrentAttempt {
+    incarnation: Incarnation,
+    address: SocketAddr,
+    began_at: Moment,
 }
 
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
@@ -112,6 +120,8 @@
     /// By address, since agents do not know server ids.
     loads: HashMap<SocketAddr, ServerLoad>,
     cold_limiters: BTreeMap<ServerId, ColdLimiter>,
+    /// Limits that servers have named.
+    limits: LimitTable,
     budgets: BTreeMap<ServiceName, AttemptBudget>,
     /// Largest number of gateways reported lately, and the time of that report.
     reported_gateways: Option<(u32, Moment)>,
@@ -134,6 +144,7 @@
             subset: BTreeSet::new(),
             loads: HashMap::new(),
             cold_limiters: BTreeMap::new(),
+            limits: LimitTable::default(),
             budgets: BTreeMap::new(),
             reported_gateways: None,
             requests: BTreeMap::new(),
@@ -179,6 +190,11 @@
         &self.quarantine
     }
 
+    /// Returns the limits that servers have named.
+    pub fn limits(&self) -> &LimitTable {
+        &self.limits
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.requests.len()
@@ -213,7 +229,7 @@
         RoutingEvent::DirectoryRead(list) => {
             state.first_directory_at.get_or_insert(now);
             let changes = state.servers.apply_directory(list, now);
-            prune_servers(state);
+            prune_servers(state, now);
             update_subset(state);
             change_effects(changes)
         }
@@ -250,6 +266,11 @@
             answer_progressed(state, number, AnswerProgress::Events(SETTLED_EVENTS), now)
         }
         RoutingEvent::QuarantineRead(reports) => quarantine_read(state, reports, now),
+        RoutingEvent::LimitsRead(reports) => limits_read(state, reports, now),
+        RoutingEvent::GatewaysSeen(gateways) => {
+            share_limits(state, gateways, now);
+            Vec::new()
+        }
         RoutingEvent::PartLifted(part) => update_effects(state.quarantine.lift(part)),
         RoutingEvent::RequestEnded(number) => request_ended(state, number),
         RoutingEvent::StopRequested => {
@@ -273,8 +294,12 @@
     vec![RoutingEffect::StateChanged(RoutingChange::Catalog { version, source })]
 }
 
-fn prune_servers(state: &mut RoutingState) {
+fn prune_servers(state: &mut RoutingState, now: Moment) {
     let servers = &state.servers;
+    let is_listed = |(id, started_ms): &Incarnation| {
+        servers.server(id).is_some_and(|it| it.record.started_ms == *started_ms)
+    };
+    state.limits.prune(is_listed, now);
     state.cold_limiters.retain(|id, _| servers.server(id).is_some());
     let listed: Vec<SocketAddr> = servers.servers().map(|it| it.record.address).collect();
     state.loads.retain(|address, load| load.outstanding > 0 || listed.contains(address));
@@ -309,6 +334,35 @@
     }
 }
 
+/// Merges what another gateway heard of servers' limits.
+fn limits_read(
+    state: &mut RoutingState,
+    reports: Vec<LimitReport>,
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    let mut effects = Vec::new();
+    let mut has_news = false;
+    for report in reports {
+        let domain = state.servers.server(&report.server).map(|it| &it.record.failure_domain);
+        let update = state.limits.merge(report, domain, now, &mut state.rng);
+        has_news |= update.has_news;
+        effects.extend(change_effects(update.changes));
+    }
+    effects.extend(has_news.then_some(RoutingEffect::ShareRecords));
+    effects
+}
+
+/// Shares servers' limits between these gateways.
+fn share_limits(state: &mut RoutingState, gateways: Vec<GatewayLocation>, now: Moment) {
+    let own = gateways.iter().find(|it| it.address == state.settings.address).cloned();
+    // Until an agent has reported, nobody knows how many others there are.
+    let own = own.filter(|_| state.reported_gateways.is_some());
+    let senders = SenderSet { gateways, own, count: state.gateway_count() };
+    let servers = &state.servers;
+    let domain_of = |it: &Incarnation| servers.server(&it.0).map(|it| &it.record.failure_domain);
+    state.limits.set_senders(senders, domain_of, now);
+}
+
 fn request_arrived(
     state: &mut RoutingState,
     caller_request: RoutingRequest,
@@ -511,12 +565,15 @@
     let estimate = load.estimate(gateway_count, now);
     load.begin_attempt();
     state.cold_limiters.entry(id.clone()).or_default().record(now);
+    let incarnation = (id.clone(), record.started_ms);
+    state.limits.record_send(&incarnation, now);
     let Some(request) = state.requests.get_mut(&number) else {
         return RoutingEffect::Finished(number);
     };
     request.is_waiting = false;
     request.tried_servers.push(id.clone());
-    request.current_attempt = Some(((id.clone(), record.started_ms), record.address));
+    let address = record.address;
+    request.current_attempt = Some(CurrentAttempt { incarnation, address, began_at: now });
     let spec = AttemptSpec {
         server: id.clone(),
         address: record.address,
@@ -564,8 +621,8 @@
 fn request_ended(state: &mut RoutingState, number: RequestNumber) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.remove(&number) else { return Vec::new() };
     // The caller left while an attempt was in progress.
-    if let Some((_, address)) = request.current_attempt
-        && let Some(load) = state.loads.get_mut(&address)
+    if let Some(attempt) = request.current_attempt
+        && let Some(load) = state.loads.get_mut(&attempt.address)
     {
         load.end_attempt();
     }
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::{
-    RoutingState, budget_of, change_effects, place_request, refuse,
+    CurrentAttempt, RoutingState, budget_of, change_effects, place_request, refuse,
     suspects::{
         PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning, record_suspect,
     },
@@ -14,8 +14,8 @@
 use crate::{
     core::RefusalCode,
     routing::{
-        AnswerProgress, AttemptResult, RequestNumber, RouteKind, RoutingChange, RoutingEffect,
-        ServerNotice,
+        AnswerProgress, AttemptResult, LimitUpdate, RequestNumber, RouteKind, RoutingChange,
+        RoutingEffect, ServerNotice,
     },
     units::{Moment, ServerId},
 };
@@ -39,7 +39,8 @@
     now: Moment,
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
-    let Some(((id, _), address)) = request.current_attempt.take() else { return Vec::new() };
+    let Some(attempt) = request.current_attempt.take() else { return Vec::new() };
+    let CurrentAttempt { incarnation: (id, _), address, .. } = attempt;
     request.may_have_run |= result.may_have_run();
     let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
     match result {
@@ -100,9 +101,12 @@
     now: Moment,
 ) -> Vec<RoutingEffect> {
     let attempt = state.requests.get(&number).and_then(|it| it.current_attempt.clone());
-    let Some((incarnation, _)) = attempt else { return Vec::new() };
+    let Some(CurrentAttempt { incarnation, began_at, .. }) = attempt else { return Vec::new() };
     let server = incarnation.0.clone();
-    let mut changes = Vec::new();
+    let domain = state.servers.server(&server).map(|it| &it.record.failure_domain);
+    let heard = (notice.limit, began_at);
+    let LimitUpdate { has_news, mut changes } =
+        state.limits.record_answer(&incarnation, domain, heard, now, &mut state.rng);
     if let Some(rest) = notice.rest {
         // Gateways that were told at the same time do not come back at the same time.
         let jitter = state.rng.random_range(0.0..REST_JITTER.as_secs_f64());
@@ -114,7 +118,9 @@
         update_subset(state);
         changes.push(RoutingChange::ServerLeaving(server));
     }
-    change_effects(changes)
+    let mut effects = change_effects(changes);
+    effects.extend(has_news.then_some(RoutingEffect::ShareRecords));
+    effects
 }
 
 fn next_effect(
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -26,12 +26,11 @@
         .filter(|it| !request.tried_servers.contains(&it.record.id))
         .filter(|it| can_accept(state, it, now))
         .collect();
-    let rest_ends: Vec<Moment> =
-        usable.iter().filter_map(|it| state.servers.rest_end(it, now)).collect();
+    let rest_ends: Vec<Moment> = usable.iter().filter_map(|it| next_send(state, it, now)).collect();
     if let Some(first_end) = rest_ends.iter().min().filter(|_| rest_ends.len() == usable.len()) {
         return (PlacementChoice::Resting(first_end.since(now)), state.rng.clone());
     }
-    usable.retain(|it| state.servers.rest_end(it, now).is_none());
+    usable.retain(|it| next_send(state, it, now).is_none());
     let in_subset = |it: &&&KnownServer| state.subset.contains(&it.record.id);
     let subset: Vec<&KnownServer> = usable.iter().filter(in_subset).copied().collect();
     if !subset.is_empty() {
@@ -75,6 +74,14 @@
     (choice, rng)
 }
 
+/// Returns the time until which a server wants no requests from this gateway, because it asked for
+/// rest or has a limit, or `None` if it takes one now.
+fn next_send(state: &RoutingState, server: &KnownServer, now: Moment) -> Option<Moment> {
+    let rest_end = state.servers.rest_end(server, now);
+    let next_send = state.limits.next_send(&server.incarnation(), now);
+    rest_end.max(next_send)
+}
+
 /// Whether all other failure domains count as unreachable.
 pub(super) fn is_isolated(state: &RoutingState, now: Moment) -> bool {
     let own = &state.settings.failure_domain;
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -163,7 +163,7 @@
 
 /// Returns the effects of a change of the quarantine.
 pub(super) fn update_effects(update: QuarantineUpdate) -> Vec<RoutingEffect> {
-    let share = update.has_news.then_some(RoutingEffect::ShareQuarantine);
+    let share = update.has_news.then_some(RoutingEffect::ShareRecords);
     let changes = update.changes.into_iter().map(RoutingEffect::StateChanged);
     changes.chain(share).collect()
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -18,6 +18,7 @@
 mod gateway_path;
 mod gateway_routing;
 mod graceful_stop;
+mod limit_exploration;
 mod map_rollout;
 mod map_switch;
 mod naive_router;
