Name in the log which request an ended attempt belonged to, by its content

The logs could not tell whether two lost attempts were the same request come again: its id is new each time, and nothing said what it holds. `attempt ended` of a failure now has `content`, a digest of service, account, method, target and body. No caller's text enters the log. The digest of prompt parts has the same form and is called InputDigest.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode, header, request::Parts};
+use http::{HeaderMap, HeaderValue, StatusCode, header, request::Parts, uri::PathAndQuery};
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::{sync::oneshot, time::Instant};
@@ -16,7 +16,7 @@
     http::{BodyError, read_body, text_response},
     platform::{CallerHeaders, READY_PATH, echo_request_id, set_retry_after},
     routing::{RequestNumber, RoutingRequest},
-    units::{ByteCount, RequestId},
+    units::{ByteCount, ContentHash, RequestId},
 };
 
 /// Maximum size of a request body before the first catalog is read.
@@ -29,6 +29,7 @@
     pub(super) headers: CallerHeaders,
     pub(super) request_id: RequestId,
     pub(super) body: Bytes,
+    pub(super) content: ContentHash,
     pub(super) arrived: Instant,
 }
 
@@ -76,7 +77,9 @@
     let (sender, answer) = oneshot::channel();
     let request_headers = head.headers.clone();
     let gateway_shell = shell.clone();
-    let request = CallerRequest { head, headers, request_id, body, arrived };
+    let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let content = ContentHash::of_request(head.method.as_str(), &host_name(&head), path, &body);
+    let request = CallerRequest { head, headers, request_id, body, content, arrived };
     let (answered_tx, answered_rx) = oneshot::channel();
     tokio::spawn(RequestTask::new(shell, request, sender).run(answered_rx));
     match answer.await {
@@ -117,6 +120,7 @@
         waited,
         resumes: request.headers.resume_after.is_some(),
         shared_parts: request.headers.shared_parts.clone(),
+        content: request.content,
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,7 +21,7 @@
     http::{json_response, read_body, text_response},
     platform::{PlatformError, post_json},
     routing::{BlockedPart, CrashReport, GatewayLocation, Incarnation, LimitReport, RoutingEvent},
-    units::{ByteCount, PartDigest, RequestRate, ServerId},
+    units::{ByteCount, InputDigest, RequestRate, ServerId},
 };
 
 /// Path at which gateways exchange their records. `GET` returns them with the blocked parts and the
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
 struct BlockedStatus {
-    part: PartDigest,
+    part: InputDigest,
     #[serde(flatten)]
     blocked: BlockedPart,
 }
@@ -196,7 +196,7 @@
     if request.method() != Method::POST {
         return text_response(StatusCode::METHOD_NOT_ALLOWED, "use POST\n");
     }
-    match request.uri().query().unwrap_or_default().parse::<PartDigest>() {
+    match request.uri().query().unwrap_or_default().parse::<InputDigest>() {
         Ok(part) => {
             log::warn!(part:% = part; "block of a prompt part lifted by an operator");
             shell.dispatch(RoutingEvent::PartLifted(part));
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -203,11 +203,13 @@
         // Only failures are traced to what requests have in common.
         let is_failure = result != AttemptResult::Answered;
         let suspect_parts = if is_failure { spec.shared_parts.as_slice() } else { &[] };
+        let content = is_failure.then(|| spec.content.to_string());
         log::info!(
             request:% = self.request.request_id, server:% = spec.server, result:% = result,
             progress:% = self.progress, elapsed_ms = millis(elapsed),
             last_event:% = self.last_event.as_deref().unwrap_or(""),
-            parts:% = join_parts(suspect_parts), server_limit:% = self.server_limit;
+            parts:% = join_parts(suspect_parts), content = content.as_deref(),
+            server_limit:% = self.server_limit;
             "attempt ended"
         );
         let progress = self.progress;
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -12,8 +12,8 @@
 use crate::{
     core::Refusal,
     units::{
-        ClientAccount, FailureDomain, Moment, PartDigest, RequestId, RequestRate, RouteName,
-        ServerId, ServiceName,
+        ClientAccount, ContentHash, FailureDomain, InputDigest, Moment, RequestId, RequestRate,
+        RouteName, ServerId, ServiceName,
     },
 };
 
@@ -66,6 +66,9 @@
     /// Ids of the parts of the prompt that other requests may share, in order.
     #[serde(default)]
     pub shared_parts: Vec<SmolStr>,
+    /// Hash of the target and the body.
+    #[serde(default)]
+    pub content: ContentHash,
 }
 
 /// What a response says about the number of requests that its server takes.
@@ -261,7 +264,7 @@
     /// The gateways that were seen lately, this one included.
     GatewaysSeen(Vec<GatewayLocation>),
     /// An operator ordered that a part of prompts is no longer blocked.
-    PartLifted(PartDigest),
+    PartLifted(InputDigest),
     /// A server whose attempt was lost was tried for a connection.
     ServerProbed {
         /// The server.
@@ -300,7 +303,9 @@
     /// Estimated number of requests at the server when it was chosen.
     pub load: f64,
     /// Digests of the parts of the prompt that other requests may share, in order.
-    pub shared_parts: Vec<PartDigest>,
+    pub shared_parts: Vec<InputDigest>,
+    /// Digest of the whole request, which is the same when the caller sends it again.
+    pub content: InputDigest,
 }
 
 /// An output of the reducer, carried out by the gateway.
@@ -389,17 +394,17 @@
         /// The server.
         server: ServerId,
         /// The requests that it was beginning to answer for this gateway, with their shared parts.
-        suspects: Vec<(RequestId, Vec<PartDigest>)>,
+        suspects: Vec<(RequestId, Vec<InputDigest>)>,
     },
     /// A part of prompts ends servers: requests with it are refused.
     PartBlocked {
         /// The part.
-        part: PartDigest,
+        part: InputDigest,
         /// What a request must have to be refused, and the evidence.
         blocked: BlockedPart,
     },
     /// A part of prompts is no longer blocked.
-    PartUnblocked(PartDigest),
+    PartUnblocked(InputDigest),
     /// The platform's store cannot be read.
     StoreUnavailable,
     /// The platform's store can be read again.
@@ -457,7 +462,7 @@
             }
             Self::PartBlocked { part, blocked: BlockedPart { combination, end_count } } => {
                 write!(f, "prompt part {part} is blocked after {end_count} server ends")?;
-                let others: Vec<PartDigest> =
+                let others: Vec<InputDigest> =
                     combination.iter().copied().filter(|it| it != part).collect();
                 if others.is_empty() { Ok(()) } else { write!(f, ", with {}", join_parts(&others)) }
             }
@@ -471,6 +476,6 @@
 }
 
 /// Writes digests separated by spaces, for logs.
-pub(crate) fn join_parts(parts: &[PartDigest]) -> String {
-    parts.iter().map(PartDigest::to_string).collect::<Vec<_>>().join(" ")
+pub(crate) fn join_parts(parts: &[InputDigest]) -> String {
+    parts.iter().map(InputDigest::to_string).collect::<Vec<_>>().join(" ")
 }
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -23,7 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::RoutingChange;
-use crate::units::{Moment, PartDigest, RequestId, ServerId};
+use crate::units::{InputDigest, Moment, RequestId, ServerId};
 
 /// Number of ends that block a part. One may be a coincidence: servers also end for other reasons.
 const MIN_ENDS: usize = 2;
@@ -71,17 +71,17 @@
 struct CrashRecord {
     at: EvidenceTime,
     /// Digests of the shared parts of the prompt, in order.
-    parts: Vec<PartDigest>,
+    parts: Vec<InputDigest>,
     /// Parts that later or slightly earlier answers have shown to be harmless.
-    excused: BTreeSet<PartDigest>,
+    excused: BTreeSet<InputDigest>,
 }
 
 impl CrashRecord {
-    fn suspects(&self) -> impl Iterator<Item = PartDigest> + '_ {
+    fn suspects(&self) -> impl Iterator<Item = InputDigest> + '_ {
         self.parts.iter().copied().filter(|it| !self.excused.contains(it))
     }
 
-    fn is_suspect(&self, part: PartDigest) -> bool {
+    fn is_suspect(&self, part: InputDigest) -> bool {
         self.parts.contains(&part) && !self.excused.contains(&part)
     }
 }
@@ -96,9 +96,9 @@
     /// The request that it began to answer.
     pub request: RequestId,
     /// Digests of the shared parts of the prompt, in order.
-    pub parts: Vec<PartDigest>,
+    pub parts: Vec<InputDigest>,
     /// Parts that are known to be harmless.
-    pub excused: BTreeSet<PartDigest>,
+    pub excused: BTreeSet<InputDigest>,
     /// Time since the server ended, in milliseconds.
     pub age_ms: u64,
 }
@@ -109,7 +109,7 @@
 pub struct BlockedPart {
     /// All parts that a request must have to be refused: this one, and those that came with it in
     /// all records and that nothing excuses.
-    pub combination: BTreeSet<PartDigest>,
+    pub combination: BTreeSet<InputDigest>,
     /// Number of server ends at different times that the part explains.
     pub end_count: usize,
 }
@@ -119,7 +119,7 @@
 pub struct QuarantineTable {
     records: BTreeMap<(ServerId, RequestId), CrashRecord>,
     harmless: HarmlessParts,
-    blocked: BTreeMap<PartDigest, BlockedPart>,
+    blocked: BTreeMap<InputDigest, BlockedPart>,
 }
 
 /// Result of a change of the table.
@@ -133,7 +133,7 @@
 
 impl QuarantineTable {
     /// Returns why a request with these shared parts must not be sent, or `None` if it may be.
-    pub fn blocked_part(&self, parts: &[PartDigest]) -> Option<(PartDigest, &BlockedPart)> {
+    pub fn blocked_part(&self, parts: &[InputDigest]) -> Option<(InputDigest, &BlockedPart)> {
         parts.iter().find_map(|part| {
             let blocked = self.blocked.get(part)?;
             let is_match = blocked.combination.iter().all(|it| parts.contains(it));
@@ -142,7 +142,7 @@
     }
 
     /// Returns all blocked parts.
-    pub fn blocked(&self) -> &BTreeMap<PartDigest, BlockedPart> {
+    pub fn blocked(&self) -> &BTreeMap<InputDigest, BlockedPart> {
         &self.blocked
     }
 
@@ -152,7 +152,7 @@
     }
 
     /// Whether answers to requests with each of these parts have gone on lately.
-    pub fn are_harmless(&self, parts: &[PartDigest], now: Moment) -> bool {
+    pub fn are_harmless(&self, parts: &[InputDigest], now: Moment) -> bool {
         let at = EvidenceTime::at(now, Duration::ZERO);
         parts.iter().all(|it| self.harmless.excuses(*it, at))
     }
@@ -162,7 +162,7 @@
         &mut self,
         server: ServerId,
         request: RequestId,
-        parts: Vec<PartDigest>,
+        parts: Vec<InputDigest>,
         now: Moment,
     ) -> QuarantineUpdate {
         let report = CrashReport { server, request, parts, excused: BTreeSet::new(), age_ms: 0 };
@@ -170,7 +170,7 @@
     }
 
     /// Records that the answer to a request with these shared parts has gone on.
-    pub fn record_harmless(&mut self, parts: &[PartDigest], now: Moment) -> QuarantineUpdate {
+    pub fn record_harmless(&mut self, parts: &[InputDigest], now: Moment) -> QuarantineUpdate {
         let at = EvidenceTime::at(now, Duration::ZERO);
         for part in parts {
             self.harmless.insert(*part, at);
@@ -182,13 +182,13 @@
     }
 
     /// Lifts the block of a part on an operator's order: no record up to now counts against it.
-    pub fn lift(&mut self, part: PartDigest) -> QuarantineUpdate {
+    pub fn lift(&mut self, part: InputDigest) -> QuarantineUpdate {
         self.excuse(&[part], |_| true)
     }
 
     fn excuse(
         &mut self,
-        parts: &[PartDigest],
+        parts: &[InputDigest],
         applies: impl Fn(&CrashRecord) -> bool,
     ) -> QuarantineUpdate {
         let mut has_news = false;
@@ -254,7 +254,7 @@
     fn update_blocked(&mut self) -> Vec<RoutingChange> {
         let blocked = find_blocked(&self.records);
         let previous = std::mem::replace(&mut self.blocked, blocked);
-        let is_changed = |part: &PartDigest, it: &BlockedPart| {
+        let is_changed = |part: &InputDigest, it: &BlockedPart| {
             previous.get(part).is_none_or(|known| known.combination != it.combination)
         };
         let added = self.blocked.iter().filter(|(part, it)| is_changed(part, it));
@@ -283,11 +283,11 @@
 /// count only in records that no later part explains.
 fn find_blocked(
     records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
-) -> BTreeMap<PartDigest, BlockedPart> {
+) -> BTreeMap<InputDigest, BlockedPart> {
     let mut blocked = BTreeMap::new();
     let (mut first, mut later) = (BTreeSet::new(), BTreeSet::new());
     for record in records.values() {
-        let is_first = |it: &PartDigest| record.parts.first() == Some(it);
+        let is_first = |it: &InputDigest| record.parts.first() == Some(it);
         let (firsts, laters): (Vec<_>, Vec<_>) = record.suspects().partition(is_first);
         first.extend(firsts);
         later.extend(laters);
@@ -296,7 +296,7 @@
         let with_part: Vec<_> = records.iter().filter(|it| it.1.is_suspect(*part)).collect();
         blocked.extend(judge(&with_part).map(|it| (*part, it)));
     }
-    let explained: BTreeSet<PartDigest> = blocked.keys().copied().collect();
+    let explained: BTreeSet<InputDigest> = blocked.keys().copied().collect();
     for part in first.difference(&later) {
         let is_unexplained = |it: &CrashRecord| !it.suspects().any(|it| explained.contains(&it));
         let with_part: Vec<_> =
@@ -337,12 +337,12 @@
 /// Parts of prompts whose answers went on, with the latest time. Two generations bound the memory.
 #[derive(Clone, Debug, Default)]
 struct HarmlessParts {
-    current: HashMap<PartDigest, EvidenceTime>,
-    last: HashMap<PartDigest, EvidenceTime>,
+    current: HashMap<InputDigest, EvidenceTime>,
+    last: HashMap<InputDigest, EvidenceTime>,
 }
 
 impl HarmlessParts {
-    fn insert(&mut self, part: PartDigest, at: EvidenceTime) {
+    fn insert(&mut self, part: InputDigest, at: EvidenceTime) {
         if self.current.len() >= MAX_HARMLESS_PARTS && !self.current.contains_key(&part) {
             self.last = std::mem::take(&mut self.current);
         }
@@ -350,7 +350,7 @@
     }
 
     /// Whether an answer with the part went on after, or not long before, a time.
-    fn excuses(&self, part: PartDigest, at: EvidenceTime) -> bool {
+    fn excuses(&self, part: InputDigest, at: EvidenceTime) -> bool {
         let known = self.current.get(&part).or_else(|| self.last.get(&part));
         known.is_some_and(|it| it.after(EXCUSE_TTL) > at)
     }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -24,7 +24,7 @@
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
     units::{
-        ClientAccount, FailureDomain, GroupName, Moment, PartDigest, RequestId, ServerId,
+        ClientAccount, FailureDomain, GroupName, InputDigest, Moment, RequestId, ServerId,
         ServiceName,
     },
 };
@@ -81,7 +81,9 @@
     service: ServiceName,
     account: Option<ClientAccount>,
     /// Digests of the parts of the prompt that other requests may share, in order.
-    shared_parts: Vec<PartDigest>,
+    shared_parts: Vec<InputDigest>,
+    /// Digest of the whole request.
+    content: InputDigest,
     deadline: Moment,
     /// Servers already attempted, unreachable ones included.
     tried_servers: Vec<ServerId>,
@@ -397,7 +399,8 @@
     let is_first_try =
         caller_request.resumes || caller_timeout + caller_request.waited >= first_try_timeout;
     let shared_parts =
-        caller_request.shared_parts.iter().map(|it| PartDigest::of_part(&service, it)).collect();
+        caller_request.shared_parts.iter().map(|it| InputDigest::of_part(&service, it)).collect();
+    let content = InputDigest::of_request(&service, account.as_ref(), caller_request.content);
     let request = RequestState {
         request_id: caller_request.request_id,
         deadline: now.after(caller_timeout.min(route.timeout)),
@@ -405,6 +408,7 @@
         service,
         account,
         shared_parts,
+        content,
         tried_servers: Vec::new(),
         failed_groups: Vec::new(),
         attempts_sent: 0,
@@ -586,6 +590,7 @@
         attempt: request.attempts_sent + request.connect_failures + 1,
         load: estimate,
         shared_parts: request.shared_parts.clone(),
+        content: request.content,
     };
     RoutingEffect::Attempt(number, Box::new(spec))
 }
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -12,7 +12,7 @@
         AnswerProgress, AttemptResult, CrashReport, QuarantineUpdate, RequestNumber, RoutingChange,
         RoutingEffect, SETTLED_EVENTS,
     },
-    units::{Moment, PartDigest, RequestId, ServerId},
+    units::{InputDigest, Moment, RequestId, ServerId},
 };
 
 /// Number of events of a stream up to which its response counts as just begun.
@@ -60,7 +60,7 @@
 struct SuspectRequest {
     number: RequestNumber,
     request_id: RequestId,
-    shared_parts: Vec<PartDigest>,
+    shared_parts: Vec<InputDigest>,
 }
 
 /// Whether the attempt was lost while the server began to write its response.
--- a/src/units.rs
+++ b/src/units.rs
@@ -6,7 +6,7 @@
 mod ids;
 mod quantities;
 
-pub use digests::{DigestError, PartDigest};
+pub use digests::{ContentHash, DigestError, InputDigest};
 pub use ids::{
     ClientAccount, EditId, FailureDomain, GroupName, IdError, OperatorName, PlanId, RequestId,
     RouteName, ServerId, ServiceName, VmId,
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -15,7 +15,7 @@
         RouteRecord, RouteTarget, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest,
         RoutingSettings, RoutingState, ServerRecord, ServiceRecord, reduce,
     },
-    units::{ByteCount, Moment},
+    units::{ByteCount, ContentHash, Moment},
 };
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -90,6 +90,7 @@
         waited: Duration::ZERO,
         resumes: false,
         shared_parts: Vec::new(),
+        content: ContentHash::default(),
     }
 }
 
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -9,7 +9,7 @@
         AnswerProgress, AttemptResult, BudgetSettings, QuarantineTable, RequestNumber, RouteKind,
         RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest,
     },
-    units::{Moment, PartDigest, RequestId, ServerId},
+    units::{InputDigest, Moment, RequestId, ServerId},
 };
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
@@ -19,11 +19,11 @@
 const SECOND: u64 = 1_000_000;
 const MILLISECOND: u64 = 1_000;
 
-fn part(text: &str) -> PartDigest {
-    PartDigest::of_part(&"s".parse().unwrap(), text)
+fn part(text: &str) -> InputDigest {
+    InputDigest::of_part(&"s".parse().unwrap(), text)
 }
 
-fn parts(texts: &[&str]) -> Vec<PartDigest> {
+fn parts(texts: &[&str]) -> Vec<InputDigest> {
     texts.iter().map(|it| part(it)).collect()
 }
 
@@ -262,7 +262,7 @@
         let knowing = fleet.tables.iter().filter(|it| it.blocked_part(&harmful).is_some());
         expect_that!(knowing.count(), eq(size), "{size} gateways, seed {seed}");
         let sound = (0..20).map(|it| parts(&[&subject(it)]));
-        let is_refused = |it: &Vec<PartDigest>| {
+        let is_refused = |it: &Vec<InputDigest>| {
             fleet.tables.iter().any(|table| table.blocked_part(it).is_some())
         };
         expect_that!(sound.filter(is_refused).count(), eq(0), "{size} gateways, seed {seed}");
