Test that a request that ends servers is not sent again and again (known red)

Two and nine gateways as processes, six servers, one request that ends its server and comes again every 150 ms among sound ones, as a lookup and as a call that runs once.

--- /dev/null
+++ b/tests/crashing_requests.rs
@@ -0,0 +1,141 @@
+//! Tests of whole requests that end the servers that run them and come again unchanged.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::{
+    launcher,
+    support::{
+        fragile_servers::FragileServers,
+        gateway::{GatewayProcess, connect, read},
+        platform_store::FakeStore,
+        ports::free_address,
+    },
+};
+
+/// Time after the third end within which gateways must have learned the cause.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of further sends that the users accept.
+const MAX_LATER_SENDS: usize = 3;
+const RUN_TIME: Duration = Duration::from_secs(9);
+const HARMFUL_BODY: &str = "harmful";
+/// Bodies that are sent again and again, and are often in progress when a server ends.
+const SOUND_BODIES: [&str; 3] = ["one", "two", "three"];
+
+#[derive(Debug)]
+struct CallAnswer {
+    status: StatusCode,
+    invites_retry: bool,
+}
+
+async fn send(gateway: SocketAddr, id: String, body: String) -> Option<CallAnswer> {
+    let request = Request::post("/a/x")
+        .header("host", "h.example")
+        .header("request-id", id)
+        .header("time-budget-ms", "3000")
+        .header("authorization", "Token k1")
+        .body(Full::<Bytes>::from(body))
+        .unwrap();
+    let answer = connect(gateway).await?.send_request(request).await.ok()?;
+    let invites_retry = answer.headers().contains_key("retry-after");
+    let (status, _) = read(answer).await?;
+    Some(CallAnswer { status, invites_retry })
+}
+
+async fn start_store(kind: &str) -> Arc<FakeStore> {
+    let store = Arc::new(FakeStore::start(free_address()).await);
+    let manifest = json!({"version": 3, "routes": [{"name": "r", "hostname": "h.example",
+            "path-prefix": "/a/", "kind": kind, "timeout-ms": 3000,
+            "target-latency-ms": 400, "service": "s", "max-attempts": 2, "public": false}],
+        "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
+        "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
+    store.put("keyed.op", "config", Some(&manifest));
+    store
+}
+
+async fn check_harmful_request(kind: &str, gateway_count: usize) {
+    const SEED: u64 = 28;
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let store = start_store(kind).await;
+    let addresses = [(); 6].map(|()| free_address());
+    let servers = FragileServers::start(&store, &addresses, &[HARMFUL_BODY]).await;
+    let mut gateways: Vec<GatewayProcess> = Vec::new();
+    for _ in 0..gateway_count {
+        let seeds: Vec<SocketAddr> = gateways.iter().take(3).map(|it| it.peer).collect();
+        gateways.push(GatewayProcess::start(&launcher(), store.fake_server.address, &seeds));
+    }
+    for gateway in &gateways {
+        gateway.wait_ready().await;
+    }
+    let (mut sound, mut harmful) = (Vec::new(), Vec::new());
+    let started = Instant::now();
+    for n in 0_u32.. {
+        if started.elapsed() > RUN_TIME {
+            break;
+        }
+        let gateway = gateways[rng.random_range(0..gateway_count)].listen;
+        let repeated = SOUND_BODIES[rng.random_range(0..SOUND_BODIES.len())];
+        let body = if rng.random_bool(0.5) { format!("body {n}") } else { repeated.to_owned() };
+        sound.push(tokio::spawn(send(gateway, format!("q-{n}"), body)));
+        if n.is_multiple_of(6) {
+            let gateway = gateways[rng.random_range(0..gateway_count)].listen;
+            harmful.push(tokio::spawn(send(gateway, format!("b-{n}"), HARMFUL_BODY.to_owned())));
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    let (end_count, later_sends) = servers.log(|log| {
+        let third = log.ends.get(2).map(|it| *it + CONTACT_TIME);
+        let is_later = |it: &&Instant| third.is_some_and(|third| **it > third);
+        (log.ends.len(), log.harmful_sends.iter().filter(is_later).count())
+    });
+    println!(
+        "{kind}, {gateway_count} gateways: {end_count} servers ended, {later_sends} sent later"
+    );
+    expect_that!(later_sends, le(MAX_LATER_SENDS), "{end_count} servers ended");
+    let sound_count = sound.len();
+    let mut answered = 0;
+    for answer in sound {
+        let answer = answer.await.unwrap();
+        answered += usize::from(answer.is_some_and(|it| it.status == StatusCode::OK));
+    }
+    println!("{answered} of {sound_count} sound requests answered");
+    expect_that!(answered * 2, ge(sound_count));
+    for answer in harmful {
+        let Some(answer) = answer.await.unwrap() else { continue };
+        expect_that!(answer.status, not(eq(StatusCode::OK)), "{answer:?}");
+        let may_retry = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        expect_that!(may_retry || !answer.invites_retry, eq(true), "{answer:?}");
+    }
+    // Nobody is blocked for having been in progress on servers that ended.
+    for (n, body) in SOUND_BODIES.iter().enumerate() {
+        for gateway in &gateways {
+            let answer = send(gateway.listen, format!("l-{n}"), (*body).to_owned()).await;
+            expect_that!(answer.map(|it| it.status), some(eq(StatusCode::OK)), "{body}");
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn harmful_lookup_ends_few_servers_at_two_gateways() {
+    check_harmful_request("safe", 2).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn harmful_lookup_ends_few_servers_at_nine_gateways() {
+    check_harmful_request("safe", 9).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn harmful_call_that_runs_once_ends_few_servers() {
+    check_harmful_request("unsafe", 9).await;
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -9,6 +9,7 @@
 mod cold_server;
 mod config_race;
 mod crashing_prompts;
+mod crashing_requests;
 mod directory_reader;
 mod domain_cut;
 mod domain_drain;
--- a/tests/support/fragile_servers.rs
+++ b/tests/support/fragile_servers.rs
@@ -1,5 +1,6 @@
 //! Fake backend servers that end when they begin to answer a request whose prompt has a certain
-//! part, and start again as new servers at the same address.
+//! part, or when they begin to run one with a certain body, and start again as new servers at the
+//! same address.
 
 use std::{
     collections::BTreeSet,
@@ -16,12 +17,17 @@
     time::Instant,
 };
 
-use super::platform_store::FakeStore;
+use super::{
+    platform_store::FakeStore,
+    scripted_server::{ReceivedRequest, read_request},
+};
 
 /// Time from the head of an answer until the server ends.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 /// Time until a server that has ended starts again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Time that a request without a prompt takes.
+const WORK_TIME: Duration = Duration::from_millis(60);
 /// Pause between the events of an answer.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// Number of events of an answer.
@@ -32,7 +38,7 @@
 pub struct CrashLog {
     /// When each server ended.
     pub ends: Vec<Instant>,
-    /// When each request with a harmful part reached a server.
+    /// When each harmful request reached a server.
     pub harmful_sends: Vec<Instant>,
     /// Number of servers started.
     starts: u32,
@@ -46,7 +52,8 @@
 }
 
 impl FragileServers {
-    /// Starts a server at each address. Requests with one of the parts `harmful` end their server.
+    /// Starts a server at each address. Requests with one of the parts or bodies `harmful` end their
+    /// server.
     pub async fn start(store: &Arc<FakeStore>, addresses: &[SocketAddr], harmful: &[&str]) -> Self {
         let harmful = harmful.iter().map(|it| (*it).to_owned()).collect();
         let servers = Self { log: Arc::default(), harmful: Arc::new(harmful) };
@@ -109,22 +116,17 @@
     }
 
     async fn answer(&self, stream: &mut TcpStream, id: &str, end: &watch::Sender<bool>) {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            let Ok(byte) = stream.read_u8().await else { return };
-            head.push(byte);
-        }
-        let head = String::from_utf8(head).unwrap().to_ascii_lowercase();
-        let header = |name: &str| {
-            let line = head.lines().find_map(|it| it.strip_prefix(name))?;
-            Some(line.trim_start_matches(':').trim().to_owned())
-        };
+        let Some(received) = read_request(stream).await else { return };
+        let header = |name: &str| received.headers.get(name).cloned();
         if header("expect-instance").as_deref() != Some(id) {
             let answer = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
             let _ = stream.write_all(answer).await;
             return;
         }
-        let parts = header("prompt-prefix").unwrap_or_default();
+        let Some(parts) = header("prompt-prefix") else {
+            self.answer_call(stream, &received, end).await;
+            return;
+        };
         let is_harmful =
             parts.split(',').any(|it| self.harmful.contains(it.split(':').next().unwrap()));
         if is_harmful {
@@ -139,11 +141,7 @@
             return;
         }
         if is_harmful {
-            tokio::time::sleep(CRASH_DELAY).await;
-            let has_just_ended = !end.send_replace(true);
-            if has_just_ended {
-                self.log.lock().unwrap().ends.push(Instant::now());
-            }
+            self.crash(end).await;
             return;
         }
         let resume_after: u32 = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
@@ -159,4 +157,35 @@
         // The end of the answer must be read before the connection is reset.
         let _ = stream.read_u8().await;
     }
+
+    /// Answers a request without a prompt at once, unless its body is harmful.
+    async fn answer_call(
+        &self,
+        stream: &mut TcpStream,
+        received: &ReceivedRequest,
+        end: &watch::Sender<bool>,
+    ) {
+        let body = String::from_utf8_lossy(&received.body);
+        if self.harmful.contains(body.as_ref()) {
+            self.log.lock().unwrap().harmful_sends.push(Instant::now());
+            self.crash(end).await;
+            return;
+        }
+        tokio::time::sleep(WORK_TIME).await;
+        let request = received.headers.get("request-id").cloned().unwrap_or_default();
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n\
+             Content-Length: 2\r\n\r\nok"
+        );
+        let _ = stream.write_all(answer.as_bytes()).await;
+        let _ = stream.read_u8().await;
+    }
+
+    async fn crash(&self, end: &watch::Sender<bool>) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        let has_just_ended = !end.send_replace(true);
+        if has_just_ended {
+            self.log.lock().unwrap().ends.push(Instant::now());
+        }
+    }
 }
