Refuse whole requests that end servers, at all gateways

Callers of lookups and mandates were refused for seconds, since the same few requests ended all servers of the service, over and over. Cause: the quarantine kept evidence on shared parts of prompts only, and only where an answer had begun. A request without either was nobody's suspect; its loss sent it to the next server, and its next copy was welcome. Change: a record also names the whole request (service, account, method, target, body) and is made where nothing of an answer came, if the server then refuses connections. Two ends at different times with nothing that excuses the request block it everywhere, in the same table and exchange. An answer excuses it: bystanders get theirs at the next server, to which a request is sent on once; one that has lost a server before, here or at another gateway, is not. Why it works: the second end is evidence enough and the exchange takes 0.2 s, so the third rarely comes.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -283,6 +283,8 @@
     OutcomeUnknown = "outcome_unknown", 502, "the backend server was lost; the request may have run";
     ServerEnded = "server_ended", 502, "the backend server ended as it began to answer the request";
     HarmfulPrompt = "harmful_prompt", 500, "backend servers end when they answer prompts with a part of this one";
+    /// Backend servers have ended as they ran this request, by its target, account and body.
+    HarmfulRequest = "harmful_request", 500, "backend servers end when they run this request";
     AnswerTooLarge = "answer_too_large", 502, "the backend server's answer is over the bound";
     AnswerBroken = "answer_broken", 502, "the backend server's answer broke off";
     DeadlineDuringRun = "deadline_during_run", 504, "the deadline passed while the request ran";
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 use crate::{
     http::{json_response, read_body, text_response},
     platform::{PlatformError, post_json},
-    routing::{BlockedPart, CrashReport, GatewayLocation, Incarnation, LimitReport, RoutingEvent},
+    routing::{BlockedInput, CrashReport, GatewayLocation, Incarnation, LimitReport, RoutingEvent},
     units::{ByteCount, InputDigest, RequestRate, ServerId},
 };
 
@@ -79,13 +79,14 @@
     share: RequestRate,
 }
 
-/// A blocked part as operators see it.
+/// A blocked input as operators see it.
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
 struct BlockedStatus {
+    /// The part of prompts, or the whole request.
     part: InputDigest,
     #[serde(flatten)]
-    blocked: BlockedPart,
+    blocked: BlockedInput,
 }
 
 fn message(shell: &GatewayShell) -> RecordMessage {
@@ -122,7 +123,9 @@
     exchange(&shell, &client, FANOUT).await;
     loop {
         let has_news = timeout(EXCHANGE_INTERVAL, shell.records_changed()).await.is_ok();
-        let has_records = shell.read(|it| !it.quarantine().is_empty() || !it.limits().is_empty());
+        let now = shell.clock.now();
+        let has_records =
+            shell.read(|it| it.quarantine().has_reports(now) || !it.limits().is_empty());
         let is_needed = has_records || started.elapsed() < START_UP_TIME;
         if has_news {
             for _ in 0..NEWS_ROUNDS {
@@ -198,8 +201,8 @@
     }
     match request.uri().query().unwrap_or_default().parse::<InputDigest>() {
         Ok(part) => {
-            log::warn!(part:% = part; "block of a prompt part lifted by an operator");
-            shell.dispatch(RoutingEvent::PartLifted(part));
+            log::warn!(part:% = part; "block lifted by an operator");
+            shell.dispatch(RoutingEvent::InputLifted(part));
             json_response(StatusCode::OK, &status(shell))
         }
         Err(error) => text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -3,7 +3,7 @@
 //! As in [`crate::core`], every input is an event and every output an effect: [`reduce`] reads no
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), server choice
-//! and overload refusals (`admission`), retry and cold-server budgets (`budget`), prompts that end
+//! and overload refusals (`admission`), retry and cold-server budgets (`budget`), inputs that end
 //! servers (`quarantine`), limits that servers name (`limits`), the other gateways (`peers`), and the
 //! servers that one gateway uses (`subset`).
 
@@ -37,7 +37,7 @@
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadReport, ServerLoad};
 pub use peers::{GatewayLocation, PeerTable};
-pub use quarantine::{BlockedPart, CrashReport, QuarantineTable, QuarantineUpdate};
+pub use quarantine::{BlockedInput, CrashReport, QuarantineTable, QuarantineUpdate, SuspectInput};
 pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
 pub use servers::{GroupMembership, Incarnation, KnownServer, ServerRecord, ServerTable};
 pub use state::{RoutingSettings, RoutingState, reduce};
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    BlockedPart, CrashReport, GatewayLocation, LimitReport, LimitSource, LoadReport, RouteCatalog,
-    RouteKind, ServerRecord,
+    BlockedInput, CrashReport, GatewayLocation, LimitReport, LimitSource, LoadReport, RouteCatalog,
+    RouteKind, ServerRecord, SuspectInput,
 };
 use crate::{
     core::Refusal,
@@ -263,8 +263,8 @@
     LimitsRead(Vec<LimitReport>),
     /// The gateways that were seen lately, this one included.
     GatewaysSeen(Vec<GatewayLocation>),
-    /// An operator ordered that a part of prompts is no longer blocked.
-    PartLifted(InputDigest),
+    /// An operator ordered that a part of prompts, or a whole request, is no longer blocked.
+    InputLifted(InputDigest),
     /// A server whose attempt was lost was tried for a connection.
     ServerProbed {
         /// The server.
@@ -389,22 +389,23 @@
         /// Result of the attempt that triggered the pause.
         result: AttemptResult,
     },
-    /// A server ended while it began to answer requests.
+    /// A server ended while it ran requests.
     ServerEnded {
         /// The server.
         server: ServerId,
-        /// The requests that it was beginning to answer for this gateway, with their shared parts.
-        suspects: Vec<(RequestId, Vec<InputDigest>)>,
+        /// The requests that it ran for this gateway without having got beyond the beginning of their
+        /// answers, with what they hold.
+        suspects: Vec<(RequestId, SuspectInput)>,
     },
-    /// A part of prompts ends servers: requests with it are refused.
-    PartBlocked {
-        /// The part.
-        part: InputDigest,
+    /// A part of prompts, or a whole request, ends servers: requests with it are refused.
+    InputBlocked {
+        /// The part or request.
+        input: InputDigest,
         /// What a request must have to be refused, and the evidence.
-        blocked: BlockedPart,
+        blocked: BlockedInput,
     },
-    /// A part of prompts is no longer blocked.
-    PartUnblocked(InputDigest),
+    /// A part of prompts, or a whole request, is no longer blocked.
+    InputUnblocked(InputDigest),
     /// The platform's store cannot be read.
     StoreUnavailable,
     /// The platform's store can be read again.
@@ -453,20 +454,27 @@
                 write!(f, "server {server} is paused after attempt result {result}")
             }
             Self::ServerEnded { server, suspects } => {
-                write!(f, "server {server} ended as it began to answer ")?;
-                for (n, (request, parts)) in suspects.iter().enumerate() {
+                write!(f, "server {server} ended as it ran ")?;
+                for (n, (request, input)) in suspects.iter().enumerate() {
                     let separator = if n > 0 { ", " } else { "" };
-                    write!(f, "{separator}request {request} with parts {}", join_parts(parts))?;
+                    write!(f, "{separator}request {request}")?;
+                    if let Some(content) = input.content {
+                        write!(f, " with content {content}")?;
+                    }
+                    if !input.parts.is_empty() {
+                        write!(f, " with parts {}", join_parts(&input.parts))?;
+                    }
                 }
                 Ok(())
             }
-            Self::PartBlocked { part, blocked: BlockedPart { combination, end_count } } => {
-                write!(f, "prompt part {part} is blocked after {end_count} server ends")?;
+            Self::InputBlocked { input, blocked: BlockedInput { combination, end_count } } => {
+                let kind = if combination.is_empty() { "request" } else { "prompt part" };
+                write!(f, "{kind} {input} is blocked after {end_count} server ends")?;
                 let others: Vec<InputDigest> =
-                    combination.iter().copied().filter(|it| it != part).collect();
+                    combination.iter().copied().filter(|it| it != input).collect();
                 if others.is_empty() { Ok(()) } else { write!(f, ", with {}", join_parts(&others)) }
             }
-            Self::PartUnblocked(part) => write!(f, "prompt part {part} is no longer blocked"),
+            Self::InputUnblocked(input) => write!(f, "input {input} is no longer blocked"),
             Self::StoreUnavailable => f.write_str("platform store is unavailable"),
             Self::StoreRecovered => f.write_str("platform store is available again"),
             Self::StoreRewound => f.write_str("platform store came back from an older copy"),
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -1,12 +1,18 @@
-//! Prompts that end the servers that answer them.
+//! Inputs that end the servers that serve them.
 //!
 //! A part of a prompt may make each server end that begins to answer a request with it, whatever
-//! else the request holds. Such requests must be refused before they reach a server, by all
-//! gateways, since callers send them to any. The evidence:
+//! else the request holds; a whole request may end each server that begins to run it, and come again
+//! unchanged. Such requests must be refused before they reach a server, by all gateways, since
+//! callers send them to any. The evidence:
 //!
-//! - a [`CrashRecord`] says that a server ended as it began to answer a request with these parts;
-//! - an answer that goes on shows that none of the request's parts does this, so they are excused
-//!   from all records about that time.
+//! - a [`CrashRecord`] says that a server ended as it ran this request, or as it began to answer one
+//!   with these parts;
+//! - an answer that goes on shows that neither the request nor any of its parts does this, so they
+//!   are excused from all records about that time.
+//!
+//! A whole request is blocked once [`MIN_ENDS`] ends at different times have it in common and nothing
+//! excuses it. All other requests in progress on those servers leave records too; the answer to their
+//! next attempt excuses them.
 //!
 //! A part is blocked once [`MIN_ENDS`] ends at different times have it in common and nothing excuses
 //! it. Parts that always came together with it and are not excused either are blocked only together
@@ -16,6 +22,7 @@
 //! and any number of exchanges give the same table, up to its bound.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
@@ -25,20 +32,25 @@
 use super::RoutingChange;
 use crate::units::{InputDigest, Moment, RequestId, ServerId};
 
-/// Number of ends that block a part. One may be a coincidence: servers also end for other reasons.
+/// Number of ends that block an input. One may be a coincidence: servers also end for other reasons.
 const MIN_ENDS: usize = 2;
 /// Ends of several servers within this time count once: they may share another cause, such as a
 /// failure domain that lost its power.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
 /// Time in which records about one server are about the same end.
 const SAME_END_WINDOW: Duration = Duration::from_secs(2);
-/// Time for which an answer that went on excuses the parts of its prompt from later records. Bounded
+/// Time for which an answer that went on excuses what its request held from later records. Bounded
 /// because a new version of the model may fail where the last one did not.
 const EXCUSE_TTL: Duration = Duration::from_secs(60);
-/// Number of parts remembered as harmless, twice: of the present and of the last generation.
-const MAX_HARMLESS_PARTS: usize = 4_096;
+/// Number of parts, and of requests, remembered as harmless, twice: of the present and of the last
+/// generation.
+const MAX_HARMLESS_INPUTS: usize = 4_096;
 /// Maximum number of records that are kept.
 const MAX_RECORDS: usize = 64;
+/// Maximum number of records sent to another gateway at once.
+const MAX_REPORTS: usize = 24;
+/// Time for which records that block nothing are exchanged.
+const EXCHANGE_TTL: Duration = Duration::from_secs(60);
 /// Maximum number of parts of a record of another gateway.
 const MAX_RECORD_PARTS: usize = 32;
 
@@ -66,13 +78,25 @@
     }
 }
 
-/// What is kept of a request whose server ended as it began to answer.
+/// What a request holds that may end servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SuspectInput {
+    /// Digests of the shared parts of the prompt, in order; empty if the server had not begun to
+    /// answer, since parts end servers only then.
+    pub parts: Vec<InputDigest>,
+    /// Digest of the whole request; gateways of earlier releases do not send it.
+    pub content: Option<InputDigest>,
+}
+
+/// What is kept of a request whose server ended as it ran it.
 #[derive(Clone, Debug, PartialEq)]
 struct CrashRecord {
     at: EvidenceTime,
     /// Digests of the shared parts of the prompt, in order.
     parts: Vec<InputDigest>,
-    /// Parts that later or slightly earlier answers have shown to be harmless.
+    /// Digest of the whole request.
+    content: Option<InputDigest>,
+    /// Inputs that later or slightly earlier answers have shown to be harmless.
     excused: BTreeSet<InputDigest>,
 }
 
@@ -84,42 +108,53 @@
     fn is_suspect(&self, part: InputDigest) -> bool {
         self.parts.contains(&part) && !self.excused.contains(&part)
     }
+
+    fn suspect_content(&self) -> Option<InputDigest> {
+        self.content.filter(|it| !self.excused.contains(it))
+    }
+
+    fn holds(&self, input: &InputDigest) -> bool {
+        self.parts.contains(input) || self.content.as_ref() == Some(input)
+    }
 }
 
-/// A request whose server ended as it began to answer, in the form in which gateways send it to each
-/// other.
+/// A request whose server ended as it ran it, in the form in which gateways send it to each other.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct CrashReport {
     /// The server that ended.
     pub server: ServerId,
-    /// The request that it began to answer.
+    /// The request that it ran.
     pub request: RequestId,
     /// Digests of the shared parts of the prompt, in order.
     pub parts: Vec<InputDigest>,
-    /// Parts that are known to be harmless.
+    /// Digest of the whole request; gateways of earlier releases do not send it.
+    #[serde(default)]
+    pub content: Option<InputDigest>,
+    /// Inputs that are known to be harmless.
     pub excused: BTreeSet<InputDigest>,
     /// Time since the server ended, in milliseconds.
     pub age_ms: u64,
 }
 
-/// A part of prompts that is blocked.
+/// A part of prompts, or a whole request, that is blocked.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub struct BlockedPart {
+pub struct BlockedInput {
     /// All parts that a request must have to be refused: this one, and those that came with it in
-    /// all records and that nothing excuses.
+    /// all records and that nothing excuses. Empty for a whole request.
     pub combination: BTreeSet<InputDigest>,
-    /// Number of server ends at different times that the part explains.
+    /// Number of server ends at different times that the input explains.
     pub end_count: usize,
 }
 
-/// What one gateway knows about prompts that end servers.
+/// What one gateway knows about inputs that end servers.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
     records: BTreeMap<(ServerId, RequestId), CrashRecord>,
-    harmless: HarmlessParts,
-    blocked: BTreeMap<InputDigest, BlockedPart>,
+    harmless_parts: HarmlessInputs,
+    harmless_requests: HarmlessInputs,
+    blocked: BTreeMap<InputDigest, BlockedInput>,
 }
 
 /// Result of a change of the table.
@@ -133,7 +168,7 @@
 
 impl QuarantineTable {
     /// Returns why a request with these shared parts must not be sent, or `None` if it may be.
-    pub fn blocked_part(&self, parts: &[InputDigest]) -> Option<(InputDigest, &BlockedPart)> {
+    pub fn blocked_part(&self, parts: &[InputDigest]) -> Option<(InputDigest, &BlockedInput)> {
         parts.iter().find_map(|part| {
             let blocked = self.blocked.get(part)?;
             let is_match = blocked.combination.iter().all(|it| parts.contains(it));
@@ -142,59 +177,86 @@
     }
 
     /// Returns all blocked parts.
-    pub fn blocked(&self) -> &BTreeMap<InputDigest, BlockedPart> {
+    pub fn blocked(&self) -> &BTreeMap<InputDigest, BlockedInput> {
         &self.blocked
     }
 
+    /// Returns why this whole request must not be sent, or `None` if it may be.
+    pub fn blocked_request(&self, content: InputDigest) -> Option<&BlockedInput> {
+        self.blocked.get(&content)
+    }
+
+    /// Whether a server has ended as it ran this request, and nothing excuses it.
+    pub fn has_ended_server(&self, content: InputDigest) -> bool {
+        self.records.values().any(|it| it.suspect_content() == Some(content))
+    }
+
     /// Whether nothing is recorded.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
+    /// Whether there are records that gateways which missed them must be told.
+    pub fn has_reports(&self, now: Moment) -> bool {
+        !self.blocked.is_empty() || self.records.values().any(|it| it.at.age(now) < EXCHANGE_TTL)
+    }
+
     /// Whether answers to requests with each of these parts have gone on lately.
     pub fn are_harmless(&self, parts: &[InputDigest], now: Moment) -> bool {
         let at = EvidenceTime::at(now, Duration::ZERO);
-        parts.iter().all(|it| self.harmless.excuses(*it, at))
+        parts.iter().all(|it| self.harmless_parts.excuses(*it, at))
+    }
+
+    /// Whether this request has been answered lately.
+    pub fn is_harmless(&self, content: InputDigest, now: Moment) -> bool {
+        self.harmless_requests.excuses(content, EvidenceTime::at(now, Duration::ZERO))
     }
 
-    /// Records that a server ended as it began to answer a request with these shared parts.
+    /// Records that a server ended as it ran a request.
     pub fn record_end(
         &mut self,
         server: ServerId,
         request: RequestId,
-        parts: Vec<InputDigest>,
+        SuspectInput { parts, content }: SuspectInput,
         now: Moment,
     ) -> QuarantineUpdate {
-        let report = CrashReport { server, request, parts, excused: BTreeSet::new(), age_ms: 0 };
+        let excused = BTreeSet::new();
+        let report = CrashReport { server, request, parts, content, excused, age_ms: 0 };
         self.merge(vec![report], now)
     }
 
-    /// Records that the answer to a request with these shared parts has gone on.
-    pub fn record_harmless(&mut self, parts: &[InputDigest], now: Moment) -> QuarantineUpdate {
+    /// Records that the answer to a request has gone on.
+    pub fn record_harmless(&mut self, input: &SuspectInput, now: Moment) -> QuarantineUpdate {
         let at = EvidenceTime::at(now, Duration::ZERO);
-        for part in parts {
-            self.harmless.insert(*part, at);
+        for part in &input.parts {
+            self.harmless_parts.insert(*part, at);
+        }
+        if let Some(content) = input.content {
+            self.harmless_requests.insert(content, at);
         }
         if self.records.is_empty() {
             return QuarantineUpdate::default();
         }
-        self.excuse(parts, |record| record.at < at.after(EXCUSE_TTL))
+        let inputs: Vec<InputDigest> = input.parts.iter().copied().chain(input.content).collect();
+        self.excuse(&inputs, |record| record.at < at.after(EXCUSE_TTL))
     }
 
-    /// Lifts the block of a part on an operator's order: no record up to now counts against it.
-    pub fn lift(&mut self, part: InputDigest) -> QuarantineUpdate {
-        self.excuse(&[part], |_| true)
+    /// Lifts the block of an input on an operator's order: no record up to now counts against it.
+    pub fn lift(&mut self, input: InputDigest) -> QuarantineUpdate {
+        self.excuse(&[input], |_| true)
     }
 
     fn excuse(
         &mut self,
-        parts: &[InputDigest],
+        inputs: &[InputDigest],
         applies: impl Fn(&CrashRecord) -> bool,
     ) -> QuarantineUpdate {
         let mut has_news = false;
         for record in self.records.values_mut().filter(|it| applies(it)) {
-            for part in parts.iter().filter(|it| record.parts.contains(it)) {
-                has_news |= record.excused.insert(*part);
+            let held: Vec<InputDigest> =
+                inputs.iter().copied().filter(|it| record.holds(it)).collect();
+            for input in held {
+                has_news |= record.excused.insert(input);
             }
         }
         let changes = if has_news { self.update_blocked() } else { Vec::new() };
@@ -217,25 +279,28 @@
 
     /// Merges one report. Returns whether it added anything.
     fn merge_report(&mut self, report: CrashReport, now: Moment) -> bool {
-        let CrashReport { server, request, mut parts, excused, age_ms } = report;
+        let CrashReport { server, request, mut parts, content, excused, age_ms } = report;
         parts.truncate(MAX_RECORD_PARTS);
         let at = EvidenceTime::at(now, Duration::from_millis(age_ms));
-        let harmless = &self.harmless;
+        let (harmless_parts, harmless_requests) = (&self.harmless_parts, &self.harmless_requests);
         let known = self.records.entry((server, request));
         let mut is_new = false;
         let record = known.or_insert_with(|| {
             is_new = true;
-            let known_harmless = parts.iter().copied().filter(|it| harmless.excuses(*it, at));
-            CrashRecord { at, excused: known_harmless.collect(), parts }
+            let known_parts = parts.iter().copied().filter(|it| harmless_parts.excuses(*it, at));
+            let known_content = content.filter(|it| harmless_requests.excuses(*it, at));
+            CrashRecord { at, excused: known_parts.chain(known_content).collect(), parts, content }
         });
         // Transfer takes time, so the earliest time is the most precise.
         record.at = record.at.min(at);
         let known_count = record.excused.len();
-        record.excused.extend(excused.into_iter().filter(|it| record.parts.contains(it)));
+        let held: Vec<InputDigest> = excused.into_iter().filter(|it| record.holds(it)).collect();
+        record.excused.extend(held);
         is_new || record.excused.len() > known_count
     }
 
-    /// Returns the records in the form for other gateways.
+    /// Returns the records in the form for other gateways, those that block something and then the
+    /// newest first, up to a bound.
     pub fn reports(&self, now: Moment) -> Vec<CrashReport> {
         let report = |((server, request), record): (&(ServerId, RequestId), &CrashRecord)| {
             let age = record.at.age(now).as_millis();
@@ -243,34 +308,45 @@
                 server: server.clone(),
                 request: request.clone(),
                 parts: record.parts.clone(),
+                content: record.content,
                 excused: record.excused.clone(),
                 age_ms: u64::try_from(age).unwrap_or(u64::MAX),
             }
         };
-        self.records.iter().map(report).collect()
+        let mut records: Vec<_> = self.records.iter().collect();
+        records.sort_by_key(|(_, it)| Reverse((self.blocks(it), it.at)));
+        records.into_iter().take(MAX_REPORTS).map(report).collect()
+    }
+
+    /// Whether a record is among those that block an input.
+    fn blocks(&self, record: &CrashRecord) -> bool {
+        let mut suspects = record.suspects().chain(record.suspect_content());
+        suspects.any(|it| self.blocked.contains_key(&it))
     }
 
     /// Decides again which parts are blocked. Returns the changes.
     fn update_blocked(&mut self) -> Vec<RoutingChange> {
         let blocked = find_blocked(&self.records);
         let previous = std::mem::replace(&mut self.blocked, blocked);
-        let is_changed = |part: &InputDigest, it: &BlockedPart| {
+        let is_changed = |part: &InputDigest, it: &BlockedInput| {
             previous.get(part).is_none_or(|known| known.combination != it.combination)
         };
         let added = self.blocked.iter().filter(|(part, it)| is_changed(part, it));
         let lifted = previous.keys().filter(|it| !self.blocked.contains_key(it));
         added
-            .map(|(part, it)| RoutingChange::PartBlocked { part: *part, blocked: it.clone() })
-            .chain(lifted.map(|it| RoutingChange::PartUnblocked(*it)))
+            .map(|(input, it)| RoutingChange::InputBlocked { input: *input, blocked: it.clone() })
+            .chain(lifted.map(|it| RoutingChange::InputUnblocked(*it)))
             .collect()
     }
 
-    /// Removes records above the bound: the oldest of those that block nothing first, so that callers
-    /// who invent parts cannot push out what blocks a part.
+    /// Removes records above the bound: first those in which everything is excused, then the oldest
+    /// of those that block nothing, so that callers who invent inputs cannot push out what blocks one.
     fn evict(&mut self) {
+        let has_suspects =
+            |it: &CrashRecord| it.suspects().next().is_some() || it.suspect_content().is_some();
         while self.records.len() > MAX_RECORDS {
-            let blocks = |it: &CrashRecord| it.suspects().any(|it| self.blocked.contains_key(&it));
-            let oldest = self.records.iter().min_by_key(|(_, it)| (blocks(it), it.at));
+            let priority = |it: &CrashRecord| (self.blocks(it), has_suspects(it), it.at);
+            let oldest = self.records.iter().min_by_key(|(_, it)| priority(it));
             let Some(key) = oldest.map(|it| it.0.clone()) else { return };
             self.records.remove(&key);
         }
@@ -283,7 +359,7 @@
 /// count only in records that no later part explains.
 fn find_blocked(
     records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
-) -> BTreeMap<InputDigest, BlockedPart> {
+) -> BTreeMap<InputDigest, BlockedInput> {
     let mut blocked = BTreeMap::new();
     let (mut first, mut later) = (BTreeSet::new(), BTreeSet::new());
     for record in records.values() {
@@ -303,11 +379,31 @@
             records.iter().filter(|it| it.1.is_suspect(*part) && is_unexplained(it.1)).collect();
         blocked.extend(judge(&with_part).map(|it| (*part, it)));
     }
+    blocked.extend(find_blocked_requests(records));
     blocked
 }
 
+/// Finds the whole requests that explain several ends.
+fn find_blocked_requests(
+    records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
+) -> BTreeMap<InputDigest, BlockedInput> {
+    let mut by_content: BTreeMap<InputDigest, Vec<_>> = BTreeMap::new();
+    for (key, record) in records {
+        if let Some(content) = record.suspect_content() {
+            by_content.entry(content).or_default().push((key, record));
+        }
+    }
+    let judged = by_content.into_iter().map(|(content, records)| (content, count_ends(&records)));
+    judged
+        .filter(|(_, end_count)| *end_count >= MIN_ENDS)
+        .map(|(content, end_count)| {
+            (content, BlockedInput { combination: BTreeSet::new(), end_count })
+        })
+        .collect()
+}
+
 /// Decides whether the records, which have a part in common, block it.
-fn judge(records: &[(&(ServerId, RequestId), &CrashRecord)]) -> Option<BlockedPart> {
+fn judge(records: &[(&(ServerId, RequestId), &CrashRecord)]) -> Option<BlockedInput> {
     let end_count = count_ends(records);
     if end_count < MIN_ENDS {
         return None;
@@ -315,7 +411,7 @@
     let mut sets = records.iter().map(|it| it.1.suspects().collect::<BTreeSet<_>>());
     let first = sets.next()?;
     let combination = sets.fold(first, |common, it| &common & &it);
-    Some(BlockedPart { combination, end_count })
+    Some(BlockedInput { combination, end_count })
 }
 
 /// Counts the ends of servers at different times.
@@ -334,24 +430,24 @@
     ends.len()
 }
 
-/// Parts of prompts whose answers went on, with the latest time. Two generations bound the memory.
+/// Inputs of requests whose answers went on, with the latest time. Two generations bound the memory.
 #[derive(Clone, Debug, Default)]
-struct HarmlessParts {
+struct HarmlessInputs {
     current: HashMap<InputDigest, EvidenceTime>,
     last: HashMap<InputDigest, EvidenceTime>,
 }
 
-impl HarmlessParts {
-    fn insert(&mut self, part: InputDigest, at: EvidenceTime) {
-        if self.current.len() >= MAX_HARMLESS_PARTS && !self.current.contains_key(&part) {
+impl HarmlessInputs {
+    fn insert(&mut self, input: InputDigest, at: EvidenceTime) {
+        if self.current.len() >= MAX_HARMLESS_INPUTS && !self.current.contains_key(&input) {
             self.last = std::mem::take(&mut self.current);
         }
-        self.current.insert(part, at);
+        self.current.insert(input, at);
     }
 
-    /// Whether an answer with the part went on after, or not long before, a time.
-    fn excuses(&self, part: InputDigest, at: EvidenceTime) -> bool {
-        let known = self.current.get(&part).or_else(|| self.last.get(&part));
+    /// Whether an answer with the input went on after, or not long before, a time.
+    fn excuses(&self, input: InputDigest, at: EvidenceTime) -> bool {
+        let known = self.current.get(&input).or_else(|| self.last.get(&input));
         known.is_some_and(|it| it.after(EXCUSE_TTL) > at)
     }
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -96,6 +96,8 @@
     may_have_run: bool,
     /// Whether the request may have ended the server of its last attempt.
     suspicion: Suspicion,
+    /// Whether an attempt was lost before its answer had got beyond its beginning.
+    was_lost: bool,
     /// The request may wait for a server until this time.
     wait_deadline: Moment,
     is_waiting: bool,
@@ -273,7 +275,7 @@
             share_limits(state, gateways, now);
             Vec::new()
         }
-        RoutingEvent::PartLifted(part) => update_effects(state.quarantine.lift(part)),
+        RoutingEvent::InputLifted(input) => update_effects(state.quarantine.lift(input)),
         RoutingEvent::RequestEnded(number) => request_ended(state, number),
         RoutingEvent::StopRequested => {
             state.is_stopping = true;
@@ -415,6 +417,7 @@
         connect_failures: 0,
         may_have_run: false,
         suspicion: Suspicion::None,
+        was_lost: false,
         wait_deadline: if is_first_try {
             now
         } else {
@@ -514,6 +517,9 @@
     if state.quarantine.blocked_part(&request.shared_parts).is_some() {
         return refuse(state, number, RefusalCode::HarmfulPrompt, now);
     }
+    if state.quarantine.blocked_request(request.content).is_some() {
+        return refuse(state, number, RefusalCode::HarmfulRequest, now);
+    }
     let choice = choose_server(state, request, now);
     match choice {
         (PlacementChoice::Server(id), rng) => {
@@ -604,7 +610,9 @@
     let Some(request) = state.requests.get(&number) else {
         return RoutingEffect::Finished(number);
     };
-    let is_suspect = code == RefusalCode::ServerEnded || code == RefusalCode::HarmfulPrompt;
+    let suspect_codes =
+        [RefusalCode::ServerEnded, RefusalCode::HarmfulPrompt, RefusalCode::HarmfulRequest];
+    let is_suspect = suspect_codes.contains(&code);
     let refusal = match request.may_have_run {
         // The request may have run, so the refusal must not promise that it has not.
         true if code == RefusalCode::DeadlinePassed => {
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -5,9 +5,10 @@
 use rand::Rng;
 
 use super::{
-    CurrentAttempt, RoutingState, budget_of, change_effects, place_request, refuse,
+    CurrentAttempt, RequestState, RoutingState, budget_of, change_effects, place_request, refuse,
     suspects::{
-        PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning, record_suspect,
+        PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning, is_suspect,
+        record_suspect,
     },
     update_subset,
 };
@@ -162,19 +163,44 @@
         }
         // The request may have ended its server, and another one would end too.
         AttemptResult::Lost
-            if kind.is_idempotent()
-                && is_lost_at_beginning(result, progress)
-                && !state.quarantine.are_harmless(&request.shared_parts, now) =>
+            if kind.is_idempotent() && must_await_probe(state, request, progress, now) =>
         {
             let suspicion = Suspicion::Probing { until: now.after(MAX_PROBE_WAIT) };
             let request = state.requests.get_mut(&number);
             request.into_iter().for_each(|it| it.suspicion = suspicion);
             RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
         }
-        AttemptResult::Lost | AttemptResult::Stalled => fail_over(state, number, now),
+        AttemptResult::Lost | AttemptResult::Stalled => {
+            if is_suspect(result, progress) {
+                let request = state.requests.get_mut(&number);
+                request.into_iter().for_each(|it| it.was_lost = true);
+            }
+            fail_over(state, number, now)
+        }
     }
 }
 
+/// Whether a request whose attempt was lost goes on only if its server still runs.
+///
+/// A prompt with parts that no answer has shown to be harmless may end the next server too. A whole
+/// request is sent on once, since servers mostly end for other reasons and take down whatever is in
+/// progress; only if that has happened to it before, here or at another gateway, it waits.
+fn must_await_probe(
+    state: &RoutingState,
+    request: &RequestState,
+    progress: AnswerProgress,
+    now: Moment,
+) -> bool {
+    let lost = AttemptResult::Lost;
+    let has_suspect_part = is_lost_at_beginning(lost, progress)
+        && !state.quarantine.are_harmless(&request.shared_parts, now);
+    let was_lost = request.was_lost || state.quarantine.has_ended_server(request.content);
+    let is_suspect_request = is_suspect(lost, progress)
+        && was_lost
+        && !state.quarantine.is_harmless(request.content, now);
+    has_suspect_part || is_suspect_request
+}
+
 /// Tries another server after an attempt that may have run, or refuses the request.
 pub(super) fn fail_over(
     state: &mut RoutingState,
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -1,18 +1,18 @@
-//! Requests that may have ended the server that began to answer them.
+//! Requests that may have ended the server that ran them.
 //!
-//! A server that ends takes down all requests in progress on it. Those whose response had just begun
-//! are suspects; the others are bystanders. A lost connection alone does not show that the server
-//! has ended, so its address is tried first.
+//! A server that ends takes down all requests in progress on it. Those whose response had not begun,
+//! or had just begun, are suspects; the others are bystanders. A lost connection alone does not show
+//! that the server has ended, so its address is tried first.
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::RoutingState;
+use super::{RequestState, RoutingState};
 use crate::{
     routing::{
         AnswerProgress, AttemptResult, CrashReport, QuarantineUpdate, RequestNumber, RoutingChange,
-        RoutingEffect, SETTLED_EVENTS,
+        RoutingEffect, SETTLED_EVENTS, SuspectInput,
     },
-    units::{InputDigest, Moment, RequestId, ServerId},
+    units::{Moment, RequestId, ServerId},
 };
 
 /// Number of events of a stream up to which its response counts as just begun.
@@ -52,15 +52,23 @@
 #[derive(Clone, Debug)]
 pub(super) struct EndingServer {
     since: Moment,
-    /// The requests that the server was beginning to answer.
+    /// The requests that the server may have ended under.
     suspects: Vec<SuspectRequest>,
 }
 
 #[derive(Clone, Debug)]
 struct SuspectRequest {
     number: RequestNumber,
+    /// Number of the request's attempts with the lost one.
+    attempts_sent: u32,
     request_id: RequestId,
-    shared_parts: Vec<InputDigest>,
+    input: SuspectInput,
+}
+
+/// Whether the attempt was lost before the response had got beyond its beginning.
+pub(super) fn is_suspect(result: AttemptResult, progress: AnswerProgress) -> bool {
+    let is_silent = result == AttemptResult::Lost && progress == AnswerProgress::Nothing;
+    is_silent || is_lost_at_beginning(result, progress)
 }
 
 /// Whether the attempt was lost while the server began to write its response.
@@ -82,14 +90,18 @@
     (result, progress): (AttemptResult, AnswerProgress),
     now: Moment,
 ) -> Option<RoutingEffect> {
-    if !is_lost_at_beginning(result, progress) {
+    if !is_suspect(result, progress) {
         return None;
     }
-    let request = state.requests.get(&number).filter(|it| !it.shared_parts.is_empty())?;
+    let request = state.requests.get(&number)?;
+    // Parts of prompts end servers as they begin to write.
+    let has_begun = is_lost_at_beginning(result, progress);
+    let parts = if has_begun { request.shared_parts.clone() } else { Vec::new() };
     let suspect = SuspectRequest {
         number,
+        attempts_sent: request.attempts_sent,
         request_id: request.request_id.clone(),
-        shared_parts: request.shared_parts.clone(),
+        input: SuspectInput { parts, content: Some(request.content) },
     };
     let is_pending = |it: &&mut EndingServer| now.since(it.since) < PROBE_TTL;
     if let Some(ending) = state.ending_servers.get_mut(server).filter(is_pending) {
@@ -115,8 +127,11 @@
     let verdict = if is_crash { Suspicion::ServerEnded } else { Suspicion::ServerRuns };
     for suspect in &ending.suspects {
         let request = state.requests.get_mut(&suspect.number);
-        // A request whose prompt is known as harmless has gone on meanwhile.
-        if let Some(request) = request.filter(|it| it.suspicion.is_probing()) {
+        // A request may have gone on meanwhile, and may wait for the probe of its next server.
+        let is_waiting = |it: &&mut RequestState| {
+            it.suspicion.is_probing() && it.attempts_sent == suspect.attempts_sent
+        };
+        if let Some(request) = request.filter(is_waiting) {
             request.suspicion = verdict;
         }
     }
@@ -124,17 +139,18 @@
         return Vec::new();
     }
     let suspects = ending.suspects.iter();
-    let suspects = suspects.map(|it| (it.request_id.clone(), it.shared_parts.clone())).collect();
+    let suspects = suspects.map(|it| (it.request_id.clone(), it.input.clone())).collect();
     let change = RoutingChange::ServerEnded { server: server.clone(), suspects };
     let mut effects = vec![RoutingEffect::StateChanged(change)];
-    for SuspectRequest { request_id, shared_parts, .. } in ending.suspects {
-        let update = state.quarantine.record_end(server.clone(), request_id, shared_parts, now);
+    for SuspectRequest { request_id, input, .. } in ending.suspects {
+        let update = state.quarantine.record_end(server.clone(), request_id, input, now);
         effects.extend(update_effects(update));
     }
     effects
 }
 
-/// Records that the response to a request goes on, so that no part of its prompt ends servers.
+/// Records that the response to a request goes on, so that neither it nor a part of its prompt ends
+/// servers.
 pub(super) fn answer_progressed(
     state: &mut RoutingState,
     number: RequestNumber,
@@ -149,7 +165,8 @@
     let Some(request) = state.requests.get(&number).filter(|_| is_settled) else {
         return Vec::new();
     };
-    update_effects(state.quarantine.record_harmless(&request.shared_parts, now))
+    let (parts, content) = (request.shared_parts.clone(), Some(request.content));
+    update_effects(state.quarantine.record_harmless(&SuspectInput { parts, content }, now))
 }
 
 /// Merges the records of another gateway.
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -7,7 +7,7 @@
     core::{RefusalCode, RunOutcome},
     routing::{
         AnswerProgress, AttemptResult, BudgetSettings, QuarantineTable, RequestNumber, RouteKind,
-        RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest,
+        RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SuspectInput,
     },
     units::{InputDigest, Moment, RequestId, ServerId},
 };
@@ -27,6 +27,11 @@
     texts.iter().map(|it| part(it)).collect()
 }
 
+/// What is known of a request's prompt.
+fn prompt(texts: &[&str]) -> SuspectInput {
+    SuspectInput { parts: parts(texts), content: None }
+}
+
 /// One gateway's table with a simulated clock.
 #[derive(Default)]
 struct TestTable {
@@ -41,11 +46,11 @@
         self.next_request += 1;
         let request: RequestId = format!("q-{}", self.next_request).parse().unwrap();
         let server: ServerId = server.parse().unwrap();
-        self.table.record_end(server, request, parts(texts), Moment(self.now)).changes
+        self.table.record_end(server, request, prompt(texts), Moment(self.now)).changes
     }
 
     fn harmless(&mut self, texts: &[&str]) {
-        self.table.record_harmless(&parts(texts), Moment(self.now));
+        self.table.record_harmless(&prompt(texts), Moment(self.now));
     }
 
     fn pass(&mut self, micros: u64) {
@@ -236,7 +241,7 @@
         let server = format!("i-{end}").parse().unwrap();
         let request = format!("q-{end}").parse().unwrap();
         let now = Moment(self.now);
-        if self.tables[gateway].record_end(server, request, parts(texts), now).has_news {
+        if self.tables[gateway].record_end(server, request, prompt(texts), now).has_news {
             self.news.insert(gateway, NEWS_ROUNDS);
         }
     }
@@ -251,7 +256,7 @@
         for n in 0..size {
             let known: Vec<String> = (0..5).map(|it| subject((n + it) % 20)).collect();
             let known: Vec<&str> = known.iter().map(String::as_str).collect();
-            fleet.tables[n].record_harmless(&parts(&known), Moment(0));
+            fleet.tables[n].record_harmless(&prompt(&known), Moment(0));
         }
         for end in 0..2 {
             let gateway = fleet.rng.random_range(0..size);
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -28,6 +28,7 @@
 mod popularity_shift;
 mod prompt_quarantine;
 mod reducer_replay;
+mod request_quarantine;
 mod retry_budget;
 mod run_once;
 mod server_limits;
