Bound what is read of a response of the store, an engine or another gateway

A response without end was collected until its time-out: 429 MB at a gateway whose store sends 300 MB a second, and the same in agents and alderbayctl, which use the same function. Change: 8 MB at most, then the connection is closed.

--- a/src/http.rs
+++ b/src/http.rs
@@ -7,8 +7,8 @@
 mod listener;
 
 pub use body::{
-    BodyError, RelayAborted, RelayBody, RelaySender, caller_disconnected, discard_body, read_body,
-    relay_body,
+    BodyError, RelayAborted, RelayBody, RelaySender, caller_disconnected, collect_body,
+    discard_body, read_body, relay_body,
 };
 pub use call::{ConnectionGuard, OpenCall, connect, start_call};
 pub use listener::{HttpListener, ListenerError, ListenerPhase};
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -50,7 +50,7 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let content = collect(&mut body, limit);
+    let content = collect_body(&mut body, limit);
     let content =
         tokio::time::timeout(timeout, content).await.map_err(|_| BodyError::Timeout(timeout))?;
     if let Err(BodyError::TooLarge(_)) = content {
@@ -59,7 +59,12 @@
     content
 }
 
-async fn collect<B>(body: &mut B, limit: ByteCount) -> Result<Bytes, BodyError>
+/// Reads a complete body of at most `limit` bytes, without a timeout.
+///
+/// # Errors
+///
+/// The body is too large or incomplete.
+pub async fn collect_body<B>(body: &mut B, limit: ByteCount) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -27,6 +27,15 @@
 
 use thiserror::Error;
 
+use crate::{
+    http::{BodyError, collect_body},
+    units::ByteCount,
+};
+
+/// Maximum size of a response. The largest are full reads of a store's stream and other gateways'
+/// views of it.
+const MAX_RESPONSE: ByteCount = ByteCount(8 << 20);
+
 /// Timeout of one request to the log service or the VM list; a long poll adds its wait.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -58,9 +67,9 @@
     /// The request failed; a write may have taken effect.
     #[error("request to the platform failed: {0}")]
     Request(#[from] volo_http::error::ClientError),
-    /// The response body is incomplete; a write may have taken effect.
+    /// The response body is incomplete or too large; a write may have taken effect.
     #[error("cannot read the body of the platform's response: {0}")]
-    Body(volo_http::body::BodyConvertError),
+    Body(#[from] BodyError),
     /// There was no complete response in time; a write may have taken effect.
     #[error("the platform did not respond within {0:?}")]
     Timeout(Duration),
@@ -120,17 +129,16 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
-/// Sends a request and reads the complete response within `timeout`.
+/// Sends a request and reads the complete response within `timeout`. The connection of a response
+/// that is too large is closed.
 async fn fetch(
     request: volo_http::client::RequestBuilder<volo_http::client::Client>,
     timeout: Duration,
 ) -> Result<(http::response::Parts, bytes::Bytes), PlatformError> {
-    use volo_http::body::BodyConversion;
-
     let receive = async {
         let response = request.send().await?;
-        let (parts, body) = response.into_parts();
-        let body = body.into_bytes().await.map_err(PlatformError::Body)?;
+        let (parts, mut body) = response.into_parts();
+        let body = collect_body(&mut body, MAX_RESPONSE).await?;
         Ok((parts, body))
     };
     tokio::time::timeout(timeout, receive).await.map_err(|_| PlatformError::Timeout(timeout))?
