Bound what answers without end take of a gateway's memory and processor

Callers: a VM of 112 MB whose servers answer without end would have run out of memory. 24 such answers at once took 173 to 207 MB, up to 8 MB each; an event without end was searched again from its start with each piece, 2.3 s for 24 of them. Change: answers above 64 kB share 16 MB while they are collected; one that finds no room is lost, and its connection is closed. Heads have 64 kB, events 256 kB, and what was searched is not searched again. Bodies without use were not read before either.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -4,7 +4,10 @@
 use smol_str::SmolStr;
 
 /// Maximum size of an event; the attempt counts as lost if a server sends a larger one.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Length of the longest empty line that ends an event, with the end of the line before.
+const MAX_EVENT_END: usize = 4;
 
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(super) struct SseSplitter {
     buffer: BytesMut,
+    /// Number of bytes at the start of the buffer in which no event ends.
+    searched: usize,
 }
 
 impl SseSplitter {
@@ -29,7 +34,13 @@
 
     /// Removes and returns the next complete event, or `None` if there is none yet.
     pub(super) fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = event_end(&self.buffer)?;
+        // The end may begin in the last bytes that were searched.
+        let from = self.searched.saturating_sub(MAX_EVENT_END - 1);
+        let Some(end) = event_end(&self.buffer[from..]).map(|it| from + it) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
         let id = event_id(&bytes);
         Some(StreamEvent { bytes, id })
@@ -91,6 +102,23 @@
         assert_that!(splitter.has_partial(), eq(false));
     }
 
+    #[gtest]
+    fn ends_that_arrive_in_pieces_are_found() {
+        for end in ["\n\n", "\r\n\r\n"] {
+            let mut splitter = SseSplitter::default();
+            let text = format!("id: 1{end}");
+            for byte in text.bytes() {
+                assert_that!(splitter.next_event(), none());
+                splitter.push(&[byte]);
+            }
+            let event = splitter.next_event().unwrap();
+            assert_that!(event.bytes.as_ref(), eq(text.as_bytes()));
+            splitter.push(format!("id: 2{end}x").as_bytes());
+            assert_that!(splitter.next_event().and_then(|it| it.id).as_deref(), some(eq("2")));
+            assert_that!(splitter.has_partial(), eq(true));
+        }
+    }
+
     #[gtest]
     fn repeated_events_are_detected() {
         assert_that!(is_repeated(Some("3"), Some("3")), eq(true));
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 use tokio::{
-    sync::oneshot,
+    sync::{Semaphore, SemaphorePermit, oneshot},
     time::{Instant, sleep_until, timeout, timeout_at},
 };
 use volo_http::{body::Body, response::Response};
@@ -47,6 +47,9 @@
 /// Time after which an idempotent request without a latency objective goes to another server.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size up to which an answer takes nothing of the memory for large ones.
+const FREE_ANSWER_BYTES: usize = 64 << 10;
+
 /// How much of the response the caller has received.
 enum AnswerState {
     /// Nothing yet.
@@ -415,12 +418,18 @@
     /// retried if the response breaks off.
     async fn collect_answer(&mut self, head: Parts, mut body: Incoming) -> AttemptResult {
         let max_bytes = usize::try_from(self.shell.limits.max_answer_bytes.0).unwrap_or(usize::MAX);
+        let shell = self.shell.clone();
+        let mut memory = AnswerMemory::new(&shell.answer_memory);
         let mut collected = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return AttemptResult::Lost };
             let Ok(data) = frame.into_data() else { continue };
             collected.extend_from_slice(&data);
-            if collected.len() > max_bytes {
+            if collected.len() > max_bytes || !memory.hold(collected.len()) {
+                log::info!(
+                    request:% = self.request.request_id, bytes = collected.len();
+                    "response of the server is too large"
+                );
                 return AttemptResult::Lost;
             }
         }
@@ -492,6 +501,31 @@
     }
 }
 
+/// The part of the memory for large answers that one answer holds.
+struct AnswerMemory<'a> {
+    pool: &'a Semaphore,
+    held: Option<SemaphorePermit<'a>>,
+}
+
+impl<'a> AnswerMemory<'a> {
+    fn new(pool: &'a Semaphore) -> Self {
+        Self { pool, held: None }
+    }
+
+    /// Takes what an answer of this many bytes needs. Returns `false` if other answers hold it.
+    fn hold(&mut self, bytes: usize) -> bool {
+        let needed_kb = bytes.saturating_sub(FREE_ANSWER_BYTES).div_ceil(1 << 10);
+        let held_kb = self.held.as_ref().map_or(0, SemaphorePermit::num_permits);
+        let missing = u32::try_from(needed_kb.saturating_sub(held_kb)).unwrap_or(u32::MAX);
+        let Ok(permit) = self.pool.try_acquire_many(missing) else { return false };
+        match &mut self.held {
+            Some(held) => held.merge(permit),
+            None => self.held = Some(permit),
+        }
+        true
+    }
+}
+
 /// Returns the time without the head of a response after which another server is tried, or `None`
 /// for a request that may run only once: it must not be repeated, and a slow response does not
 /// prove that it failed.
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 
 use crate::{
     daemon::ProcessClock,
@@ -26,6 +26,9 @@
 
 /// Timeout of requests whose callers state none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Memory that large answers may take together while they are collected, in kilobytes: the smallest
+/// VMs have little more than a hundred megabytes.
+const MAX_ANSWER_MEMORY_KB: usize = 16 << 10;
 /// Interval at which the reducer is told which gateways were seen lately.
 const GATEWAYS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -49,6 +52,8 @@
     was_ready: AtomicBool,
     /// Limits on HTTP messages and connections.
     pub(super) limits: HttpLimits,
+    /// Kilobytes that large answers may take together while they are collected.
+    pub(super) answer_memory: Semaphore,
     /// Time within which a draining server must stop getting new work; sets the read intervals of
     /// the directory.
     pub(super) leave_time: Duration,
@@ -91,6 +96,7 @@
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
+            answer_memory: Semaphore::new(MAX_ANSWER_MEMORY_KB),
             leave_time: Duration::from_millis(gateway.leave_ms),
             apply_time: Duration::from_millis(gateway.apply_ms),
             clock: ProcessClock::start(),
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -14,6 +14,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+/// Maximum size of the head of a response. A server may send one without end.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Call whose response head has arrived. Dropping it closes the connection and cancels the call.
 #[derive(Debug)]
 pub struct OpenCall {
@@ -51,13 +54,15 @@
 ///
 /// # Errors
 ///
-/// The connection failed; the request may have reached the server.
+/// The connection failed, or the head is too large; the request may have reached the server.
 pub async fn start_call(
     stream: TcpStream,
     request: http::Request<Full<Bytes>>,
 ) -> hyper::Result<OpenCall> {
     // An HTTP/1 handshake sends nothing; only `send_request` does.
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let mut client = http1::Builder::new();
+    client.max_buf_size(MAX_HEAD_BYTES);
+    let (mut sender, connection) = client.handshake(TokioIo::new(stream)).await?;
     let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
     let (head, body) = sender.send_request(request).await?.into_parts();
     Ok(OpenCall { head, body, guard })
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -13,6 +13,7 @@
 mod directory_reader;
 mod domain_cut;
 mod domain_drain;
+mod endless_answers;
 mod fan_out;
 mod fault_soak;
 mod gateway_herding;
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -23,8 +23,16 @@
 
 /// Resident memory, in bytes.
 pub fn resident_bytes(pid: u32) -> u64 {
+    status_kilobytes(pid, "VmRSS:") << 10
+}
+
+/// Largest resident memory so far, in bytes.
+pub fn peak_bytes(pid: u32) -> u64 {
+    status_kilobytes(pid, "VmHWM:") << 10
+}
+
+fn status_kilobytes(pid: u32, field: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = status.lines().find(|it| it.starts_with("VmRSS:")).unwrap();
-    let kilobytes: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
-    kilobytes << 10
+    let line = status.lines().find(|it| it.starts_with(field)).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
 }
