Choose among equally loaded servers with equal chances

Of three servers with equal loads the first got two thirds of the requests and the second none: the sample of two is not drawn in random order, and of equal loads the first wins. Plain services, whose load a gateway knows from its own few requests only, are mostly in that state. Found while arrivals at limited servers were counted. Change: the sample is shuffled.

--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -7,7 +7,11 @@
 
 use std::time::Duration;
 
-use rand::{Rng, rngs::SmallRng, seq::IteratorRandom};
+use rand::{
+    Rng,
+    rngs::SmallRng,
+    seq::{IteratorRandom, SliceRandom},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::units::ServerId;
@@ -97,7 +101,9 @@
         return PlacementChoice::NoCandidate;
     }
     let with_capacity = candidates.iter().filter(|it| it.pressure() < settings.max_pressure);
-    let drawn = with_capacity.choose_multiple(rng, settings.choices.max(1));
+    let mut drawn = with_capacity.choose_multiple(rng, settings.choices.max(1));
+    // The order of the sample is not random, and the first of equally loaded servers is chosen.
+    drawn.shuffle(rng);
     let least_loaded = drawn.into_iter().min_by(|a, b| a.pressure().total_cmp(&b.pressure()));
     least_loaded.map_or(PlacementChoice::Full, |it| PlacementChoice::Server(it.id.clone()))
 }
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -580,3 +580,19 @@
     expect_that!(subscribed.values().copied().min(), some(ge(3)));
     expect_that!(subscribed.values().copied().max(), some(le(99 / 2)));
 }
+
+#[gtest]
+fn equally_loaded_servers_get_equal_parts() {
+    for count in [3, 6, 16] {
+        let servers = (0..count).map(|n| server(n, "a")).collect();
+        let mut gateway = TestGateway::new(RouteKind::Idempotent, servers);
+        let mut chosen: BTreeMap<String, u32> = BTreeMap::new();
+        let rounds = 500 * u32::from(count);
+        for _ in 0..rounds {
+            *chosen.entry(server_of(&gateway.run_request()).unwrap()).or_default() += 1;
+        }
+        expect_that!(chosen.len(), eq(usize::from(count)));
+        let counts: Vec<u32> = chosen.into_values().collect();
+        expect_that!(counts, each(all![ge(&400), le(&600)]), "{count} servers");
+    }
+}
