Let operators list and lift blocks, and show limits, with alderbayctl

Both calls of a gateway's peer address were there, but only for curl, and had not been tried over HTTP. Measured: crashing_requests::operator_lifts_the_block_of_a_request_at_all_gateways, two gateways as processes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,8 @@
 mod shell;
 mod sources;
 
+pub(crate) use exchange::{BlockedStatus, EXCHANGE_PATH, LIFT_PATH, LimitStatus, RecordStatus};
+
 use std::{sync::Arc, time::Duration};
 
 use tokio::sync::{mpsc, watch};
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -26,9 +26,9 @@
 
 /// Path at which gateways exchange their records. `GET` returns them with the blocked parts and the
 /// limits. Named after the first kind of record, since gateways of earlier releases use it.
-pub(super) const EXCHANGE_PATH: &str = "/v1/quarantine";
+pub(crate) const EXCHANGE_PATH: &str = "/v1/quarantine";
 /// Path at which an operator lifts the block of the part in the query.
-pub(super) const LIFT_PATH: &str = "/v1/quarantine/lift";
+pub(crate) const LIFT_PATH: &str = "/v1/quarantine/lift";
 /// Number of gateways with which news is exchanged at once.
 const FANOUT: usize = 4;
 /// Number of rounds in which news is exchanged. One round would miss a few of hundreds of gateways.
@@ -61,32 +61,32 @@
 
 /// What operators see.
 #[derive(Clone, Debug)]
-#[derive(Serialize)]
-struct RecordStatus {
-    blocked: Vec<BlockedStatus>,
+#[derive(Serialize, Deserialize)]
+pub(crate) struct RecordStatus {
+    pub(crate) blocked: Vec<BlockedStatus>,
     reports: Vec<CrashReport>,
-    limits: Vec<LimitStatus>,
+    pub(crate) limits: Vec<LimitStatus>,
 }
 
 /// A server's limit as operators see it.
 #[derive(Clone, Debug)]
-#[derive(Serialize)]
-struct LimitStatus {
-    server: ServerId,
+#[derive(Serialize, Deserialize)]
+pub(crate) struct LimitStatus {
+    pub(crate) server: ServerId,
     /// Requests per second that the server takes from all gateways together.
-    limit: RequestRate,
+    pub(crate) limit: RequestRate,
     /// Requests per second that this gateway sends at most.
-    share: RequestRate,
+    pub(crate) share: RequestRate,
 }
 
 /// A blocked input as operators see it.
 #[derive(Clone, Debug)]
-#[derive(Serialize)]
-struct BlockedStatus {
+#[derive(Serialize, Deserialize)]
+pub(crate) struct BlockedStatus {
     /// The part of prompts, or the whole request.
-    part: InputDigest,
+    pub(crate) part: InputDigest,
     #[serde(flatten)]
-    blocked: BlockedInput,
+    pub(crate) blocked: BlockedInput,
 }
 
 fn message(shell: &GatewayShell) -> RecordMessage {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -5,14 +5,16 @@
 mod history;
 mod lists;
 mod publish;
+mod records;
 mod render;
 
 pub use arguments::{
-    ControlArguments, ControlCommand, ListCommand, PublishOptions, StateCommand, control_arguments,
+    ControlArguments, ControlCommand, LimitArguments, ListCommand, PublishOptions,
+    QuarantineCommand, StateCommand, control_arguments,
 };
 pub use lists::ListFile;
 
-use std::process::ExitCode;
+use std::{net::SocketAddr, process::ExitCode};
 
 use thiserror::Error;
 
@@ -50,6 +52,9 @@
     /// No entry keeps a trace of the request.
     #[error("no entry keeps a trace of request {0}; each entry keeps its latest 1000 requests")]
     RequestNotFound(crate::units::RequestId),
+    /// The command needs an address that was not given.
+    #[error("this command needs {0} or its environment variable")]
+    MissingAddress(&'static str),
     /// The operator did not confirm the edit.
     #[error("nothing was published; answer yes, or pass --yes")]
     NotConfirmed,
@@ -79,6 +84,7 @@
             Self::RequestNotFound(_) => ExitCode::from(EXIT_NOT_FOUND),
             Self::Platform(_)
             | Self::ListFile(_)
+            | Self::MissingAddress(_)
             | Self::NotConfirmed
             | Self::Terminal(_)
             | Self::Json(_) => ExitCode::FAILURE,
@@ -92,18 +98,30 @@
 ///
 /// The command's error. Output printed before the error remains.
 pub async fn run(arguments: ControlArguments) -> Result<(), OperatorError> {
-    let client = FleetClient::new(arguments.log_service, arguments.vm_list)?;
     let output = render::Output { is_json: arguments.json };
+    let (log, vms) = (arguments.log_service, arguments.vm_list);
+    let client = || fleet_client(log, vms);
     match arguments.command {
-        ControlCommand::Lists(command) => lists::run(&client, output, command).await,
+        ControlCommand::Lists(command) => lists::run(&client()?, output, command).await,
         ControlCommand::Domain(command) | ControlCommand::Vm(command) => {
-            publish::set_state(&client, output, command).await
+            publish::set_state(&client()?, output, command).await
         }
-        ControlCommand::Status => fleet::show_status(&client, output).await,
-        ControlCommand::Audit { limit } => history::show_audit(&client, output, limit).await,
+        ControlCommand::Status => fleet::show_status(&client()?, output).await,
+        ControlCommand::Audit { limit } => history::show_audit(&client()?, output, limit).await,
         ControlCommand::Explain { request_id } => {
-            history::show_request(&client, output, request_id).await
+            history::show_request(&client()?, output, request_id).await
         }
+        ControlCommand::Quarantine(command) => records::run_quarantine(output, command).await,
+        ControlCommand::Limits(arguments) => records::show_limits(output, arguments).await,
         ControlCommand::SecretHash => lists::show_secret_hash(),
     }
 }
+
+fn fleet_client(
+    log: Option<SocketAddr>,
+    vms: Option<SocketAddr>,
+) -> Result<FleetClient, OperatorError> {
+    let log = log.ok_or(OperatorError::MissingAddress("--log-service"))?;
+    let vms = vms.ok_or(OperatorError::MissingAddress("--vm-list"))?;
+    Ok(FleetClient::new(log, vms)?)
+}
--- a/src/operator/arguments.rs
+++ b/src/operator/arguments.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     config::{EntryKey, ServiceState},
-    units::{FailureDomain, OperatorName, RequestId, VmId},
+    units::{FailureDomain, InputDigest, OperatorName, RequestId, VmId},
 };
 
 #[derive(Clone, Debug)]
@@ -19,12 +19,12 @@
 /// Exit codes: 0 success, 1 failure, 4 the edit was rejected, 5 the edit was accepted but is not in
 /// force everywhere in time, 6 not found.
 pub struct ControlArguments {
-    /// Address of the platform's log service.
+    /// Address of the platform's log service; commands with --gateway do without.
     #[bpaf(long, argument("ADDRESS"), env("ALDERBAY_LOG_SERVICE"))]
-    pub log_service: SocketAddr,
-    /// Address of the platform's VM list.
+    pub log_service: Option<SocketAddr>,
+    /// Address of the platform's VM list; commands with --gateway do without.
     #[bpaf(long, argument("ADDRESS"), env("ALDERBAY_VM_LIST"))]
-    pub vm_list: SocketAddr,
+    pub vm_list: Option<SocketAddr>,
     /// Print JSON instead of tables.
     #[bpaf(long)]
     pub json: bool,
@@ -63,6 +63,12 @@
         #[bpaf(positional("REQUEST-ID"))]
         request_id: RequestId,
     },
+    /// Show the prompts and requests that a gateway refuses because they end servers, or lift a block.
+    #[bpaf(command)]
+    Quarantine(#[bpaf(external(quarantine_command))] QuarantineCommand),
+    /// Show how many requests servers in need take, as a gateway knows it.
+    #[bpaf(command)]
+    Limits(#[bpaf(external(limit_arguments))] LimitArguments),
     /// Read an account's secret from standard input and print its hash for the list of accounts.
     #[bpaf(command("secret-hash"))]
     SecretHash,
@@ -112,6 +118,38 @@
     },
 }
 
+/// Subcommands of `quarantine`.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+pub enum QuarantineCommand {
+    /// Show what is blocked.
+    #[bpaf(command)]
+    List {
+        /// Address at which other gateways reach the gateway.
+        #[bpaf(long, argument("ADDRESS"))]
+        gateway: SocketAddr,
+    },
+    /// Lift a block at all gateways and show what is still blocked.
+    #[bpaf(command)]
+    Lift {
+        /// Address at which other gateways reach the gateway.
+        #[bpaf(long, argument("ADDRESS"))]
+        gateway: SocketAddr,
+        /// Digest of the prompt part or request, as `list` shows it.
+        #[bpaf(positional("INPUT"))]
+        input: InputDigest,
+    },
+}
+
+/// Arguments of `limits`.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+pub struct LimitArguments {
+    /// Address at which other gateways reach the gateway.
+    #[bpaf(long, argument("ADDRESS"))]
+    pub gateway: SocketAddr,
+}
+
 /// Arguments of `domain` and `vm`, which take a failure domain or a VM out of service or back in.
 #[derive(Clone, Debug)]
 pub struct StateCommand {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -1,6 +1,6 @@
 //! Tests of whole requests that end the servers that run them and come again unchanged.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, process::Command, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -16,7 +16,7 @@
         fragile_servers::FragileServers,
         gateway::{GatewayProcess, connect, read},
         platform_store::FakeStore,
-        ports::free_address,
+        ports::{free_address, output},
     },
 };
 
@@ -122,6 +122,60 @@
     }
 }
 
+/// Runs the operators' tool on a blocking thread.
+async fn operate(arguments: Vec<String>) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_alderbayctl"));
+    command.args(arguments).env_remove("ALDERBAY_LOG_SERVICE").env_remove("ALDERBAY_VM_LIST");
+    let output = tokio::task::spawn_blocking(move || output(&mut command)).await.unwrap();
+    String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operator_lifts_the_block_of_a_request_at_all_gateways() {
+    let store = start_store("safe").await;
+    let addresses = [(); 4].map(|()| free_address());
+    let servers = FragileServers::start(&store, &addresses, &[HARMFUL_BODY]).await;
+    let first = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
+    first.wait_ready().await;
+    let second = GatewayProcess::start(&launcher(), store.fake_server.address, &[first.peer]);
+    second.wait_ready().await;
+    let harmful = |gateway: &GatewayProcess, n: u32| {
+        send(gateway.listen, format!("b-{n}"), HARMFUL_BODY.to_owned())
+    };
+    let (arguments, gateway) = (["--json", "quarantine"], second.peer.to_string());
+    let list = |gateway: &str| {
+        let rest = ["list", "--gateway", gateway];
+        operate(arguments.iter().chain(&rest).map(|it| (*it).to_owned()).collect())
+    };
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let mut blocked = serde_json::Value::Null;
+    for n in 0.. {
+        assert!(Instant::now() < deadline, "not blocked: {blocked}");
+        harmful(&first, n).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        blocked = serde_json::from_str(&list(&gateway).await).unwrap();
+        if blocked.as_array().is_some_and(|it| !it.is_empty()) {
+            break;
+        }
+    }
+    let digest = blocked[0]["part"].as_str().unwrap().to_owned();
+    let ends = servers.log(|it| it.ends.len());
+    let answer = harmful(&second, 100).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::INTERNAL_SERVER_ERROR));
+    expect_that!(servers.log(|it| it.ends.len()), eq(ends));
+    let lift = ["quarantine", "lift", "--gateway", &gateway, &digest];
+    let text = operate(lift.iter().map(|it| (*it).to_owned()).collect()).await;
+    expect_that!(text, not(contains_substring(digest.as_str())));
+    let deadline = Instant::now() + Duration::from_secs(3);
+    while list(&first.peer.to_string()).await.contains(&digest) {
+        assert!(Instant::now() < deadline, "not lifted at the other gateway");
+    }
+    let limits = ["limits", "--gateway", &gateway].map(str::to_owned);
+    expect_that!(operate(limits.into()).await, contains_substring("REQUESTS A SECOND"));
+    expect_that!(operate(vec!["status".to_owned()]).await, contains_substring("--log-service"));
+}
+
 #[gtest]
 #[tokio::test]
 async fn harmful_lookup_ends_few_servers_at_two_gateways() {
