Keep a rush after a quiet time within a limited server's limit

With a test in which they do, the committed code let 99 gateways send up to 57 requests in 4 s where 19 are allowed: each gateway that is no sender had saved up its one trial request. And a gateway without agents assumed no other gateways until the first list, so that nine took 1.8 of the limit. Change: besides the senders only two gateways of other failure domains send trial requests. Small even parts, where no agents report, are used in time slots that each gateway draws, or lost. Without a list the default number is assumed.

--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -7,12 +7,13 @@
 //!
 //! Each gateway uses a share of the limit. If all gateways shared it evenly, each of many could send
 //! one request at any time, which together may exceed a small limit at once. So a few gateways, the
-//! more the higher the limit, send to a limited server, mostly those of its failure domain; the others
-//! leave it alone. All gateways choose the same ones from what they know of each other, without
-//! messages.
+//! more the higher the limit, send to a limited server, mostly those of its failure domain; two of
+//! other failure domains send a request now and then, and the others leave it alone. All gateways
+//! choose the same ones from what they know of each other, without messages.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -22,7 +23,7 @@
     seq::{IteratorRandom, SliceRandom},
 };
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{GatewayLocation, Incarnation, LimitNotice, RoutingChange, budget::gateway_share};
 use crate::units::{FailureDomain, Moment, RequestRate, ServerId};
@@ -33,9 +34,16 @@
 /// Number of gateways that send to a server that takes less than one request per second. One more
 /// sends for each request per second.
 const MIN_SENDERS: u32 = 2;
-/// Requests per second that all gateways send to a limited server whatever its limit, so that they
-/// learn when it ends.
+/// Number of further gateways that send a request now and then, so that the end of a limit is learned
+/// also where the others have no callers.
+const RESERVE_SENDERS: usize = 2;
+/// Requests per second that are sent to a limited server whatever its limit.
 const TRIAL_RATE: f64 = 0.1;
+/// Share, in requests per second, from which any gateway may send steadily. Below it the unused shares
+/// of many gateways would add up to a rush when callers come after a quiet time.
+const MIN_STEADY_SHARE: f64 = 0.5;
+/// Length of the time slots in which gateways with smaller shares may send one request.
+const SLOT_TIME: Duration = Duration::from_secs(1);
 /// Time for which an unused share accumulates, beyond one request.
 const BURST_TIME: Duration = Duration::from_millis(250);
 /// Fraction of the gateways that must be known to decide who sends.
@@ -99,22 +107,50 @@
     }
 }
 
+/// How a gateway uses its share of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum SendPace {
+    /// As it accumulates.
+    Steady,
+    /// In time slots drawn at random, of which an unused one is lost.
+    #[default]
+    Slotted,
+}
+
+/// A gateway's share of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct LimitShare {
+    rate: RequestRate,
+    pace: SendPace,
+}
+
+impl LimitShare {
+    fn new(rate: f64, pace: SendPace) -> Self {
+        // A share of a valid limit is a valid rate.
+        Self { rate: rate.try_into().unwrap_or_default(), pace }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct ServerLimit {
     latest: Observation,
+    /// Failure domain of the server, as of the latest share.
+    domain: Option<FailureDomain>,
     /// The limit that other gateways were last told, and since when.
     announced: Option<RequestRate>,
     announced_at: Moment,
     /// This gateway's share of the limit.
-    share: RequestRate,
-    /// Requests that this gateway may send now, refilled at the rate of the share.
+    share: LimitShare,
+    /// Requests that this gateway may send now if it sends steadily, refilled at the rate of the share.
     tokens: f64,
     refilled_at: Moment,
+    /// The latest time slot in which a request was sent.
+    used_slot: Option<u64>,
 }
 
 impl ServerLimit {
     fn tokens(&self, now: Moment) -> f64 {
-        let rate = self.share.per_second();
+        let rate = self.share.rate.per_second();
         let depth = 1.0 + rate * BURST_TIME.as_secs_f64();
         let refilled = self.tokens + now.since(self.refilled_at).as_secs_f64() * rate;
         refilled.min(depth)
@@ -127,7 +163,7 @@
 }
 
 /// The gateways between which limits are shared.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct SenderSet {
     /// Gateways that were seen lately, this one included.
     pub gateways: Vec<GatewayLocation>,
@@ -139,27 +175,43 @@
 
 impl SenderSet {
     /// Returns this gateway's share of a server's limit.
-    fn share(&self, server: &ServerId, domain: Option<&FailureDomain>, limit: RequestRate) -> f64 {
+    fn share(
+        &self,
+        server: &ServerId,
+        domain: Option<&FailureDomain>,
+        limit: RequestRate,
+    ) -> LimitShare {
         let limit = limit.per_second();
-        let trial_share = TRIAL_RATE / f64::from(self.count.max(1));
         let is_known = self.gateways.len() as f64 >= f64::from(self.count) * MIN_KNOWN_FRACTION;
         let Some(own) = self.own.as_ref().filter(|_| is_known) else {
-            return gateway_share(limit, self.count) + trial_share;
+            let trial_share = TRIAL_RATE / f64::from(self.count.max(1));
+            let rate = gateway_share(limit, self.count) + trial_share;
+            let is_steady = rate >= MIN_STEADY_SHARE;
+            return LimitShare::new(
+                rate,
+                if is_steady { SendPace::Steady } else { SendPace::Slotted },
+            );
         };
         let sender_count = (MIN_SENDERS as usize).saturating_add(limit as usize);
         let sender_count = sender_count.min(self.gateways.len()).max(1);
-        let rank = |it: &GatewayLocation| {
-            let seed = xxh3_64_with_seed(server.as_str().as_bytes(), 0);
-            let hash = xxh3_64_with_seed(it.address.to_string().as_bytes(), seed);
-            (domain != Some(&it.failure_domain), hash)
-        };
-        let own_rank = rank(own);
-        let before = self.gateways.iter().filter(|it| rank(it) < own_rank).count();
-        if before < sender_count {
-            limit * USED_FRACTION / sender_count as f64 + trial_share
-        } else {
-            trial_share
+        let trial_share = TRIAL_RATE / (sender_count + RESERVE_SENDERS) as f64;
+        let seed = xxh3_64_with_seed(server.as_str().as_bytes(), 0);
+        let hash =
+            |it: &GatewayLocation| xxh3_64_with_seed(it.address.to_string().as_bytes(), seed);
+        let is_remote = |it: &GatewayLocation| domain != Some(&it.failure_domain);
+        let mut ranked: Vec<(bool, u64)> =
+            self.gateways.iter().map(|it| (is_remote(it), hash(it))).collect();
+        ranked.sort_unstable();
+        let own_rank = (is_remote(own), hash(own));
+        let (senders, others) = ranked.split_at(sender_count);
+        if senders.contains(&own_rank) {
+            let rate = limit * USED_FRACTION / sender_count as f64 + trial_share;
+            return LimitShare::new(rate, SendPace::Steady);
         }
+        // The remote ones come last.
+        let reserve = others.iter().rev().take(RESERVE_SENDERS);
+        let is_reserve = reserve.copied().any(|it| it == own_rank);
+        LimitShare::new(if is_reserve { trial_share } else { 0.0 }, SendPace::Steady)
     }
 }
 
@@ -173,8 +225,10 @@
 }
 
 /// The limits that servers have named, and this gateway's use of them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct LimitTable {
+    /// Distinguishes this gateway's time slots from those of others.
+    slot_seed: u64,
     servers: BTreeMap<Incarnation, ServerLimit>,
     /// Servers that have named a limit that cannot be read.
     unreadable: BTreeSet<Incarnation>,
@@ -182,6 +236,17 @@
 }
 
 impl LimitTable {
+    /// Creates the table of the gateway at this address, which assumes this many gateways until others
+    /// are seen.
+    pub fn new(address: SocketAddr, gateway_count: u32) -> Self {
+        Self {
+            slot_seed: xxh3_64(address.to_string().as_bytes()),
+            servers: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
+            senders: SenderSet { count: gateway_count, ..SenderSet::default() },
+        }
+    }
+
     /// Whether no limit is remembered.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
@@ -194,24 +259,48 @@
 
     /// Returns the limits in force with this gateway's shares.
     pub fn limits(&self) -> impl Iterator<Item = (&Incarnation, RequestRate, RequestRate)> {
-        self.servers.iter().filter_map(|(key, it)| Some((key, it.latest.limit?, it.share)))
+        self.servers.iter().filter_map(|(key, it)| Some((key, it.latest.limit?, it.share.rate)))
     }
 
     /// Returns the time at which a server takes the next request from this gateway, or `None` if it
     /// takes one now.
     pub fn next_send(&self, incarnation: &Incarnation, now: Moment) -> Option<Moment> {
         let limit = self.servers.get(incarnation).filter(|it| it.latest.limit.is_some())?;
-        let missing = 1.0 - limit.tokens(now);
-        let seconds = missing / limit.share.per_second();
+        let missing = match limit.share.pace {
+            SendPace::Steady => 1.0 - limit.tokens(now),
+            // The next slot is as likely soon as late.
+            SendPace::Slotted if !self.is_slot_open(incarnation, limit, now) => 1.0,
+            SendPace::Slotted => 0.0,
+        };
+        let seconds = missing / limit.share.rate.per_second();
+        // Without a share there is no next request.
         let delay = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
         (missing > 0.0).then(|| now.after(delay))
     }
 
+    /// Whether a limited server takes a request from this gateway in the present time slot only.
+    pub fn has_open_slot(&self, incarnation: &Incarnation, now: Moment) -> bool {
+        self.servers.get(incarnation).is_some_and(|it| {
+            it.latest.limit.is_some()
+                && it.share.pace == SendPace::Slotted
+                && self.is_slot_open(incarnation, it, now)
+        })
+    }
+
+    fn is_slot_open(&self, (server, _): &Incarnation, limit: &ServerLimit, now: Moment) -> bool {
+        let slot = slot(now);
+        let seed = xxh3_64_with_seed(&slot.to_le_bytes(), self.slot_seed);
+        let drawn = xxh3_64_with_seed(server.as_str().as_bytes(), seed) as f64 / u64::MAX as f64;
+        let probability = limit.share.rate.per_second() * SLOT_TIME.as_secs_f64();
+        limit.used_slot != Some(slot) && drawn < probability
+    }
+
     /// Records that a request is sent to a server.
     pub fn record_send(&mut self, incarnation: &Incarnation, now: Moment) {
         if let Some(limit) = self.servers.get_mut(incarnation) {
             let tokens = limit.tokens(now);
             limit.set_tokens(tokens - 1.0, now);
+            limit.used_slot = Some(slot(now));
         }
     }
 
@@ -288,12 +377,14 @@
         };
         let entry = self.servers.entry(incarnation.clone()).or_insert_with(|| ServerLimit {
             latest: merged,
+            domain: domain.cloned(),
             announced: None,
             announced_at: now,
-            share: RequestRate::default(),
+            share: LimitShare::default(),
             // Gateways that hear of a limit at the same time do not use it at the same time.
             tokens: rng.random_range(0.0..1.0),
             refilled_at: now,
+            used_slot: None,
         });
         entry.latest = merged;
         let is_news = is_news(entry.announced, merged.limit);
@@ -325,8 +416,9 @@
         let Some(entry) = self.servers.get_mut(incarnation) else { return };
         let tokens = entry.tokens(now);
         entry.set_tokens(tokens, now);
+        entry.domain = domain.cloned();
         let share = entry.latest.limit.map(|it| self.senders.share(&incarnation.0, domain, it));
-        entry.share = share.and_then(|it| it.try_into().ok()).unwrap_or_default();
+        entry.share = share.unwrap_or_default();
     }
 
     /// Replaces the gateways between which limits are shared.
@@ -336,9 +428,13 @@
         domain_of: impl Fn(&Incarnation) -> Option<&'a FailureDomain>,
         now: Moment,
     ) {
+        let is_changed = self.senders != senders;
         self.senders = senders;
-        let limited: Vec<Incarnation> = self.servers.keys().cloned().collect();
-        for incarnation in limited {
+        let is_stale = |(key, it): &(&Incarnation, &ServerLimit)| {
+            is_changed || it.domain.as_ref() != domain_of(key)
+        };
+        let stale = self.servers.iter().filter(is_stale).map(|it| it.0.clone());
+        for incarnation in stale.collect::<Vec<_>>() {
             self.update_share(&incarnation, domain_of(&incarnation), now);
         }
     }
@@ -375,6 +471,11 @@
     }
 }
 
+/// Returns the number of the time slot.
+fn slot(now: Moment) -> u64 {
+    now.0 / u64::try_from(SLOT_TIME.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Whether other gateways must be told of a limit at once, given what they were told before.
 fn is_news(known: Option<RequestRate>, limit: Option<RequestRate>) -> bool {
     match (known, limit) {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -148,7 +148,7 @@
             subset: BTreeSet::new(),
             loads: HashMap::new(),
             cold_limiters: BTreeMap::new(),
-            limits: LimitTable::default(),
+            limits: LimitTable::new(settings.address, DEFAULT_GATEWAY_COUNT),
             budgets: BTreeMap::new(),
             reported_gateways: None,
             requests: BTreeMap::new(),
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -58,6 +58,12 @@
     if !other_groups.is_empty() {
         chosen = other_groups;
     }
+    // An unused slot is lost, and with it the chance to learn that a limit has ended.
+    let has_open_slot = |it: &&&KnownServer| state.limits.has_open_slot(&it.incarnation(), now);
+    let slotted: Vec<&KnownServer> = chosen.iter().filter(has_open_slot).copied().collect();
+    if !slotted.is_empty() {
+        chosen = slotted;
+    }
     let candidates: Vec<Candidate<'_>> = chosen
         .iter()
         .map(|it| Candidate {
--- a/tests/limit_exploration.rs
+++ b/tests/limit_exploration.rs
@@ -101,6 +101,8 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Disturbance {
     None,
+    /// No agents tell gateways how many there are.
+    NoAgents,
     All,
 }
 
@@ -117,6 +119,7 @@
     next_action: u64,
     /// Requests per second of all callers.
     rate: f64,
+    has_agents: bool,
     violations: Vec<String>,
     refused: usize,
     sent: usize,
@@ -144,12 +147,15 @@
             actions: BTreeMap::new(),
             next_action: 0,
             rate,
+            has_agents: disturbance != Disturbance::NoAgents,
             violations: Vec::new(),
             refused: 0,
             sent: 0,
         };
         simulation.gateways = (0..size).map(|n| simulation.new_gateway(n)).collect();
-        simulation.schedule(0, Action::LoadsReported);
+        if simulation.has_agents {
+            simulation.schedule(0, Action::LoadsReported);
+        }
         simulation.schedule(0, Action::Tick);
         simulation.schedule(0, Action::CallerSends);
         if disturbance == Disturbance::All {
@@ -356,7 +362,9 @@
     fn tick(&mut self) {
         let locations: Vec<_> = (0..self.gateways.len()).map(Self::location).collect();
         for gateway in 0..self.gateways.len() {
-            self.dispatch(gateway, RoutingEvent::GatewaysSeen(locations.clone()));
+            if self.has_agents {
+                self.dispatch(gateway, RoutingEvent::GatewaysSeen(locations.clone()));
+            }
             if !self.gateways[gateway].state.limits().is_empty() {
                 let delay = self.rng.random_range(0..SECOND_US);
                 self.schedule(delay, Action::Exchange { gateway, peer_count: 2, rounds: 1 });
@@ -505,3 +513,27 @@
     expect_that!(answer(late, named(5.0)), some(eq(2.0.try_into().unwrap())));
     expect_that!(answer(late, LimitNotice::Unreadable), some(eq(2.0.try_into().unwrap())));
 }
+
+#[gtest]
+fn rush_after_a_quiet_time_exceeds_no_limit() {
+    let agents = [(2, Disturbance::None), (9, Disturbance::None), (99, Disturbance::None)];
+    for (size, disturbance) in agents.into_iter().chain([(9, Disturbance::NoAgents)]) {
+        for limit in [0.0, 0.2, 1.0, 2.4, 12.0] {
+            let mut simulation = Simulation::new(size, size as u64, 80.0, disturbance);
+            for server in 0..usize::from(SERVER_COUNT) {
+                simulation.set_limit(server, Some(limit));
+            }
+            simulation.run_until(START + 8 * SECOND_US);
+            // Nobody calls for an hour.
+            simulation.queue.clear();
+            simulation.now += 3_600 * SECOND_US;
+            simulation.rate = 400.0;
+            let with_agents = simulation.has_agents.then_some(Action::LoadsReported);
+            for action in [Action::Tick, Action::CallerSends].into_iter().chain(with_agents) {
+                simulation.schedule(0, action);
+            }
+            simulation.run_until(simulation.now + 8 * SECOND_US);
+            expect_that!(simulation.violations, is_empty(), "{size} gateways, limit {limit}");
+        }
+    }
+}
