Let a server come back before it is chosen again in the test of calls that run once

The test took two ends 0.24 s apart at servers that the choice happens to draw. Since equal loads are drawn evenly it draws one server twice, whose second record is about the same end. A server that ended is back after some seconds; the test waits for that, and checks what it checked.

--- a/tests/request_quarantine.rs
+++ b/tests/request_quarantine.rs
@@ -189,6 +189,8 @@
         let effect = lose(&mut gateway, (&request, &placed));
         let refused = (RefusalCode::OutcomeUnknown, RunOutcome::Unknown);
         expect_that!(refusal_of(&effect), some(eq(refused)));
+        // A server that ended is back after some seconds, and may be chosen again.
+        gateway.now += 3 * SECOND;
     }
     let (_, effect) = arrive(&mut gateway, 3, "bad");
     let refused = (RefusalCode::HarmfulRequest, RunOutcome::NotRun);
