--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -24,10 +24,10 @@
     units::{ByteCount, InputDigest, RequestRate, ServerId},
 };
 
-/// Path at which gateways exchange their records. `GET` returns them with the blocked parts and the
+/// Path at which gateways exchange their records. `GET` returns them with the blocked inputs and the
 /// limits. Named after the first kind of record, since gateways of earlier releases use it.
 pub(crate) const EXCHANGE_PATH: &str = "/v1/quarantine";
-/// Path at which an operator lifts the block of the part in the query.
+/// Path at which an operator lifts the block of the input whose digest is the query.
 pub(crate) const LIFT_PATH: &str = "/v1/quarantine/lift";
 /// Number of gateways with which news is exchanged at once.
 const FANOUT: usize = 4;
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct BlockedStatus {
-    /// The part of prompts, or the whole request.
+    /// Digest of the part of prompts, or of the whole request.
     pub(crate) part: InputDigest,
     #[serde(flatten)]
     pub(crate) blocked: BlockedInput,
@@ -194,7 +194,7 @@
     })
 }
 
-/// Lifts the block of the part in the query.
+/// Lifts the block of the input whose digest is the query.
 pub(super) fn lift_answer(shell: &GatewayShell, request: &http::Request<Incoming>) -> Response {
     if request.method() != Method::POST {
         return text_response(StatusCode::METHOD_NOT_ALLOWED, "use POST\n");
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -208,7 +208,7 @@
             let rate = limit * USED_FRACTION / sender_count as f64 + trial_share;
             return LimitShare::new(rate, SendPace::Steady);
         }
-        // The remote ones come last.
+        // Gateways of other failure domains are ranked last.
         let reserve = others.iter().rev().take(RESERVE_SENDERS);
         let is_reserve = reserve.copied().any(|it| it == own_rank);
         LimitShare::new(if is_reserve { trial_share } else { 0.0 }, SendPace::Steady)
@@ -225,6 +225,24 @@
 }
 
 /// The limits that servers have named, and this gateway's use of them.
+///
+/// ```
+/// use alderbay::{
+///     routing::{LimitNotice, LimitTable},
+///     units::Moment,
+/// };
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// let mut table = LimitTable::new(([127, 0, 0, 1], 9_000).into(), 9);
+/// let (server, limit) = (("i-1".parse()?, Some(1)), 2.5.try_into()?);
+/// let (named, asked_at) = (LimitNotice::Named(limit), Moment(0));
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// table.record_answer(&server, None, (named, asked_at), Moment(5), &mut rng);
+/// assert_eq!(table.limit(&server), Some(limit));
+/// // The request was sent before the limit was heard.
+/// table.record_answer(&server, None, (LimitNotice::Absent, Moment(4)), Moment(9), &mut rng);
+/// assert_eq!(table.limit(&server), Some(limit));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Debug)]
 pub struct LimitTable {
     /// Distinguishes this gateway's time slots from those of others.
@@ -287,6 +305,7 @@
         })
     }
 
+    /// Whether this gateway has drawn the present time slot and sent nothing in it.
     fn is_slot_open(&self, (server, _): &Incarnation, limit: &ServerLimit, now: Moment) -> bool {
         let slot = slot(now);
         let seed = xxh3_64_with_seed(&slot.to_le_bytes(), self.slot_seed);
@@ -324,8 +343,8 @@
             }
         };
         let observation = Observation { limit, asked_at, heard_at: now };
-        let (known_until, source) = (Duration::ZERO, LimitSource::Answer);
-        self.observe(incarnation, domain, (observation, known_until, source), now, rng)
+        let (uncertainty, source) = (Duration::ZERO, LimitSource::Answer);
+        self.observe(incarnation, domain, (observation, uncertainty, source), now, rng)
     }
 
     /// Merges what another gateway heard.
@@ -343,8 +362,8 @@
             heard_at: at(report.heard_age_ms),
         };
         let incarnation = (report.server, report.started_ms);
-        let (transfer, source) = (MAX_TRANSFER_TIME, LimitSource::Peer);
-        self.observe(&incarnation, domain, (observation, transfer, source), now, rng)
+        let (uncertainty, source) = (MAX_TRANSFER_TIME, LimitSource::Peer);
+        self.observe(&incarnation, domain, (observation, uncertainty, source), now, rng)
     }
 
     /// Applies an observation whose times may be up to `uncertainty` too late.
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -14,7 +14,7 @@
     launcher,
     support::{
         fragile_servers::FragileServers,
-        gateway::{GatewayProcess, connect, read},
+        gateway::{GatewayProcess, connect, read, start_gateways},
         platform_store::FakeStore,
         ports::{free_address, output},
     },
@@ -66,14 +66,7 @@
     let store = start_store(kind).await;
     let addresses = [(); 6].map(|()| free_address());
     let servers = FragileServers::start(&store, &addresses, &[HARMFUL_BODY]).await;
-    let mut gateways: Vec<GatewayProcess> = Vec::new();
-    for _ in 0..gateway_count {
-        let seeds: Vec<SocketAddr> = gateways.iter().take(3).map(|it| it.peer).collect();
-        gateways.push(GatewayProcess::start(&launcher(), store.fake_server.address, &seeds));
-    }
-    for gateway in &gateways {
-        gateway.wait_ready().await;
-    }
+    let gateways = start_gateways(gateway_count, &launcher(), store.fake_server.address).await;
     let (mut sound, mut harmful) = (Vec::new(), Vec::new());
     let started = Instant::now();
     for n in 0_u32.. {
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -12,7 +12,7 @@
 use crate::{
     launcher,
     support::{
-        gateway::{GatewayProcess, connect, read},
+        gateway::{GatewayProcess, connect, read, start_gateways},
         limited_servers::{LimitedServers, WINDOW},
         platform_store::FakeStore,
         ports::free_address,
@@ -50,18 +50,6 @@
     store
 }
 
-async fn start_gateways(count: usize, store: &FakeStore) -> Vec<GatewayProcess> {
-    let mut gateways: Vec<GatewayProcess> = Vec::new();
-    for _ in 0..count {
-        let seeds: Vec<SocketAddr> = gateways.iter().take(3).map(|it| it.peer).collect();
-        gateways.push(GatewayProcess::start(&launcher(), store.fake_server.address, &seeds));
-    }
-    for gateway in &gateways {
-        gateway.wait_ready().await;
-    }
-    gateways
-}
-
 /// Sends a request every 20 ms, to each gateway in turn. Returns how many got each status.
 async fn send_for(gateways: &[GatewayProcess], time: Duration) -> Vec<Option<StatusCode>> {
     let started = Instant::now();
@@ -84,7 +72,7 @@
     let store = start_store().await;
     let addresses = [(); 6].map(|()| free_address());
     let servers = LimitedServers::start(&store, &addresses).await;
-    let gateways = start_gateways(gateway_count, &store).await;
+    let gateways = start_gateways(gateway_count, &launcher(), store.fake_server.address).await;
     let limits = [("i-1", 1.0), ("i-2", 2.4), ("i-3", 0.0)];
     for (server, limit) in limits {
         servers.set_limit(server, Some(limit));
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -97,6 +97,23 @@
     }
 }
 
+/// Starts gateways that know the first three of them, and waits until all are ready.
+pub async fn start_gateways(
+    count: usize,
+    launcher: &Launcher,
+    store: SocketAddr,
+) -> Vec<GatewayProcess> {
+    let mut gateways: Vec<GatewayProcess> = Vec::new();
+    for _ in 0..count {
+        let seeds: Vec<SocketAddr> = gateways.iter().take(3).map(|it| it.peer).collect();
+        gateways.push(GatewayProcess::start(launcher, store, &seeds));
+    }
+    for gateway in &gateways {
+        gateway.wait_ready().await;
+    }
+    gateways
+}
+
 fn launch(launcher: &Launcher, folder: &Path) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(folder.join("log")).unwrap();
     let mut command = Command::new(&launcher.program);
