Read priorities of routes and accounts, sizes and gap objectives; rank requests at servers

Change: the catalog carries ranks of routes and accounts (an account's goes first); where requests to a service differ in rank, attempts carry it to the server. Sizes and gap objectives are decoded for later decisions, extensions of datagrams carry what later releases add.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -121,6 +121,7 @@
         resumes: request.headers.resume_after.is_some(),
         shared_parts: request.headers.shared_parts.clone(),
         content: request.content,
+        size: request.headers.size,
     }
 }
 
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -311,6 +311,7 @@
         let attempt = AttemptHeaders {
             server: &spec.server,
             account: spec.account.as_ref(),
+            rank: spec.rank,
             time_left,
             resume_after: self.last_event.as_deref(),
         };
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    routing::{LimitNotice, ServerNotice},
-    units::{ClientAccount, RequestId, RequestRate, ServerId},
+    routing::{LimitNotice, RequestSize, ServerNotice},
+    units::{ClientAccount, RequestId, RequestRate, ServerId, TokenCount, UrgencyRank},
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -18,7 +18,12 @@
 const ACCOUNT: HeaderName = HeaderName::from_static("tenant");
 // Id of the only server that may run the request; another server refuses it with status 421.
 const EXPECTED_SERVER: HeaderName = HeaderName::from_static("expect-instance");
+// Urgency of the request in the server's queue, 0 to 9; 0 is the most urgent.
 const REQUEST_PRIORITY: HeaderName = HeaderName::from_static("request-priority");
+// Number of prompt tokens and maximum number of output tokens, separated by a comma.
+const TOKEN_COUNTS: HeaderName = HeaderName::from_static("token-counts");
+// The caller's estimate of the number of output tokens.
+const LENGTH_HINT: HeaderName = HeaderName::from_static("length-hint");
 // The parts of the prompt in order, as `id:tokens` separated by commas. The last one belongs to the
 // request itself or to its session, the others are shared with other requests.
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
@@ -73,6 +78,8 @@
     pub resume_after: Option<SmolStr>,
     /// Ids of the parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<SmolStr>,
+    /// Size of the request in tokens, as the caller states it.
+    pub size: Option<RequestSize>,
 }
 
 impl CallerHeaders {
@@ -95,6 +102,7 @@
                 .map(|it| it.trim().into()),
             resume_after: text(&RESUME_AFTER).map(SmolStr::new),
             shared_parts: text(&PROMPT_PARTS).map(decode_shared_parts).unwrap_or_default(),
+            size: text(&TOKEN_COUNTS).and_then(|it| decode_size(it, text(&LENGTH_HINT))),
         }
     }
 }
@@ -110,6 +118,19 @@
     ids.map(SmolStr::from).collect()
 }
 
+/// Largest number of tokens that a caller may state. More is taken as this many.
+const MAX_TOKENS: u64 = 10_000_000;
+
+/// Decodes the numbers of tokens of a request. An estimate of the output that exceeds its maximum or
+/// cannot be read counts as the maximum.
+fn decode_size(counts: &str, hint: Option<&str>) -> Option<RequestSize> {
+    let number = |text: &str| text.trim().parse::<u64>().ok().map(|it| it.min(MAX_TOKENS));
+    let (prompt, output) = counts.split_once(',')?;
+    let max_output = number(output)?;
+    let expected = hint.and_then(number).map_or(max_output, |it| it.min(max_output));
+    Some(RequestSize { prompt: TokenCount(number(prompt)?), output: TokenCount(expected) })
+}
+
 /// Values of the headers that the gateway sets on one attempt at a backend server.
 #[derive(Clone, Debug)]
 pub struct AttemptHeaders<'a> {
@@ -117,6 +138,8 @@
     pub server: &'a ServerId,
     /// The caller's account; `None` without a known API key, as on public routes.
     pub account: Option<&'a ClientAccount>,
+    /// Urgency of the request in the server's queue; `None` leaves the server's default.
+    pub rank: Option<UrgencyRank>,
     /// Time until the caller's deadline.
     pub time_left: Duration,
     /// Id of the last event that the caller received; `None` starts the stream from its beginning.
@@ -142,6 +165,9 @@
     if let Some(account) = attempt.account {
         set(ACCOUNT, account.as_str());
     }
+    if let Some(rank) = attempt.rank {
+        set(REQUEST_PRIORITY, &rank.to_string());
+    }
     if let Some(event) = attempt.resume_after {
         set(RESUME_AFTER, event);
     }
@@ -291,6 +317,7 @@
         let caller = headers(&[
             ("authorization", "Token k"),
             ("tenant", "forged"),
+            ("request-priority", "0"),
             ("connection", "x-hop"),
             ("x-hop", "1"),
             ("model", "m"),
@@ -300,6 +327,7 @@
         let attempt = AttemptHeaders {
             server: &server,
             account: Some(&account),
+            rank: Some(UrgencyRank(2)),
             time_left: Duration::from_millis(700),
             resume_after: None,
         };
@@ -309,6 +337,7 @@
             ("tenant", "acc"),
             ("expect-instance", "i-1"),
             ("time-budget-ms", "700"),
+            ("request-priority", "2"),
         ]);
         assert_that!(sent, eq(&expected));
     }
@@ -346,6 +375,21 @@
         assert_that!(absent, eq(LimitNotice::Absent));
     }
 
+    #[gtest]
+    fn sizes_are_bounded() {
+        let size = |counts: &'static str, hint: &'static str| {
+            let headers = headers(&[("token-counts", counts), ("length-hint", hint)]);
+            CallerHeaders::decode(&headers).size.map(|it| (it.prompt.0, it.output.0))
+        };
+        expect_that!(size("1460,80", "60"), some(eq((1_460, 60))));
+        expect_that!(size("1460, 80", "90"), some(eq((1_460, 80))), "no more than the maximum");
+        expect_that!(size("1460,80", "few"), some(eq((1_460, 80))));
+        expect_that!(size("99999999999,80", "1"), some(eq((MAX_TOKENS, 1))));
+        for text in ["", "80", "-1,80", "1460;80", "many,few"] {
+            expect_that!(size(text, "1"), none(), "{text}");
+        }
+    }
+
     #[gtest]
     fn last_part_is_not_shared() {
         let parts = |text: &'static str| {
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -11,7 +11,7 @@
         AccountRecord, CallerLimits, CatalogVersion, EngineModel, ExpertLayout, RouteCatalog,
         RouteKind, RouteRecord, RouteTarget, ServiceRecord,
     },
-    units::{ByteCount, ClientAccount, RouteName, ServiceName},
+    units::{ByteCount, ClientAccount, RouteName, ServiceName, UrgencyRank},
 };
 
 /// Key of the manifest in the operator's stream.
@@ -75,6 +75,12 @@
     timeout_ms: u64,
     #[serde(default)]
     target_latency_ms: Option<f64>,
+    // Rank of the route's requests; 0 is the highest.
+    #[serde(default)]
+    priority: WireRank,
+    // Longest pause between two events of a stream that is still on time.
+    #[serde(default)]
+    gap_target_ms: Option<f64>,
     // The only target of a route without a traffic split.
     #[serde(default)]
     service: Option<ServiceName>,
@@ -140,6 +146,39 @@
     name: ClientAccount,
     #[serde(default)]
     api_keys: Vec<SmolStr>,
+    // Takes precedence over the priority of routes.
+    #[serde(default)]
+    priority: WireRank,
+}
+
+// A priority that cannot be read must not make the whole manifest unreadable.
+#[derive(Default, Deserialize)]
+#[serde(untagged)]
+enum WireRank {
+    Number(f64),
+    #[default]
+    Absent,
+    Unreadable(serde::de::IgnoredAny),
+}
+
+/// Least urgent rank that servers tell apart.
+const LAST_RANK: u8 = 9;
+
+impl WireRank {
+    /// Returns the rank, or `None` if there is none. A value that is no rank counts as the least
+    /// urgent one, so that nobody gains by it; `owner` is named in the log.
+    fn decode(&self, owner: &str) -> Option<UrgencyRank> {
+        let number = match self {
+            Self::Absent => return None,
+            Self::Number(number) => Some(*number).filter(|it| *it >= 0.0),
+            Self::Unreadable(_) => None,
+        };
+        if number.is_none() {
+            log::warn!(owner = owner; "unreadable priority in the catalog, taken as the least urgent");
+        }
+        // The cast saturates.
+        Some(UrgencyRank(number.map_or(LAST_RANK, |it| it as u8).min(LAST_RANK)))
+    }
 }
 
 #[derive(Deserialize)]
@@ -184,7 +223,8 @@
 }
 
 fn decode_account(tenant: WireTenant) -> AccountRecord {
-    AccountRecord { account: tenant.name, api_keys: tenant.api_keys }
+    let rank = tenant.priority.decode(tenant.name.as_str());
+    AccountRecord { account: tenant.name, api_keys: tenant.api_keys, rank }
 }
 
 fn decode_route(route: WireRoute) -> RouteRecord {
@@ -197,6 +237,8 @@
         targets.extend(route.service.map(|service| RouteTarget { service, weight: 1.0 }));
     }
     RouteRecord {
+        rank: route.priority.decode(route.name.as_str()),
+        gap_objective: route.gap_target_ms.map(duration_from_ms),
         name: route.name,
         host: route.hostname,
         path_prefix: route.path_prefix,
@@ -262,11 +304,45 @@
         let route = catalog.route("h.example", "/a/x").unwrap();
         assert_that!(route.kind, eq(RouteKind::ResumableStream));
         assert_that!(route.targets, len(eq(2)));
+        assert_that!(route.rank, some(eq(UrgencyRank(1))));
+        assert_that!(route.gap_objective, some(eq(Duration::from_millis(120))));
         assert_that!(catalog.account_of("k1").map(ToString::to_string), some(eq("acc")));
         let engine = catalog.service(&"s".parse().unwrap()).unwrap().engine.clone().unwrap();
         assert_that!(engine.layout.unwrap().copy_seconds, near(0.1478, 0.001));
     }
 
+    #[gtest]
+    fn priorities_are_bounded() {
+        let rank = |text: &str| {
+            let manifest = format!(
+                r#"{{"version":1,"routes":[{{"name":"r","path-prefix":"/","kind":"safe"{text}}}]}}"#
+            );
+            decode_catalog(manifest.as_bytes()).unwrap().route("", "/").unwrap().rank
+        };
+        expect_that!(rank(""), none());
+        expect_that!(rank(r#","priority":null"#), none());
+        expect_that!(rank(r#","priority":0"#), some(eq(UrgencyRank(0))));
+        for text in ["1e300", "10", "-1", "\"high\"", "[0]", "{}", "true"] {
+            let rank = rank(&format!(r#","priority":{text}"#));
+            expect_that!(rank, some(eq(UrgencyRank(LAST_RANK))), "{text}");
+        }
+    }
+
+    #[gtest]
+    fn account_rank_replaces_route_rank() {
+        let text = br#"{"version":1,"routes":[
+            {"name":"r","path-prefix":"/a/","kind":"safe","service":"s","priority":2},
+            {"name":"q","path-prefix":"/b/","kind":"safe","service":"t","priority":1}],
+            "tenants":[{"name":"acc","priority":0},{"name":"other"}]}"#;
+        let catalog = decode_catalog(text).unwrap();
+        let route = catalog.route("", "/a/").unwrap();
+        let account = |name: &str| name.parse::<ClientAccount>().unwrap();
+        expect_that!(catalog.rank_of(route, Some(&account("acc"))), some(eq(UrgencyRank(0))));
+        expect_that!(catalog.rank_of(route, Some(&account("other"))), some(eq(UrgencyRank(2))));
+        expect_that!(catalog.rank_of(route, None), some(eq(UrgencyRank(2))));
+        expect_that!(catalog.has_ranks(&"s".parse().unwrap()), eq(true));
+    }
+
     #[gtest]
     fn unknown_kind_runs_at_most_once() {
         assert_that!(decode_kind("keyed", true), eq(RouteKind::Single));
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -2,7 +2,7 @@
 //! properties of the services.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
     str::FromStr,
     time::Duration,
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::units::{ByteCount, ClientAccount, QuantityError, RouteName, ServiceName};
+use crate::units::{ByteCount, ClientAccount, QuantityError, RouteName, ServiceName, UrgencyRank};
 
 /// Version of a catalog, assigned by the operator; higher is newer. 0 means no
 /// catalog.
@@ -95,6 +95,13 @@
     /// Target latency of a response, or of the first event of a stream; `None` if there is no
     /// target.
     pub latency_objective: Option<Duration>,
+    /// Longest pause between two events of a stream for which its response is still on time; `None` if
+    /// there is no target.
+    #[serde(default)]
+    pub gap_objective: Option<Duration>,
+    /// Rank of the route's requests in the order of urgency; `None` if the route sets none.
+    #[serde(default)]
+    pub rank: Option<UrgencyRank>,
     /// Services among which requests are divided at random by weight.
     pub targets: Vec<RouteTarget>,
     /// Maximum number of attempts in which a request is sent; 0 counts as 1. Failed connection
@@ -168,6 +175,10 @@
     pub account: ClientAccount,
     /// API keys that identify the account's requests.
     pub api_keys: Vec<SmolStr>,
+    /// Rank of the account's requests in the order of urgency, which replaces that of their routes;
+    /// `None` if the account sets none.
+    #[serde(default)]
+    pub rank: Option<UrgencyRank>,
 }
 
 /// Limits on callers' requests.
@@ -189,6 +200,10 @@
     services: BTreeMap<ServiceName, ServiceRecord>,
     /// By API key.
     accounts: HashMap<SmolStr, ClientAccount>,
+    /// Ranks that accounts set.
+    account_ranks: BTreeMap<ClientAccount, UrgencyRank>,
+    /// Services whose requests differ in urgency.
+    ranked_services: BTreeSet<ServiceName>,
     limits: CallerLimits,
 }
 
@@ -200,22 +215,26 @@
     routes: Vec<RouteRecord>,
     services: BTreeMap<ServiceName, ServiceRecord>,
     accounts: HashMap<SmolStr, ClientAccount>,
+    #[serde(default)]
+    account_ranks: BTreeMap<ClientAccount, UrgencyRank>,
     limits: CallerLimits,
 }
 
 impl From<CatalogText> for RouteCatalog {
     fn from(text: CatalogText) -> Self {
-        let routes = index_routes(text.routes);
-        let CatalogText { version, services, accounts, limits, .. } = text;
-        Self { version, routes, services, accounts, limits }
+        let CatalogText { version, routes, services, accounts, account_ranks, limits } = text;
+        let ranked_services = ranked_services(&routes, &account_ranks);
+        let routes = index_routes(routes);
+        Self { version, routes, services, accounts, account_ranks, ranked_services, limits }
     }
 }
 
 impl From<RouteCatalog> for CatalogText {
     fn from(catalog: RouteCatalog) -> Self {
-        let RouteCatalog { version, routes, services, accounts, limits } = catalog;
+        let RouteCatalog { version, routes, services, accounts, account_ranks, limits, .. } =
+            catalog;
         let routes = routes.into_values().flatten().collect();
-        Self { version, routes, services, accounts, limits }
+        Self { version, routes, services, accounts, account_ranks, limits }
     }
 }
 
@@ -228,12 +247,16 @@
         accounts: Vec<AccountRecord>,
         limits: CallerLimits,
     ) -> Self {
+        let rank_of = |it: &AccountRecord| Some((it.account.clone(), it.rank?));
+        let account_ranks: BTreeMap<_, _> = accounts.iter().filter_map(rank_of).collect();
         let by_key = |it: AccountRecord| {
             let account = it.account;
             it.api_keys.into_iter().map(move |key| (key, account.clone()))
         };
         let accounts = accounts.into_iter().flat_map(by_key).collect();
-        Self { version, routes: index_routes(routes), services, accounts, limits }
+        let ranked_services = ranked_services(&routes, &account_ranks);
+        let routes = index_routes(routes);
+        Self { version, routes, services, accounts, account_ranks, ranked_services, limits }
     }
 
     /// Returns the version of the catalog.
@@ -279,12 +302,44 @@
         self.accounts.get(api_key)
     }
 
+    /// Returns the rank of a request in the order of urgency: that of its account, else that of its
+    /// route, or `None` if neither sets one.
+    pub fn rank_of(
+        &self,
+        route: &RouteRecord,
+        account: Option<&ClientAccount>,
+    ) -> Option<UrgencyRank> {
+        account.and_then(|it| self.account_ranks.get(it)).copied().or(route.rank)
+    }
+
+    /// Whether requests to a service differ in urgency, so that the order of their service matters:
+    /// its routes have different ranks, or accounts set ranks of their own.
+    pub fn has_ranks(&self, service: &ServiceName) -> bool {
+        self.ranked_services.contains(service)
+    }
+
     /// Whether any account exists. Without accounts, requests need no API keys.
     pub fn has_accounts(&self) -> bool {
         !self.accounts.is_empty()
     }
 }
 
+/// Returns the services whose requests differ in urgency.
+fn ranked_services(
+    routes: &[RouteRecord],
+    account_ranks: &BTreeMap<ClientAccount, UrgencyRank>,
+) -> BTreeSet<ServiceName> {
+    let mut ranks: BTreeMap<&ServiceName, BTreeSet<Option<UrgencyRank>>> = BTreeMap::new();
+    for route in routes {
+        for target in &route.targets {
+            let ranks = ranks.entry(&target.service).or_default();
+            ranks.insert(route.rank);
+            ranks.extend(account_ranks.values().map(|it| Some(*it)));
+        }
+    }
+    ranks.into_iter().filter(|it| it.1.len() > 1).map(|it| it.0.clone()).collect()
+}
+
 fn index_routes(routes: Vec<RouteRecord>) -> HashMap<SmolStr, Vec<RouteRecord>> {
     let mut by_host: HashMap<SmolStr, Vec<RouteRecord>> = HashMap::new();
     for route in routes {
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -13,7 +13,7 @@
     core::Refusal,
     units::{
         ClientAccount, ContentHash, FailureDomain, InputDigest, Moment, RequestId, RequestRate,
-        RouteName, ServerId, ServiceName,
+        RouteName, ServerId, ServiceName, TokenCount, UrgencyRank,
     },
 };
 
@@ -42,6 +42,16 @@
     }
 }
 
+/// Size of a request to a model, as its caller states it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestSize {
+    /// Tokens of the prompt.
+    pub prompt: TokenCount,
+    /// Expected tokens of the response.
+    pub output: TokenCount,
+}
+
 /// The parts of a caller's request that routing depends on.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -69,6 +79,9 @@
     /// Hash of the target and the body.
     #[serde(default)]
     pub content: ContentHash,
+    /// Size in tokens; `None` if the caller states none.
+    #[serde(default)]
+    pub size: Option<RequestSize>,
 }
 
 /// What a response says about the number of requests that its server takes.
@@ -302,6 +315,8 @@
     pub attempt: u32,
     /// Estimated number of requests at the server when it was chosen.
     pub load: f64,
+    /// Urgency of the request in the server's queue; `None` where all requests are equally urgent.
+    pub rank: Option<UrgencyRank>,
     /// Digests of the parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<InputDigest>,
     /// Digest of the whole request, which is the same when the caller sends it again.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -38,6 +38,18 @@
     pub is_open: bool,
 }
 
+/// What an agent knows of its server beside the numbers of requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct LoadDetail {
+    /// Time that a step of the server's group has taken lately, in microseconds; 0 if unknown.
+    pub step_micros: u32,
+    /// Tokens that requests hold in the server's memory and cannot give up.
+    pub used_tokens: u32,
+    /// Tokens that the server's memory holds; 0 if unknown.
+    pub max_tokens: u32,
+}
+
 /// Load and health of one server, as seen by this gateway.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -25,7 +25,7 @@
     core::{Refusal, RefusalCode, RunOutcome},
     units::{
         ClientAccount, FailureDomain, GroupName, InputDigest, Moment, RequestId, ServerId,
-        ServiceName,
+        ServiceName, UrgencyRank,
     },
 };
 use attempts::{attempt_ended, fail_over, server_noticed};
@@ -80,6 +80,8 @@
     route: RouteRecord,
     service: ServiceName,
     account: Option<ClientAccount>,
+    /// Rank in the order of urgency; `None` where all requests to the service are equally urgent.
+    rank: Option<UrgencyRank>,
     /// Digests of the parts of the prompt that other requests may share, in order.
     shared_parts: Vec<InputDigest>,
     /// Digest of the whole request.
@@ -403,7 +405,9 @@
     let shared_parts =
         caller_request.shared_parts.iter().map(|it| InputDigest::of_part(&service, it)).collect();
     let content = InputDigest::of_request(&service, account.as_ref(), caller_request.content);
+    let rank = catalog.rank_of(route, account.as_ref()).filter(|_| catalog.has_ranks(&service));
     let request = RequestState {
+        rank,
         request_id: caller_request.request_id,
         deadline: now.after(caller_timeout.min(route.timeout)),
         route: route.clone(),
@@ -595,6 +599,7 @@
         latency_objective: request.route.latency_objective,
         attempt: request.attempts_sent + request.connect_failures + 1,
         load: estimate,
+        rank: request.rank,
         shared_parts: request.shared_parts.clone(),
         content: request.content,
     };
--- a/src/units/quantities.rs
+++ b/src/units/quantities.rs
@@ -72,6 +72,8 @@
     ConcurrencyLimit(u32);
     /// Priority of a request; a larger number is more urgent.
     PriorityLevel(u8);
+    /// Rank of a request in the order of urgency; 0 is the most urgent.
+    UrgencyRank(u8);
     /// Identifies one run of a process; drawn at random when it starts.
     IncarnationId(u64);
     /// Point in time, in microseconds of the runtime's clock since the process started.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,7 +9,9 @@
 mod framing;
 mod messages;
 
-pub use datagrams::{Datagram, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription};
+pub use datagrams::{
+    Datagram, DatagramExtension, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription,
+};
 pub use framing::{FrameError, read_frame, write_frame};
 pub use messages::{
     AgentReport, ControlMessage, HeaderPair, IdempotencyKey, PeerHello, PeerRole, RefusalReason,
--- a/src/wire/datagrams.rs
+++ b/src/wire/datagrams.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     experts::{MapRollout, MemberStatus, StepNumber},
-    routing::{ExpertLayout, GatewayLocation, LoadReport},
+    routing::{AccountDemand, ExpertLayout, GatewayLocation, LoadDetail, LoadReport},
 };
 
 /// Version of the encoding, sent as the first byte. Datagrams of other versions are dropped.
@@ -86,7 +86,58 @@
     pub server: SocketAddr,
 }
 
+/// Fields that later releases have added to datagrams. They follow the datagram in its packet, where
+/// earlier releases ignore them.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct DatagramExtension {
+    /// With [`Datagram::Load`]: what the agent knows of its server beside the numbers of requests.
+    pub load: Option<LoadDetail>,
+    /// With [`Datagram::Subscribe`]: what client accounts ask of the gateway. With
+    /// [`Datagram::Load`]: the sum over the agent's subscribers.
+    pub demand: Vec<AccountDemand>,
+}
+
 impl Datagram {
+    /// Encodes the datagram with an extension after it.
+    ///
+    /// # Errors
+    ///
+    /// A field cannot be encoded. The size is not checked.
+    pub fn encode_extended(
+        &self,
+        extension: &DatagramExtension,
+    ) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = self.encode()?;
+        if *extension == DatagramExtension::default() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(extension, bytes)
+    }
+
+    /// Decodes a datagram and its extension. An extension that is missing or malformed counts as
+    /// empty: the datagram itself comes first and holds without it.
+    ///
+    /// ```
+    /// use alderbay::wire::{Datagram, DatagramExtension};
+    /// let bytes = Datagram::HoldGiven.encode()?;
+    /// let decoded = Datagram::decode_extended(&bytes);
+    /// assert_eq!(decoded, Some((Datagram::HoldGiven, DatagramExtension::default())));
+    /// # Ok::<(), postcard::Error>(())
+    /// ```
+    pub fn decode_extended(bytes: &[u8]) -> Option<(Self, DatagramExtension)> {
+        let (version, content) = bytes.split_first()?;
+        if *version != DATAGRAM_VERSION {
+            return None;
+        }
+        let (datagram, rest) = postcard::take_from_bytes(content).ok()?;
+        let extension = match rest {
+            [] => DatagramExtension::default(),
+            rest => postcard::from_bytes(rest).unwrap_or_default(),
+        };
+        Some((datagram, extension))
+    }
+
     /// Encodes the datagram, with its version in front.
     ///
     /// # Errors
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -33,13 +33,16 @@
         kind,
         timeout: Duration::from_secs(8),
         latency_objective: Some(Duration::from_millis(400)),
+        gap_objective: None,
+        rank: None,
         targets: vec![RouteTarget { service: service.clone(), weight: 1.0 }],
         max_attempts: 2,
         is_public: false,
     };
     let record =
         ServiceRecord { warm_up: Duration::from_secs(3), cold_rate: COLD_RATE, engine: None };
-    let account = AccountRecord { account: "acc".parse().unwrap(), api_keys: vec!["key".into()] };
+    let account =
+        AccountRecord { account: "acc".parse().unwrap(), api_keys: vec!["key".into()], rank: None };
     Box::new(RouteCatalog::new(
         CatalogVersion(version),
         vec![route],
@@ -91,6 +94,7 @@
         resumes: false,
         shared_parts: Vec::new(),
         content: ContentHash::default(),
+        size: None,
     }
 }
 
