Abandon a rollout that is not held when popularity shifts; never arm ranks anew for another step

Cause: a round in progress when popularity shifted was finished first, and its map was of no use. The exploration written for it also found a fault of the landed code: with an idle group, a late order to hold a step after the one that the ranks are armed for made the coordinator arm rank 0 anew, so that 'step 15 starts with maps [0, 613491, 613491]' (passes of 50 ms, shift at 220 ms, order 11 late by 2 s). A late hold without any map to switch to had no way to end. Change: a shift abandons the rollout if no hold was requested for it. A hold for another step than the one rank 0 is armed for is left alone until that step has begun, or released if it is the earlier one. A hold without a map to switch to is answered by the map in use under a new version, so nothing is revoked. A rank that may have accepted a later map is not armed with an earlier one.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -84,6 +84,16 @@
     started_at: Moment,
     /// When the coordinator sent the map over the relay tree; `None` before that.
     relayed_at: Option<Moment>,
+    /// Whether this agent has requested a hold for it. The order may be executed much later.
+    is_hold_requested: bool,
+}
+
+impl RolloutProgress {
+    /// Whether another rollout can still take the place of this one: no rank is armed or about to
+    /// be.
+    fn is_replaceable(&self) -> bool {
+        self.step.is_none()
+    }
 }
 
 /// State machine of one agent: its view of the group and of the rollout in progress.
@@ -273,7 +283,7 @@
                 active.map = active.map.take().or(map);
             }
             // Once a step is set, the rollout can no longer be replaced by another.
-            Some(active) if active.step.is_some() || active.version > rollout.version => {}
+            Some(active) if !active.is_replaceable() || active.version > rollout.version => {}
             Some(_) | None => {
                 let MapRollout { epoch, version, step, .. } = rollout;
                 self.active = Some(RolloutProgress {
@@ -284,6 +294,7 @@
                     step,
                     started_at: now,
                     relayed_at: None,
+                    is_hold_requested: false,
                 });
             }
         }
@@ -311,9 +322,21 @@
     }
 
     /// Closes a sampling interval at the coordinator: blends its counts into the smoothed
-    /// popularity, or replaces the popularity after a shift. Returns an event to log for a shift.
-    /// An interval with too few choices is continued.
-    pub fn close_interval(&mut self) -> Option<RolloutEffect> {
+    /// popularity, or replaces the popularity after a shift. A shift abandons the rollout in
+    /// progress if no hold was requested for it. Returns the events to log. An interval with too
+    /// few choices is continued.
+    pub fn close_interval(&mut self) -> Vec<RolloutEffect> {
+        let Some(distance) = self.blend_interval() else { return Vec::new() };
+        let distance = to_milli(distance);
+        let shifted = RolloutEffect::Log(RolloutEvent::PopularityShifted { distance });
+        let superseded = self.active.take_if(|it| !it.is_hold_requested && it.is_replaceable());
+        let superseded = superseded.map(|it| RolloutEvent::Superseded(it.version));
+        [shifted].into_iter().chain(superseded.map(RolloutEffect::Log)).collect()
+    }
+
+    /// Closes a sampling interval; returns the distance between old and new popularity if it has
+    /// just shifted.
+    fn blend_interval(&mut self) -> Option<f64> {
         let layout = self.layout?;
         // Only the coordinator receives the counts of all ranks.
         let is_complete = self.interval_counts.len() == layout.layers * layout.experts;
@@ -343,8 +366,7 @@
             return None;
         }
         self.settling_intervals = SETTLING_INTERVALS;
-        let distance = to_milli(distance);
-        Some(RolloutEffect::Log(RolloutEvent::PopularityShifted { distance }))
+        Some(distance)
     }
 
     /// Returns the skew of the map in use under the smoothed popularity, or `None` if statuses are
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -47,6 +47,31 @@
 /// A coordinator that does not know of the latest versions is thus unlikely to reuse one.
 const VERSION_SPREAD: u64 = 1 << 20;
 
+/// What a hold that rank 0 reports is for. Orders may be executed late, so it need not be the one
+/// of the switch in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HoldPurpose {
+    /// The ranks are to be armed for the held step.
+    Switch,
+    /// Rank 0 is armed for an earlier step, which the group starts first. Armed ranks are not armed
+    /// anew, since that cannot take effect on all of them at the same time.
+    AfterSwitch,
+    /// Rank 0 is armed for a later step. That step was released, so all ranks are armed for it, and
+    /// the hold serves no purpose.
+    BeforeSwitch,
+}
+
+impl HoldPurpose {
+    /// Returns the purpose of the hold of `step` at rank 0, which gave this report.
+    pub(super) fn new(report: &RankReport, step: StepNumber) -> Self {
+        match report.armed {
+            Some((_, armed)) if armed < step => Self::AfterSwitch,
+            Some((_, armed)) if armed > step => Self::BeforeSwitch,
+            Some(_) | None => Self::Switch,
+        }
+    }
+}
+
 impl RolloutState {
     /// Returns the effects that are due at the coordinator.
     pub(super) fn coordinate(
@@ -56,7 +81,15 @@
         now: Moment,
     ) -> Vec<RolloutEffect> {
         if let Some(step) = report.held.filter(|it| *it > report.step) {
-            return self.finish_switch(report, place, step, now);
+            return match HoldPurpose::new(report, step) {
+                HoldPurpose::Switch => self.finish_switch(report, place, step, now),
+                HoldPurpose::AfterSwitch => Vec::new(),
+                HoldPurpose::BeforeSwitch => {
+                    let release = RankOrder::Release(step);
+                    let order = self.order_if_due(OrderKind::Release(step), release, now);
+                    order.into_iter().collect()
+                }
+            };
         }
         let Some(active) = self.active.clone() else { return self.start_round(report, place, now) };
         if active.step.is_some() {
@@ -72,6 +105,7 @@
                 if has_unanswered { DEGRADED_SWITCH_LEAD_STEPS } else { SWITCH_LEAD_STEPS };
             let step = StepNumber(report.step.0 + lead_steps);
             let is_due = self.mark_sent_if_due(OrderKind::Hold(step), now);
+            self.active.iter_mut().for_each(|it| it.is_hold_requested = true);
             return is_due.then_some(RolloutEffect::RequestHold(step)).into_iter().collect();
         }
         if now.since(active.started_at) > PREPARE_TIMEOUT {
@@ -90,6 +124,9 @@
         now: Moment,
     ) -> Vec<RolloutEffect> {
         let Some(version) = self.version_for_step(report, step, now) else {
+            if self.active.is_none() {
+                return self.renew_map(report, place, now);
+            }
             // Statuses are missing, or some rank is still preparing the map.
             return self.broadcast(now);
         };
@@ -104,6 +141,7 @@
                 step: Some(step),
                 started_at: now,
                 relayed_at: None,
+                is_hold_requested: true,
             });
             self.last_broadcast_at = None;
         }
@@ -121,6 +159,24 @@
         effects
     }
 
+    /// Rolls out the map in use under a new version: a late order has held a step without any map
+    /// to switch to, and a hold is never revoked.
+    fn renew_map(
+        &mut self,
+        report: &RankReport,
+        place: &GroupMembership,
+        now: Moment,
+    ) -> Vec<RolloutEffect> {
+        if !self.all_on_map(report, now) {
+            return Vec::new();
+        }
+        let Some(map) = self.group_map() else { return Vec::new() };
+        let version = self.start_rollout(report, place, map.clone(), map, now);
+        let mut effects = vec![RolloutEffect::Log(RolloutEvent::Renewed(version))];
+        effects.extend(self.broadcast(now));
+        effects
+    }
+
     /// Returns the effects that arm the ranks whose agents are silent, or `None` if all ranks but
     /// `own_rank` are armed.
     pub(super) fn arm_others(
@@ -181,10 +237,15 @@
         if let Some(version) = armed(report.armed).into_iter().chain(others).next() {
             return Some(version);
         }
-        let version = report.prepared?;
+        // A rank that has accepted a later map for preparation can no longer be armed with this one.
+        let version = report.prepared.filter(|it| !self.has_rollout_above(*it))?;
         self.all_current(report, now, |it| it.prepared == Some(version)).then_some(version)
     }
 
+    fn has_rollout_above(&self, version: MapVersion) -> bool {
+        self.active.as_ref().is_some_and(|it| it.version > version)
+    }
+
     /// Whether every rank has an unexpired status that meets the condition.
     fn all_current(
         &self,
@@ -281,8 +342,7 @@
         if now < self.next_round_at || report.armed.is_some() || self.settling_intervals > 0 {
             return Vec::new();
         }
-        let has_same_map = |it: &MemberStatus| it.map == report.map && it.armed.is_none();
-        if !self.all_current(report, now, has_same_map) || self.popularity.is_empty() {
+        if !self.all_on_map(report, now) || self.popularity.is_empty() {
             return Vec::new();
         }
         self.next_round_at = now.after(ROUND_INTERVAL);
@@ -299,28 +359,48 @@
         if round.skew_before - round.skew_after < MIN_ROUND_GAIN * round.skew_before {
             return Vec::new();
         }
+        let version = self.start_rollout(report, place, map, round.map, now);
+        let event = RolloutEvent::RoundPlanned {
+            version,
+            copies: round.copies,
+            skew_before: to_milli(round.skew_before),
+            skew_after: to_milli(round.skew_after),
+        };
+        let mut effects = vec![RolloutEffect::Log(event)];
+        effects.extend(self.broadcast(now));
+        effects
+    }
+
+    /// Makes the map the one to roll out, in place of the one in use, and returns its version.
+    fn start_rollout(
+        &mut self,
+        report: &RankReport,
+        place: &GroupMembership,
+        old_map: GroupMap,
+        map: GroupMap,
+        now: Moment,
+    ) -> MapVersion {
         let version =
             MapVersion(self.highest_version.0 + 1 + self.rng.random_range(0..VERSION_SPREAD));
         self.highest_version = version;
         self.active = Some(RolloutProgress {
             epoch: place.epoch,
             version,
-            map: Some(round.map),
-            base: Some((report.map, map)),
+            map: Some(map),
+            base: Some((report.map, old_map)),
             step: None,
             started_at: now,
             relayed_at: None,
+            is_hold_requested: false,
         });
         self.last_broadcast_at = None;
-        let event = RolloutEvent::RoundPlanned {
-            version,
-            copies: round.copies,
-            skew_before: to_milli(round.skew_before),
-            skew_after: to_milli(round.skew_after),
-        };
-        let mut effects = vec![RolloutEffect::Log(event)];
-        effects.extend(self.broadcast(now));
-        effects
+        version
+    }
+
+    /// Whether all ranks use the map of rank 0 and none is armed with another.
+    fn all_on_map(&self, report: &RankReport, now: Moment) -> bool {
+        let has_same_map = |it: &MemberStatus| it.map == report.map && it.armed.is_none();
+        self.all_current(report, now, has_same_map)
     }
 
     /// Returns the map in use, as this agent rolled it out or assembled from the statuses, or `None`
--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -257,6 +257,11 @@
     Activated(MapVersion),
     /// A rollout was abandoned before any rank was armed.
     Abandoned(MapVersion),
+    /// A rollout was abandoned before a hold was requested, because popularity shifted.
+    Superseded(MapVersion),
+    /// A late order held a step without a map to switch to, so the map in use is rolled out under
+    /// this version.
+    Renewed(MapVersion),
     /// A substitute is finishing the switch of a silent coordinator.
     Takeover(MapVersion, StepNumber),
     /// The group formed, with this epoch.
--- a/src/experts/rollout/takeover.rs
+++ b/src/experts/rollout/takeover.rs
@@ -3,6 +3,7 @@
 use super::{
     AGENT_SILENCE_TIMEOUT, COORDINATOR_CANDIDATES, PREPARE_TIMEOUT, RankOrder, RankReport,
     RolloutEffect, RolloutEvent, RolloutProgress, RolloutState, STATUS_TTL,
+    coordinator::HoldPurpose,
 };
 use crate::{routing::GroupMembership, units::Moment};
 
@@ -33,6 +34,17 @@
             self.polled_reports.remove(&0);
             return Vec::new();
         };
+        match HoldPurpose::new(&rank_zero, step) {
+            HoldPurpose::Switch => {}
+            HoldPurpose::AfterSwitch => {
+                self.polled_reports.remove(&0);
+                return Vec::new();
+            }
+            HoldPurpose::BeforeSwitch => {
+                self.polled_reports.remove(&0);
+                return vec![RolloutEffect::OrderPeer(0, RankOrder::Release(step))];
+            }
+        }
         let has_prepared = |rank: u16| {
             let status = self.statuses.get(&rank).map(|it| &it.0);
             let target = Some((version, step));
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -290,7 +290,7 @@
             self.due.sample = now.after(SAMPLE_INTERVAL);
             self.sample_usage(&report).await;
             let effects = self.rollout.close_interval();
-            has_changed |= self.apply_effects(effects.into_iter().collect()).await;
+            has_changed |= self.apply_effects(effects).await;
         }
         if is_new_state || now >= self.due.status {
             let is_rolling_out = self.rollout.is_rolling_out();
@@ -593,6 +593,18 @@
                     "expert map rollout abandoned before any rank was armed"
                 );
             }
+            RolloutEvent::Superseded(version) => {
+                log::info!(
+                    map = version.0;
+                    "expert map rollout abandoned: popularity shifted before a hold was requested"
+                );
+            }
+            RolloutEvent::Renewed(version) => {
+                log::warn!(
+                    map = version.0;
+                    "step held without a map to switch to: rolling out the map in use"
+                );
+            }
             RolloutEvent::Takeover(version, step) => {
                 log::warn!(
                     map = version.0, step = step.0;
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -34,6 +34,7 @@
 mod run_once;
 mod server_limits;
 mod server_notices;
+mod shift_rollout;
 mod slow_caller;
 mod store_rewind;
 mod whole_answer;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -29,6 +29,8 @@
 pub mod ports;
 #[path = "support/proxy.rs"]
 pub mod proxy;
+#[path = "support/rank_group.rs"]
+pub mod rank_group;
 #[path = "support/scripted_server.rs"]
 pub mod scripted_server;
 #[path = "support/fake_server.rs"]
