Answer a shift of popularity with a small relief round, planned as soon as its counts are there

Cause: the first round after a shift copied for 0.3 s a rank while all steps were late, was planned only after ACTIVATION_PAUSE, and counts waited up to 200 ms for the next status. Change: the first round after a shift may copy for 0.1 s a rank, does not wait for a pause, and the next round follows it at once. Counts are sent as soon as they are read, and a coordinator to whom a relief round is due polls as during a rollout. While a requested step has not begun, no other step is requested.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -84,8 +84,10 @@
     started_at: Moment,
     /// When the coordinator sent the map over the relay tree; `None` before that.
     relayed_at: Option<Moment>,
-    /// Whether this agent has requested a hold for it. The order may be executed much later.
-    is_hold_requested: bool,
+    /// The step that this agent last requested a hold of. The order may be executed much later.
+    requested_step: Option<StepNumber>,
+    /// Whether this is the first round after a shift of popularity.
+    is_relief: bool,
 }
 
 impl RolloutProgress {
@@ -112,6 +114,8 @@
     interval_counts: Vec<f64>,
     /// Remaining intervals to wait for after a shift of popularity.
     settling_intervals: u32,
+    /// Whether the next round is the first one after a shift of popularity.
+    is_relief_due: bool,
     /// Latest map that this agent has in full, for all ranks.
     known_map: Option<(MapVersion, GroupMap)>,
     active: Option<RolloutProgress>,
@@ -146,6 +150,7 @@
             popularity: Vec::new(),
             interval_counts: Vec::new(),
             settling_intervals: 0,
+            is_relief_due: false,
             known_map: None,
             active: None,
             highest_version: MapVersion(0),
@@ -164,9 +169,9 @@
         self.report.as_ref()?.group.as_ref()
     }
 
-    /// Whether a rollout is in progress, so that messages need prompt handling.
+    /// Whether a rollout is in progress or due, so that messages need prompt handling.
     pub fn is_rolling_out(&self) -> bool {
-        self.active.is_some()
+        self.active.is_some() || self.is_relief_due
     }
 
     /// Sets the limits on the placement of the group's experts.
@@ -294,7 +299,8 @@
                     step,
                     started_at: now,
                     relayed_at: None,
-                    is_hold_requested: false,
+                    requested_step: None,
+                    is_relief: false,
                 });
             }
         }
@@ -329,7 +335,8 @@
         let Some(distance) = self.blend_interval() else { return Vec::new() };
         let distance = to_milli(distance);
         let shifted = RolloutEffect::Log(RolloutEvent::PopularityShifted { distance });
-        let superseded = self.active.take_if(|it| !it.is_hold_requested && it.is_replaceable());
+        let superseded =
+            self.active.take_if(|it| it.requested_step.is_none() && it.is_replaceable());
         let superseded = superseded.map(|it| RolloutEvent::Superseded(it.version));
         [shifted].into_iter().chain(superseded.map(RolloutEffect::Log)).collect()
     }
@@ -366,6 +373,7 @@
             return None;
         }
         self.settling_intervals = SETTLING_INTERVALS;
+        self.is_relief_due = true;
         Some(distance)
     }
 
@@ -386,7 +394,9 @@
                 self.known_map = active.map.map(|it| (version, it));
             }
             effects.push(RolloutEffect::Log(RolloutEvent::Activated(version)));
-            self.next_round_at = self.next_round_at.max(now.after(ACTIVATION_PAUSE));
+            // A relief round is too small to be the only answer to a shift.
+            let pause = if active.is_relief { Duration::ZERO } else { ACTIVATION_PAUSE };
+            self.next_round_at = self.next_round_at.max(now.after(pause));
         }
         effects.extend(self.drive_own_engine(&report, now));
         if place.rank == 0 {
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -10,7 +10,7 @@
     relay_children, to_milli,
 };
 use crate::{
-    experts::{GroupMap, MapVersion, RoundSettings, StepNumber, plan_round},
+    experts::{GroupMap, MapVersion, RoundPlan, RoundSettings, StepNumber, plan_round},
     routing::{ExpertLayout, GroupMembership},
     units::Moment,
 };
@@ -37,6 +37,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 /// Time that a rank may spend on the sequential copies of one round.
 const COPY_BUDGET: Duration = Duration::from_millis(300);
+/// Time that a rank may spend on the copies of the first round after a shift of popularity.
+const RELIEF_COPY_BUDGET: Duration = Duration::from_millis(100);
 /// Maximum number of copies to a rank in one round, however fast they are.
 const MAX_COPIES_PER_RANK: usize = 16;
 /// Maximum number of copies per layer to a rank in one round.
@@ -103,9 +105,11 @@
                 self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
             let lead_steps =
                 if has_unanswered { DEGRADED_SWITCH_LEAD_STEPS } else { SWITCH_LEAD_STEPS };
-            let step = StepNumber(report.step.0 + lead_steps);
+            // Rank 0 holds one step at a time, so another is requested only once that has begun.
+            let requested = active.requested_step.filter(|it| *it > report.step);
+            let step = requested.unwrap_or(StepNumber(report.step.0 + lead_steps));
             let is_due = self.mark_sent_if_due(OrderKind::Hold(step), now);
-            self.active.iter_mut().for_each(|it| it.is_hold_requested = true);
+            self.active.iter_mut().for_each(|it| it.requested_step = Some(step));
             return is_due.then_some(RolloutEffect::RequestHold(step)).into_iter().collect();
         }
         if now.since(active.started_at) > PREPARE_TIMEOUT {
@@ -132,16 +136,17 @@
         };
         let current = self.active.as_ref().map(|it| (it.version, it.step));
         if current != Some((version, Some(step))) {
-            let map = self.active.take().filter(|it| it.version == version).and_then(|it| it.map);
+            let active = self.active.take().filter(|it| it.version == version);
             self.active = Some(RolloutProgress {
                 epoch: place.epoch,
                 version,
-                map,
+                map: active.as_ref().and_then(|it| it.map.clone()),
                 base: None,
                 step: Some(step),
                 started_at: now,
                 relayed_at: None,
-                is_hold_requested: true,
+                requested_step: Some(step),
+                is_relief: active.is_some_and(|it| it.is_relief),
             });
             self.last_broadcast_at = None;
         }
@@ -339,7 +344,8 @@
         now: Moment,
     ) -> Vec<RolloutEffect> {
         let Some(layout) = self.layout else { return Vec::new() };
-        if now < self.next_round_at || report.armed.is_some() || self.settling_intervals > 0 {
+        let is_paused = now < self.next_round_at && !self.is_relief_due;
+        if is_paused || report.armed.is_some() || self.settling_intervals > 0 {
             return Vec::new();
         }
         if !self.all_on_map(report, now) || self.popularity.is_empty() {
@@ -347,19 +353,25 @@
         }
         self.next_round_at = now.after(ROUND_INTERVAL);
         let Some(map) = self.group_map() else { return Vec::new() };
+        let budget = if self.is_relief_due { RELIEF_COPY_BUDGET } else { COPY_BUDGET };
         let settings = RoundSettings {
             rank_slots: layout.rank_slots,
             max_new: layout.max_new.min(MAX_NEW_PER_LAYER),
-            max_copies: max_copies(&layout),
+            max_copies: max_copies(&layout, budget),
             ..RoundSettings::default()
         };
-        let Some(round) = plan_round(&map, &self.popularity, &settings) else { return Vec::new() };
         // A round with little gain is not worth it: while in progress, it delays the reaction to
         // the next shift of popularity.
-        if round.skew_before - round.skew_after < MIN_ROUND_GAIN * round.skew_before {
+        let is_worth_it =
+            |it: &RoundPlan| it.skew_before - it.skew_after >= MIN_ROUND_GAIN * it.skew_before;
+        let round = plan_round(&map, &self.popularity, &settings).filter(is_worth_it);
+        let Some(round) = round else {
+            self.is_relief_due = false;
             return Vec::new();
-        }
+        };
         let version = self.start_rollout(report, place, map, round.map, now);
+        let is_relief = std::mem::take(&mut self.is_relief_due);
+        self.active.iter_mut().for_each(|it| it.is_relief = is_relief);
         let event = RolloutEvent::RoundPlanned {
             version,
             copies: round.copies,
@@ -391,7 +403,8 @@
             step: None,
             started_at: now,
             relayed_at: None,
-            is_hold_requested: false,
+            requested_step: None,
+            is_relief: false,
         });
         self.last_broadcast_at = None;
         version
@@ -436,8 +449,8 @@
     vec![RolloutEffect::Broadcast(ranks, message)]
 }
 
-/// Returns the number of copies to a rank that fit into [`COPY_BUDGET`].
-fn max_copies(layout: &ExpertLayout) -> usize {
-    let copies = COPY_BUDGET.as_secs_f64() / layout.copy_seconds.max(f64::MIN_POSITIVE);
+/// Returns the number of copies to a rank that fit into the budget.
+fn max_copies(layout: &ExpertLayout, budget: Duration) -> usize {
+    let copies = budget.as_secs_f64() / layout.copy_seconds.max(f64::MIN_POSITIVE);
     (copies as usize).clamp(1, MAX_COPIES_PER_RANK)
 }
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -292,7 +292,7 @@
             let effects = self.rollout.close_interval();
             has_changed |= self.apply_effects(effects).await;
         }
-        if is_new_state || now >= self.due.status {
+        if is_new_state || self.unsent_counts.is_some() || now >= self.due.status {
             let is_rolling_out = self.rollout.is_rolling_out();
             self.due.status =
                 now.after(if is_rolling_out { ROLLOUT_STATUS_INTERVAL } else { STATUS_INTERVAL });
--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -6,7 +6,7 @@
 use alderbay::{
     experts::{
         GroupMap, MapVersion, MemberStatus, RankReport, RolloutEffect, RolloutEvent, RolloutState,
-        StepNumber, UsageSample, group_skew,
+        RoundSettings, StepNumber, UsageSample, group_skew, plan_round,
     },
     routing::{ExpertLayout, GroupMembership},
     units::Moment,
@@ -40,6 +40,10 @@
 struct Coordinator {
     state: RolloutState,
     now: Moment,
+    /// Last step that the group has started.
+    step: u64,
+    /// Number of layers, all with the same map.
+    layers: usize,
 }
 
 impl Coordinator {
@@ -52,7 +56,7 @@
             max_new: 2,
             copy_seconds: 0.04,
         });
-        Self { state, now: Moment(1_000_000) }
+        Self { state, now: Moment(1_000_000), step: 9, layers: 1 }
     }
 
     fn report(step: u64, held: Option<StepNumber>) -> RankReport {
@@ -72,20 +76,20 @@
     /// Delivers a report of its engine and statuses of all ranks with these usage counts.
     fn deliver_statuses(&mut self, counts: &[u64], prepared: Option<MapVersion>) {
         self.now = self.now.after(INTERVAL);
-        self.state.handle_report(RankReport { prepared, ..Self::report(9, None) });
+        self.state.handle_report(RankReport { prepared, ..Self::report(self.step, None) });
         for rank in 0..RANKS {
             let sample = UsageSample::from_counters(&vec![0; counts.len()], counts);
             let status = MemberStatus {
                 rank,
                 epoch: 1,
-                step: StepNumber(9),
+                step: StepNumber(self.step),
                 map: MapVersion(0),
                 prepared,
                 armed: None,
                 highest: MapVersion(0),
                 has_unanswered: false,
                 known: None,
-                experts: vec![initial_map()[0][usize::from(rank)].clone()],
+                experts: vec![initial_map()[0][usize::from(rank)].clone(); self.layers],
                 counts: Some(sample),
             };
             self.state.handle_status(status, self.now);
@@ -163,3 +167,73 @@
     let hold = RolloutEffect::RequestHold(StepNumber(11));
     expect_that!(effects, contains(eq(&hold)));
 }
+
+/// Effects of three intervals in which the popularity changes from one expert to another.
+fn run_shift(coordinator: &mut Coordinator, from: usize, to: usize) -> Vec<RolloutEffect> {
+    let (old, new) = (skewed_counts(from), skewed_counts(to));
+    let mixed: Vec<u64> = old.iter().zip(&new).map(|(a, b)| (a + b) / 2).collect();
+    let intervals = [mixed, new.clone(), new];
+    intervals.iter().flat_map(|it| coordinator.run_interval(it)).collect()
+}
+
+fn superseded(effects: &[RolloutEffect]) -> Option<MapVersion> {
+    effects.iter().find_map(|it| match it {
+        RolloutEffect::Log(RolloutEvent::Superseded(version)) => Some(*version),
+        _ => None,
+    })
+}
+
+/// A map for the old popularity is of no use after a shift.
+#[gtest]
+fn shift_replaces_rollout() {
+    let mut coordinator = Coordinator::new();
+    let first = [skewed_counts(5), skewed_counts(5)].map(|it| coordinator.run_interval(&it));
+    let (version, _) = planned_round(&first.concat()).unwrap();
+    let effects = run_shift(&mut coordinator, 5, 12);
+    expect_that!(superseded(&effects), some(eq(version)));
+    expect_that!(planned_round(&effects).unwrap().0, gt(version));
+}
+
+/// An order to hold may be executed late, and the group would wait for copies at the held step.
+#[gtest]
+fn shift_spares_requested_hold() {
+    let mut coordinator = Coordinator::new();
+    let first = [skewed_counts(5), skewed_counts(5)].map(|it| coordinator.run_interval(&it));
+    let (version, _) = planned_round(&first.concat()).unwrap();
+    coordinator.deliver_statuses(&skewed_counts(5), Some(version));
+    let effects = coordinator.state.reconcile(coordinator.now);
+    expect_that!(effects, contains(eq(&RolloutEffect::RequestHold(StepNumber(11)))));
+    let effects = run_shift(&mut coordinator, 5, 12);
+    expect_that!(superseded(&effects), none());
+    expect_that!(planned_round(&effects), none());
+}
+
+/// The first round after a shift copies for a third of the time of the usual ones.
+#[gtest]
+fn shift_brings_relief_round() {
+    let mut coordinator = Coordinator::new();
+    coordinator.layers = 2;
+    coordinator.state.set_layout(ExpertLayout {
+        layers: 2,
+        experts: EXPERTS,
+        rank_slots: 6,
+        max_new: 2,
+        copy_seconds: 0.1,
+    });
+    coordinator.run_interval(&[1_000; 2 * EXPERTS]);
+    // Two popular experts of each layer are on one rank.
+    let layer = (0..EXPERTS).map(|it| if [0, 4].contains(&it) { 9_000 } else { 100_u32 });
+    let favoured: Vec<u64> = layer.clone().chain(layer.clone()).map(u64::from).collect();
+    let effects = [&favoured; 3].map(|it| coordinator.run_interval(it)).concat();
+    let copies = effects.iter().find_map(|it| match it {
+        RolloutEffect::Log(RolloutEvent::RoundPlanned { copies, .. }) => Some(*copies),
+        _ => None,
+    });
+    let loads: Vec<f64> = layer.map(f64::from).collect();
+    let settings =
+        RoundSettings { rank_slots: 6, max_new: 2, max_copies: 3, ..RoundSettings::default() };
+    let map = [initial_map(), initial_map()].concat();
+    let usual = plan_round(&map, &[loads.clone(), loads], &settings).unwrap();
+    expect_that!(copies, some(le(usize::from(RANKS))));
+    expect_that!(usual.copies, gt(usize::from(RANKS)));
+}
