Hold the next step while steps are long

Cause: two further slow steps passed between the request to hold a step and the switch. Change: if the last two steps took 80 ms or more and the one in progress leaves 60 ms, the coordinator requests a hold of the next one. An order that comes too late is refused by the engine, as before.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -20,6 +20,7 @@
 
 mod coordinator;
 mod messages;
+mod pace;
 mod relay;
 mod sampling;
 mod takeover;
@@ -35,6 +36,7 @@
 
 use rand::rngs::SmallRng;
 
+use self::pace::StepPace;
 use super::{GroupMap, MapVersion, StepNumber, group_skew};
 use crate::{
     routing::{ExpertLayout, GroupMembership},
@@ -116,6 +118,7 @@
     settling_intervals: u32,
     /// Whether the next round is the first one after a shift of popularity.
     is_relief_due: bool,
+    pace: StepPace,
     /// Latest map that this agent has in full, for all ranks.
     known_map: Option<(MapVersion, GroupMap)>,
     active: Option<RolloutProgress>,
@@ -151,6 +154,7 @@
             interval_counts: Vec::new(),
             settling_intervals: 0,
             is_relief_due: false,
+            pace: StepPace::new(),
             known_map: None,
             active: None,
             highest_version: MapVersion(0),
@@ -387,6 +391,7 @@
     pub fn reconcile(&mut self, now: Moment) -> Vec<RolloutEffect> {
         let Some(report) = self.report.clone() else { return Vec::new() };
         let Some(place) = report.group.clone().filter(|it| it.is_open) else { return Vec::new() };
+        self.pace.observe(report.step, now);
         let mut effects = Vec::new();
         if let Some(active) = self.active.take_if(|it| report.map >= it.version) {
             let version = active.version;
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -21,6 +21,8 @@
 /// Number of steps between the current one and the held one. Ranks are armed while one full step
 /// runs, so that the group seldom waits; a wait delays all its streams.
 const SWITCH_LEAD_STEPS: u64 = 2;
+/// Number of steps to the held one while steps are long: every step before the switch is late.
+const NEXT_STEP_LEAD: u64 = 1;
 /// Number of steps to the held one while orders go unanswered and need retries.
 const DEGRADED_SWITCH_LEAD_STEPS: u64 = 3;
 /// Minimum interval between broadcasts of a rollout.
@@ -103,8 +105,13 @@
         if self.all_within_age(MAX_STATUS_AGE_FOR_HOLD, report, now, is_prepared) {
             let has_unanswered =
                 self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
-            let lead_steps =
-                if has_unanswered { DEGRADED_SWITCH_LEAD_STEPS } else { SWITCH_LEAD_STEPS };
+            let lead_steps = if has_unanswered {
+                DEGRADED_SWITCH_LEAD_STEPS
+            } else if self.pace.can_hold_next(now) {
+                NEXT_STEP_LEAD
+            } else {
+                SWITCH_LEAD_STEPS
+            };
             // Rank 0 holds one step at a time, so another is requested only once that has begun.
             let requested = active.requested_step.filter(|it| *it > report.step);
             let step = requested.unwrap_or(StepNumber(report.step.0 + lead_steps));
--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -237,3 +237,25 @@
     expect_that!(copies, some(le(usize::from(RANKS))));
     expect_that!(usual.copies, gt(usize::from(RANKS)));
 }
+
+/// Each of a group's long steps before the switch is late, so the next one is held if there is time.
+#[gtest]
+fn next_of_long_steps_is_held() {
+    for (elapsed_ms, held) in [(10, 14), (50, 15)] {
+        let mut coordinator = Coordinator::new();
+        let mut effects = Vec::new();
+        for _ in 0..3 {
+            coordinator.step += 1;
+            effects.extend(coordinator.run_interval(&skewed_counts(5)));
+        }
+        let (version, _) = planned_round(&effects).unwrap();
+        coordinator.step += 1;
+        coordinator.deliver_statuses(&skewed_counts(5), None);
+        coordinator.state.reconcile(coordinator.now);
+        let started_at = coordinator.now;
+        coordinator.deliver_statuses(&skewed_counts(5), Some(version));
+        coordinator.now = started_at.after(Duration::from_millis(elapsed_ms));
+        let effects = coordinator.state.reconcile(coordinator.now);
+        expect_that!(effects, contains(eq(&RolloutEffect::RequestHold(StepNumber(held)))));
+    }
+}
--- a/tests/shift_rollout.rs
+++ b/tests/shift_rollout.rs
@@ -373,6 +373,7 @@
     match explore(140) {
         Ok(coverage) => {
             expect_that!(coverage.runs, gt(1_000));
+            expect_that!(coverage.next_step_holds, gt(0));
             expect_that!(coverage.superseded, gt(0));
             expect_that!(coverage.activated, gt(0));
         }
