--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -17,6 +17,9 @@
 //! step arms all ranks with the prepared map and then releases rank 0. Orders are idempotent, so
 //! this may happen repeatedly. Map versions must not be reused, even by a coordinator that has
 //! restarted without any record of earlier ones, so they are drawn at random from a wide range.
+//!
+//! Before a hold was requested, a shift of popularity abandons the rollout: its map is of no use any
+//! more, and the ranks drop it when they prepare the next. After that the rollout is finished.
 
 mod coordinator;
 mod messages;
