--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -17,9 +17,13 @@
 //! step arms all ranks with the prepared map and then releases rank 0. Orders are idempotent, so
 //! this may happen repeatedly. Map versions must not be reused, even by a coordinator that has
 //! restarted without any record of earlier ones, so they are drawn at random from a wide range.
+//!
+//! Before a hold was requested, a shift of popularity abandons the rollout: its map is of no use any
+//! more, and the ranks drop it when they prepare the next. After that the rollout is finished.
 
 mod coordinator;
 mod messages;
+mod pace;
 mod relay;
 mod sampling;
 mod takeover;
@@ -35,6 +39,7 @@
 
 use rand::rngs::SmallRng;
 
+use self::pace::StepPace;
 use super::{GroupMap, MapVersion, StepNumber, group_skew};
 use crate::{
     routing::{ExpertLayout, GroupMembership},
@@ -84,6 +89,18 @@
     started_at: Moment,
     /// When the coordinator sent the map over the relay tree; `None` before that.
     relayed_at: Option<Moment>,
+    /// The step that this agent last requested a hold of. The order may be executed much later.
+    requested_step: Option<StepNumber>,
+    /// Whether this is the first round after a shift of popularity.
+    is_relief: bool,
+}
+
+impl RolloutProgress {
+    /// Whether another rollout can still take the place of this one: no rank is armed or about to
+    /// be.
+    fn is_replaceable(&self) -> bool {
+        self.step.is_none()
+    }
 }
 
 /// State machine of one agent: its view of the group and of the rollout in progress.
@@ -102,6 +119,9 @@
     interval_counts: Vec<f64>,
     /// Remaining intervals to wait for after a shift of popularity.
     settling_intervals: u32,
+    /// Whether the next round is the first one after a shift of popularity.
+    is_relief_due: bool,
+    pace: StepPace,
     /// Latest map that this agent has in full, for all ranks.
     known_map: Option<(MapVersion, GroupMap)>,
     active: Option<RolloutProgress>,
@@ -136,6 +156,8 @@
             popularity: Vec::new(),
             interval_counts: Vec::new(),
             settling_intervals: 0,
+            is_relief_due: false,
+            pace: StepPace::new(),
             known_map: None,
             active: None,
             highest_version: MapVersion(0),
@@ -154,9 +176,9 @@
         self.report.as_ref()?.group.as_ref()
     }
 
-    /// Whether a rollout is in progress, so that messages need prompt handling.
+    /// Whether a rollout is in progress or due, so that messages need prompt handling.
     pub fn is_rolling_out(&self) -> bool {
-        self.active.is_some()
+        self.active.is_some() || self.is_relief_due
     }
 
     /// Sets the limits on the placement of the group's experts.
@@ -273,7 +295,7 @@
                 active.map = active.map.take().or(map);
             }
             // Once a step is set, the rollout can no longer be replaced by another.
-            Some(active) if active.step.is_some() || active.version > rollout.version => {}
+            Some(active) if !active.is_replaceable() || active.version > rollout.version => {}
             Some(_) | None => {
                 let MapRollout { epoch, version, step, .. } = rollout;
                 self.active = Some(RolloutProgress {
@@ -284,6 +306,8 @@
                     step,
                     started_at: now,
                     relayed_at: None,
+                    requested_step: None,
+                    is_relief: false,
                 });
             }
         }
@@ -311,9 +335,22 @@
     }
 
     /// Closes a sampling interval at the coordinator: blends its counts into the smoothed
-    /// popularity, or replaces the popularity after a shift. Returns an event to log for a shift.
-    /// An interval with too few choices is continued.
-    pub fn close_interval(&mut self) -> Option<RolloutEffect> {
+    /// popularity, or replaces the popularity after a shift. A shift abandons the rollout in
+    /// progress if no hold was requested for it. Returns the events to log. An interval with too
+    /// few choices is continued.
+    pub fn close_interval(&mut self) -> Vec<RolloutEffect> {
+        let Some(distance) = self.blend_interval() else { return Vec::new() };
+        let distance = to_milli(distance);
+        let shifted = RolloutEffect::Log(RolloutEvent::PopularityShifted { distance });
+        let superseded =
+            self.active.take_if(|it| it.requested_step.is_none() && it.is_replaceable());
+        let superseded = superseded.map(|it| RolloutEvent::Superseded(it.version));
+        [shifted].into_iter().chain(superseded.map(RolloutEffect::Log)).collect()
+    }
+
+    /// Closes a sampling interval; returns the distance between old and new popularity if it has
+    /// just shifted.
+    fn blend_interval(&mut self) -> Option<f64> {
         let layout = self.layout?;
         // Only the coordinator receives the counts of all ranks.
         let is_complete = self.interval_counts.len() == layout.layers * layout.experts;
@@ -343,8 +380,8 @@
             return None;
         }
         self.settling_intervals = SETTLING_INTERVALS;
-        let distance = to_milli(distance);
-        Some(RolloutEffect::Log(RolloutEvent::PopularityShifted { distance }))
+        self.is_relief_due = true;
+        Some(distance)
     }
 
     /// Returns the skew of the map in use under the smoothed popularity, or `None` if statuses are
@@ -357,6 +394,7 @@
     pub fn reconcile(&mut self, now: Moment) -> Vec<RolloutEffect> {
         let Some(report) = self.report.clone() else { return Vec::new() };
         let Some(place) = report.group.clone().filter(|it| it.is_open) else { return Vec::new() };
+        self.pace.observe(report.step, now);
         let mut effects = Vec::new();
         if let Some(active) = self.active.take_if(|it| report.map >= it.version) {
             let version = active.version;
@@ -364,7 +402,9 @@
                 self.known_map = active.map.map(|it| (version, it));
             }
             effects.push(RolloutEffect::Log(RolloutEvent::Activated(version)));
-            self.next_round_at = self.next_round_at.max(now.after(ACTIVATION_PAUSE));
+            // A relief round is too small to be the only answer to a shift.
+            let pause = if active.is_relief { Duration::ZERO } else { ACTIVATION_PAUSE };
+            self.next_round_at = self.next_round_at.max(now.after(pause));
         }
         effects.extend(self.drive_own_engine(&report, now));
         if place.rank == 0 {
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -10,7 +10,7 @@
     relay_children, to_milli,
 };
 use crate::{
-    experts::{GroupMap, MapVersion, RoundSettings, StepNumber, plan_round},
+    experts::{GroupMap, MapVersion, RoundPlan, RoundSettings, StepNumber, plan_round},
     routing::{ExpertLayout, GroupMembership},
     units::Moment,
 };
@@ -21,6 +21,8 @@
 /// Number of steps between the current one and the held one. Ranks are armed while one full step
 /// runs, so that the group seldom waits; a wait delays all its streams.
 const SWITCH_LEAD_STEPS: u64 = 2;
+/// Number of steps to the held one while steps are long: every step before the switch is late.
+const NEXT_STEP_LEAD: u64 = 1;
 /// Number of steps to the held one while orders go unanswered and need retries.
 const DEGRADED_SWITCH_LEAD_STEPS: u64 = 3;
 /// Minimum interval between broadcasts of a rollout.
@@ -37,6 +39,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 /// Time that a rank may spend on the sequential copies of one round.
 const COPY_BUDGET: Duration = Duration::from_millis(300);
+/// Time that a rank may spend on the copies of the first round after a shift of popularity.
+const RELIEF_COPY_BUDGET: Duration = Duration::from_millis(100);
 /// Maximum number of copies to a rank in one round, however fast they are.
 const MAX_COPIES_PER_RANK: usize = 16;
 /// Maximum number of copies per layer to a rank in one round.
@@ -47,6 +51,31 @@
 /// A coordinator that does not know of the latest versions is thus unlikely to reuse one.
 const VERSION_SPREAD: u64 = 1 << 20;
 
+/// What a hold that rank 0 reports is for. Orders may be executed late, so it need not be the one
+/// of the switch in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HoldPurpose {
+    /// The ranks are to be armed for the held step.
+    Switch,
+    /// Rank 0 is armed for an earlier step, which the group starts first. Armed ranks are not armed
+    /// anew, since that cannot take effect on all of them at the same time.
+    AfterSwitch,
+    /// Rank 0 is armed for a later step. That step was released, so all ranks are armed for it, and
+    /// the hold serves no purpose.
+    BeforeSwitch,
+}
+
+impl HoldPurpose {
+    /// Returns the purpose of the hold of `step` at rank 0, which gave this report.
+    pub(super) fn new(report: &RankReport, step: StepNumber) -> Self {
+        match report.armed {
+            Some((_, armed)) if armed < step => Self::AfterSwitch,
+            Some((_, armed)) if armed > step => Self::BeforeSwitch,
+            Some(_) | None => Self::Switch,
+        }
+    }
+}
+
 impl RolloutState {
     /// Returns the effects that are due at the coordinator.
     pub(super) fn coordinate(
@@ -56,7 +85,15 @@
         now: Moment,
     ) -> Vec<RolloutEffect> {
         if let Some(step) = report.held.filter(|it| *it > report.step) {
-            return self.finish_switch(report, place, step, now);
+            return match HoldPurpose::new(report, step) {
+                HoldPurpose::Switch => self.finish_switch(report, place, step, now),
+                HoldPurpose::AfterSwitch => Vec::new(),
+                HoldPurpose::BeforeSwitch => {
+                    let release = RankOrder::Release(step);
+                    let order = self.order_if_due(OrderKind::Release(step), release, now);
+                    order.into_iter().collect()
+                }
+            };
         }
         let Some(active) = self.active.clone() else { return self.start_round(report, place, now) };
         if active.step.is_some() {
@@ -68,10 +105,18 @@
         if self.all_within_age(MAX_STATUS_AGE_FOR_HOLD, report, now, is_prepared) {
             let has_unanswered =
                 self.has_unanswered(now) || self.statuses.values().any(|(it, _)| it.has_unanswered);
-            let lead_steps =
-                if has_unanswered { DEGRADED_SWITCH_LEAD_STEPS } else { SWITCH_LEAD_STEPS };
-            let step = StepNumber(report.step.0 + lead_steps);
+            let lead_steps = if has_unanswered {
+                DEGRADED_SWITCH_LEAD_STEPS
+            } else if self.pace.can_hold_next(now) {
+                NEXT_STEP_LEAD
+            } else {
+                SWITCH_LEAD_STEPS
+            };
+            // Rank 0 holds one step at a time, so another is requested only once that has begun.
+            let requested = active.requested_step.filter(|it| *it > report.step);
+            let step = requested.unwrap_or(StepNumber(report.step.0 + lead_steps));
             let is_due = self.mark_sent_if_due(OrderKind::Hold(step), now);
+            self.active.iter_mut().for_each(|it| it.requested_step = Some(step));
             return is_due.then_some(RolloutEffect::RequestHold(step)).into_iter().collect();
         }
         if now.since(active.started_at) > PREPARE_TIMEOUT {
@@ -90,20 +135,25 @@
         now: Moment,
     ) -> Vec<RolloutEffect> {
         let Some(version) = self.version_for_step(report, step, now) else {
+            if self.active.is_none() {
+                return self.renew_map(report, place, now);
+            }
             // Statuses are missing, or some rank is still preparing the map.
             return self.broadcast(now);
         };
         let current = self.active.as_ref().map(|it| (it.version, it.step));
         if current != Some((version, Some(step))) {
-            let map = self.active.take().filter(|it| it.version == version).and_then(|it| it.map);
+            let active = self.active.take().filter(|it| it.version == version);
             self.active = Some(RolloutProgress {
                 epoch: place.epoch,
                 version,
-                map,
+                map: active.as_ref().and_then(|it| it.map.clone()),
                 base: None,
                 step: Some(step),
                 started_at: now,
                 relayed_at: None,
+                requested_step: Some(step),
+                is_relief: active.is_some_and(|it| it.is_relief),
             });
             self.last_broadcast_at = None;
         }
@@ -121,6 +171,24 @@
         effects
     }
 
+    /// Rolls out the map in use under a new version: a late order has held a step without any map
+    /// to switch to, and a hold is never revoked.
+    fn renew_map(
+        &mut self,
+        report: &RankReport,
+        place: &GroupMembership,
+        now: Moment,
+    ) -> Vec<RolloutEffect> {
+        if !self.all_on_map(report, now) {
+            return Vec::new();
+        }
+        let Some(map) = self.group_map() else { return Vec::new() };
+        let version = self.start_rollout(report, place, map.clone(), map, now);
+        let mut effects = vec![RolloutEffect::Log(RolloutEvent::Renewed(version))];
+        effects.extend(self.broadcast(now));
+        effects
+    }
+
     /// Returns the effects that arm the ranks whose agents are silent, or `None` if all ranks but
     /// `own_rank` are armed.
     pub(super) fn arm_others(
@@ -181,10 +249,15 @@
         if let Some(version) = armed(report.armed).into_iter().chain(others).next() {
             return Some(version);
         }
-        let version = report.prepared?;
+        // A rank that has accepted a later map for preparation can no longer be armed with this one.
+        let version = report.prepared.filter(|it| !self.has_rollout_above(*it))?;
         self.all_current(report, now, |it| it.prepared == Some(version)).then_some(version)
     }
 
+    fn has_rollout_above(&self, version: MapVersion) -> bool {
+        self.active.as_ref().is_some_and(|it| it.version > version)
+    }
+
     /// Whether every rank has an unexpired status that meets the condition.
     fn all_current(
         &self,
@@ -278,49 +351,76 @@
         now: Moment,
     ) -> Vec<RolloutEffect> {
         let Some(layout) = self.layout else { return Vec::new() };
-        if now < self.next_round_at || report.armed.is_some() || self.settling_intervals > 0 {
+        let is_paused = now < self.next_round_at && !self.is_relief_due;
+        if is_paused || report.armed.is_some() || self.settling_intervals > 0 {
             return Vec::new();
         }
-        let has_same_map = |it: &MemberStatus| it.map == report.map && it.armed.is_none();
-        if !self.all_current(report, now, has_same_map) || self.popularity.is_empty() {
+        if !self.all_on_map(report, now) || self.popularity.is_empty() {
             return Vec::new();
         }
         self.next_round_at = now.after(ROUND_INTERVAL);
         let Some(map) = self.group_map() else { return Vec::new() };
+        let budget = if self.is_relief_due { RELIEF_COPY_BUDGET } else { COPY_BUDGET };
         let settings = RoundSettings {
             rank_slots: layout.rank_slots,
             max_new: layout.max_new.min(MAX_NEW_PER_LAYER),
-            max_copies: max_copies(&layout),
+            max_copies: max_copies(&layout, budget),
             ..RoundSettings::default()
         };
-        let Some(round) = plan_round(&map, &self.popularity, &settings) else { return Vec::new() };
         // A round with little gain is not worth it: while in progress, it delays the reaction to
         // the next shift of popularity.
-        if round.skew_before - round.skew_after < MIN_ROUND_GAIN * round.skew_before {
+        let is_worth_it =
+            |it: &RoundPlan| it.skew_before - it.skew_after >= MIN_ROUND_GAIN * it.skew_before;
+        let round = plan_round(&map, &self.popularity, &settings).filter(is_worth_it);
+        let Some(round) = round else {
+            self.is_relief_due = false;
             return Vec::new();
-        }
+        };
+        let version = self.start_rollout(report, place, map, round.map, now);
+        let is_relief = std::mem::take(&mut self.is_relief_due);
+        self.active.iter_mut().for_each(|it| it.is_relief = is_relief);
+        let event = RolloutEvent::RoundPlanned {
+            version,
+            copies: round.copies,
+            skew_before: to_milli(round.skew_before),
+            skew_after: to_milli(round.skew_after),
+        };
+        let mut effects = vec![RolloutEffect::Log(event)];
+        effects.extend(self.broadcast(now));
+        effects
+    }
+
+    /// Makes the map the one to roll out, in place of the one in use, and returns its version.
+    fn start_rollout(
+        &mut self,
+        report: &RankReport,
+        place: &GroupMembership,
+        old_map: GroupMap,
+        map: GroupMap,
+        now: Moment,
+    ) -> MapVersion {
         let version =
             MapVersion(self.highest_version.0 + 1 + self.rng.random_range(0..VERSION_SPREAD));
         self.highest_version = version;
         self.active = Some(RolloutProgress {
             epoch: place.epoch,
             version,
-            map: Some(round.map),
-            base: Some((report.map, map)),
+            map: Some(map),
+            base: Some((report.map, old_map)),
             step: None,
             started_at: now,
             relayed_at: None,
+            requested_step: None,
+            is_relief: false,
         });
         self.last_broadcast_at = None;
-        let event = RolloutEvent::RoundPlanned {
-            version,
-            copies: round.copies,
-            skew_before: to_milli(round.skew_before),
-            skew_after: to_milli(round.skew_after),
-        };
-        let mut effects = vec![RolloutEffect::Log(event)];
-        effects.extend(self.broadcast(now));
-        effects
+        version
+    }
+
+    /// Whether all ranks use the map of rank 0 and none is armed with another.
+    fn all_on_map(&self, report: &RankReport, now: Moment) -> bool {
+        let has_same_map = |it: &MemberStatus| it.map == report.map && it.armed.is_none();
+        self.all_current(report, now, has_same_map)
     }
 
     /// Returns the map in use, as this agent rolled it out or assembled from the statuses, or `None`
@@ -356,8 +456,8 @@
     vec![RolloutEffect::Broadcast(ranks, message)]
 }
 
-/// Returns the number of copies to a rank that fit into [`COPY_BUDGET`].
-fn max_copies(layout: &ExpertLayout) -> usize {
-    let copies = COPY_BUDGET.as_secs_f64() / layout.copy_seconds.max(f64::MIN_POSITIVE);
+/// Returns the number of copies to a rank that fit into the budget.
+fn max_copies(layout: &ExpertLayout, budget: Duration) -> usize {
+    let copies = budget.as_secs_f64() / layout.copy_seconds.max(f64::MIN_POSITIVE);
     (copies as usize).clamp(1, MAX_COPIES_PER_RANK)
 }
