Relieve slow ranks of experts

Change: agents pass on the pace that their engine reports, as an extension of their statuses; rounds weigh a rank's load by its pace, so that experts leave a slow rank until it no longer holds up the others. Result: unit test: the skew of a group with one rank at six times the usual time falls from over 4 to under 1.7 in three rounds.

--- a/src/experts.rs
+++ b/src/experts.rs
@@ -18,11 +18,11 @@
 pub use placement::{ExpertId, ExpertMap, MapError, RankId, SlotMove};
 pub use popularity::{LoadEstimate, PopularityTrace};
 pub use rollout::{
-    COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapUpdate, MemberStatus, RankOrder,
+    COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapUpdate, MemberStatus, RankOrder, RankPace,
     RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction, SampleSchedule,
     UsageSample, relay_children,
 };
-pub use rounds::{GroupMap, RoundPlan, RoundSettings, group_skew, plan_round};
+pub use rounds::{GroupMap, RoundPlan, RoundSettings, group_skew, plan_paced_round, plan_round};
 pub use switch::{
     HeldSwitch, MapVersion, MemberRanks, StepNumber, SwitchBallot, SwitchEffect, SwitchMember,
     SwitchMessage, SwitchTrigger,
--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -25,8 +25,8 @@
 mod takeover;
 
 pub use messages::{
-    ExpertUsage, MapRollout, MapUpdate, MemberStatus, RankOrder, RankReport, RolloutEffect,
-    RolloutEvent, UsageSample,
+    ExpertUsage, MapRollout, MapUpdate, MemberStatus, RankOrder, RankPace, RankReport,
+    RolloutEffect, RolloutEvent, UsageSample,
 };
 pub use relay::relay_children;
 pub use sampling::{SampleAction, SampleSchedule};
@@ -241,6 +241,7 @@
             known: new_map.or(self.known_map.as_ref().map(|it| it.0)),
             experts,
             counts: None,
+            pace: report.pace,
         })
     }
 
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -10,7 +10,7 @@
     relay_children, to_milli,
 };
 use crate::{
-    experts::{GroupMap, MapVersion, RoundSettings, StepNumber, plan_round},
+    experts::{GroupMap, MapVersion, RoundSettings, StepNumber, plan_paced_round},
     routing::{ExpertLayout, GroupMembership},
     units::Moment,
 };
@@ -41,6 +41,8 @@
 const MAX_COPIES_PER_RANK: usize = 16;
 /// Maximum number of copies per layer to a rank in one round.
 const MAX_NEW_PER_LAYER: usize = 2;
+/// Factor on a rank's usual time from which it counts as slow. Small differences change with the load.
+const MIN_SLOW_PACE: f64 = 1.3;
 /// Minimum relative reduction of the skew for which a round is rolled out.
 const MIN_ROUND_GAIN: f64 = 0.08;
 /// Size of the range above the highest known version from which a new version is drawn at random.
@@ -293,7 +295,10 @@
             max_copies: max_copies(&layout),
             ..RoundSettings::default()
         };
-        let Some(round) = plan_round(&map, &self.popularity, &settings) else { return Vec::new() };
+        let paces = self.rank_paces(report.group_size);
+        let Some(round) = plan_paced_round(&map, &self.popularity, &paces, &settings) else {
+            return Vec::new();
+        };
         // A round with little gain is not worth it: while in progress, it delays the reaction to
         // the next shift of popularity.
         if round.skew_before - round.skew_after < MIN_ROUND_GAIN * round.skew_before {
@@ -323,6 +328,15 @@
         effects
     }
 
+    /// Returns the factor by which each rank's work takes longer than usual.
+    fn rank_paces(&self, group_size: u16) -> Vec<f64> {
+        let factor = |rank: u16| {
+            let pace = self.statuses.get(&rank).map(|(it, _)| it.pace.factor());
+            pace.filter(|it| *it >= MIN_SLOW_PACE).unwrap_or(1.0)
+        };
+        (0..group_size).map(factor).collect()
+    }
+
     /// Returns the map in use, as this agent rolled it out or assembled from the statuses, or `None`
     /// if a rank's experts are unknown.
     pub(super) fn group_map(&self) -> Option<GroupMap> {
--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -1,12 +1,69 @@
 //! Messages between agents, engines and coordinators, and the effects and events of a rollout.
 
+use std::{fmt, str::FromStr};
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
     experts::{GroupMap, MapVersion, StepNumber},
     routing::GroupMembership,
+    units::QuantityError,
 };
 
+/// Time that a rank's work takes relative to its usual time, in thousandths; never below 1,000.
+///
+/// ```
+/// use alderbay::experts::RankPace;
+/// let pace: RankPace = "2500".parse()?;
+/// assert_eq!(pace.factor(), 2.5);
+/// assert_eq!(pace.to_string(), "2500");
+/// assert_eq!(RankPace::from_factor(0.5), RankPace::default());
+/// # Ok::<(), alderbay::units::QuantityError>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RankPace(u32);
+
+/// The usual pace in thousandths.
+const USUAL_PACE: u32 = 1_000;
+/// Slowest pace that is told apart, as a factor. A rank that reports more is stuck.
+const MAX_PACE_FACTOR: f64 = 1_000.0;
+
+impl RankPace {
+    /// Creates a pace from the factor by which work takes longer than usual. A factor below one, or
+    /// one that is not a number, counts as one.
+    pub fn from_factor(factor: f64) -> Self {
+        // `max` drops a value that is not a number.
+        Self((factor.max(1.0).min(MAX_PACE_FACTOR) * f64::from(USUAL_PACE)).round() as u32)
+    }
+
+    /// Returns the factor by which work takes longer than usual.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0.max(USUAL_PACE)) / f64::from(USUAL_PACE)
+    }
+}
+
+impl Default for RankPace {
+    fn default() -> Self {
+        Self(USUAL_PACE)
+    }
+}
+
+impl fmt::Display for RankPace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for RankPace {
+    type Err = QuantityError;
+
+    fn from_str(text: &str) -> Result<Self, QuantityError> {
+        Ok(Self(text.parse()?))
+    }
+}
+
 /// State of a rank as reported by its engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RankReport {
@@ -28,6 +85,8 @@
     pub group: Option<GroupMembership>,
     /// Number of ranks in the group; 0 if unknown.
     pub group_size: u16,
+    /// Time that the rank's work takes relative to its usual time.
+    pub pace: RankPace,
 }
 
 /// How often the requests of a rank chose each expert since the engine started.
@@ -87,6 +146,9 @@
     pub experts: Vec<Vec<u16>>,
     /// Choices of each expert since the previous sample; `None` if there is no new sample.
     pub counts: Option<UsageSample>,
+    /// Pace of the rank. It travels outside the status, which agents of earlier releases decode.
+    #[serde(skip)]
+    pub pace: RankPace,
 }
 
 /// Number of choices of each expert during an interval, in a compact lossy encoding.
--- a/src/experts/rounds.rs
+++ b/src/experts/rounds.rs
@@ -64,10 +64,14 @@
 /// assert_eq!(group_skew(&map, &[vec![3.0, 1.0]]), 1.5);
 /// ```
 pub fn group_skew(map: &GroupMap, loads: &[Vec<f64>]) -> f64 {
+    paced_skew(map, loads, &[])
+}
+
+fn paced_skew(map: &GroupMap, loads: &[Vec<f64>], paces: &[f64]) -> f64 {
     let mut highest = 0.0;
     let mut mean = 0.0;
     for (ranks, loads) in map.iter().zip(loads) {
-        let layer = LayerSearch::new(ranks.clone(), loads);
+        let layer = LayerSearch::new(ranks.clone(), loads, paces);
         highest += layer.highest();
         mean += layer.mean;
     }
@@ -89,11 +93,34 @@
     map: &GroupMap,
     loads: &[Vec<f64>],
     settings: &RoundSettings,
+) -> Option<RoundPlan> {
+    plan_paced_round(map, loads, &[], settings)
+}
+
+/// Plans a round like [`plan_round`] for ranks of which some are slow. `paces` are the factors by which
+/// the ranks' work takes longer than usual; one for a rank beyond the end of the list.
+///
+/// The group waits for its slowest rank, so a slow rank is relieved of experts until its layers take no
+/// longer than those of the others. Skews count the time of a slow rank, relative to evenly loaded
+/// ranks of the usual pace.
+///
+/// ```
+/// use alderbay::experts::{RoundSettings, plan_paced_round};
+/// let map = vec![vec![vec![0, 2], vec![1, 3]]];
+/// let settings = RoundSettings { rank_slots: 4, max_new: 2, ..RoundSettings::default() };
+/// let round = plan_paced_round(&map, &[vec![1.0; 4]], &[5.0, 1.0], &settings).unwrap();
+/// assert!(round.skew_after < round.skew_before / 2.0);
+/// ```
+pub fn plan_paced_round(
+    map: &GroupMap,
+    loads: &[Vec<f64>],
+    paces: &[f64],
+    settings: &RoundSettings,
 ) -> Option<RoundPlan> {
     let mut layers: Vec<LayerSearch<'_>> = map
         .iter()
         .zip(loads)
-        .map(|(ranks, loads)| LayerSearch::new(ranks.clone(), loads))
+        .map(|(ranks, loads)| LayerSearch::new(ranks.clone(), loads, paces))
         .collect();
     let mean: f64 = layers.iter().map(|it| it.mean).sum();
     if mean <= 0.0 {
@@ -134,8 +161,8 @@
     }
     Some(RoundPlan {
         copies: copies.iter().sum(),
-        skew_before: group_skew(map, loads),
-        skew_after: group_skew(&after, loads),
+        skew_before: paced_skew(map, loads, paces),
+        skew_after: paced_skew(&after, loads, paces),
         map: after,
     })
 }
@@ -177,8 +204,11 @@
     original: Vec<Vec<u16>>,
     /// Load of each expert.
     loads: &'a [f64],
+    /// Factors by which the ranks' work takes longer than usual; may be shorter than the ranks.
+    paces: &'a [f64],
     /// Ranks that hold each expert.
     holders: Vec<Vec<usize>>,
+    /// Load of each rank, times its pace.
     rank_loads: Vec<f64>,
     /// Sum over the ranks of their load relative to the mean, raised to [`NORM_EXPONENT`].
     power_sum: f64,
@@ -190,7 +220,7 @@
 type HolderChange = (u16, usize, bool);
 
 impl<'a> LayerSearch<'a> {
-    fn new(ranks: Vec<Vec<u16>>, loads: &'a [f64]) -> Self {
+    fn new(ranks: Vec<Vec<u16>>, loads: &'a [f64], paces: &'a [f64]) -> Self {
         let mut holders = vec![Vec::new(); loads.len()];
         for (rank, experts) in ranks.iter().enumerate() {
             for expert in experts {
@@ -200,7 +230,8 @@
         let mean = loads.iter().sum::<f64>() / ranks.len().max(1) as f64;
         let original = ranks.clone();
         let rank_loads = Vec::new();
-        let mut search = Self { ranks, original, loads, holders, rank_loads, power_sum: 0.0, mean };
+        let mut search =
+            Self { ranks, original, loads, paces, holders, rank_loads, power_sum: 0.0, mean };
         search.recompute_loads();
         search
     }
@@ -209,12 +240,17 @@
         self.rank_loads = vec![0.0; self.ranks.len()];
         for (expert, holders) in self.holders.iter().enumerate() {
             for rank in holders {
-                self.rank_loads[*rank] += self.loads[expert] / holders.len() as f64;
+                self.rank_loads[*rank] +=
+                    self.loads[expert] * self.pace(*rank) / holders.len() as f64;
             }
         }
         self.power_sum = self.rank_loads.iter().map(|it| self.power(*it)).sum();
     }
 
+    fn pace(&self, rank: usize) -> f64 {
+        self.paces.get(rank).copied().unwrap_or(1.0)
+    }
+
     fn highest(&self) -> f64 {
         self.rank_loads.iter().copied().fold(0.0, f64::max)
     }
@@ -335,7 +371,7 @@
         }
         load_changes.iter().fold(self.power_sum, |sum, (rank, load)| {
             let old = self.rank_loads[*rank];
-            sum - self.power(old) + self.power(old + load)
+            sum - self.power(old) + self.power(old + load * self.pace(*rank))
         })
     }
 
@@ -420,6 +456,31 @@
         expect_that!(left, lt(excess / 4.0));
     }
 
+    /// A slow rank keeps so few experts that the others take as long as it does.
+    #[gtest]
+    fn slow_rank_is_relieved() {
+        let mut rng = SmallRng::seed_from_u64(3);
+        let settings =
+            RoundSettings { rank_slots: 5, max_new: 2, max_copies: 8, ..RoundSettings::default() };
+        let mut map = initial(12, 32, 128);
+        let loads: Vec<Vec<f64>> =
+            (0..12).map(|_| (0..128).map(|_| rng.random_range(0.5..1.5)).collect()).collect();
+        let mut paces = vec![1.0; 32];
+        paces[7] = 6.0;
+        let before = paced_skew(&map, &loads, &paces);
+        for _ in 0..3 {
+            let Some(round) = plan_paced_round(&map, &loads, &paces, &settings) else { break };
+            map = round.map;
+        }
+        expect_that!(before, gt(4.0));
+        expect_that!(paced_skew(&map, &loads, &paces), lt(1.7));
+        for layer in &map {
+            for expert in 0..128 {
+                expect_that!(layer.iter().any(|it| it.contains(&expert)), eq(true));
+            }
+        }
+    }
+
     #[gtest]
     fn even_load_needs_no_round() {
         let map = initial(2, 4, 16);
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -10,7 +10,7 @@
 use volo_http::client::Client;
 
 use super::{PlatformError, directory::WireGroup, fetch, get_json};
-use crate::experts::{ExpertUsage, MapVersion, RankOrder, RankReport, StepNumber};
+use crate::experts::{ExpertUsage, MapVersion, RankOrder, RankPace, RankReport, StepNumber};
 
 /// Timeout of a read request to an engine.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
@@ -44,6 +44,9 @@
     group: Option<WireGroup>,
     #[serde(default)]
     size: Option<u16>,
+    // Factor by which work takes longer than usual; over 1 for a slow engine.
+    #[serde(default)]
+    pace: Option<f64>,
 }
 
 // Version of the prepared map that takes effect next, and its first step. Engines send a pair, an
@@ -258,6 +261,7 @@
             held: self.held.filter(|it| *it > 0).map(StepNumber),
             group: self.group.map(WireGroup::decode),
             group_size: self.size.unwrap_or(0),
+            pace: self.pace.map_or_else(RankPace::default, RankPace::from_factor),
         }
     }
 }
@@ -287,6 +291,9 @@
         expect_that!(report.armed, some(eq((MapVersion(9), StepNumber(183)))));
         expect_that!(report.held, none());
         expect_that!(report.group_size, eq(8));
+        expect_that!(report.pace, eq(RankPace::default()));
+        let slow = serde_json::from_str::<WireReport>(r#"{"pace":2.5}"#).unwrap().decode();
+        expect_that!(slow.pace.factor(), eq(2.5));
     }
 
     #[gtest]
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -21,8 +21,8 @@
     daemon::{DaemonError, ProcessClock, reload_on_sighup, wait_for_stop_signal},
     experts::{
         COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapVersion, MemberStatus, RankOrder,
-        RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction, SampleSchedule,
-        StepNumber, UsageSample,
+        RankPace, RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction,
+        SampleSchedule, StepNumber, UsageSample,
     },
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
@@ -30,7 +30,9 @@
     routing::{GatewayLocation, LoadReport},
     telemetry::{MetricSink, init_logging, serve_metrics},
     units::Moment,
-    wire::{Datagram, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription},
+    wire::{
+        Datagram, DatagramExtension, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription,
+    },
 };
 
 /// Interval between polls of the engine during a rollout.
@@ -199,8 +201,12 @@
     /// Handles a datagram. Returns `true` if the engine should be polled at once.
     fn handle_datagram(&mut self, bytes: &[u8], from: SocketAddr) -> bool {
         let now = self.clock.now();
-        match Datagram::decode(bytes) {
-            Some(Datagram::Subscribe(Subscription { gateway, group, helper, layout })) => {
+        let Some((datagram, extension)) = Datagram::decode_extended(bytes) else {
+            log::debug!(from:% = from; "cannot decode datagram");
+            return false;
+        };
+        match datagram {
+            Datagram::Subscribe(Subscription { gateway, group, helper, layout }) => {
                 self.gateways.insert(from, (gateway, now));
                 if !group.is_empty() {
                     self.group = group;
@@ -211,23 +217,24 @@
                 }
                 false
             }
-            Some(Datagram::Status(status)) => {
+            Datagram::Status(mut status) => {
+                status.pace = extension.pace.unwrap_or_default();
                 let is_armed = status.armed.is_some();
                 self.rollout.handle_status(status, now);
                 is_armed && self.rollout.are_others_armed()
             }
-            Some(Datagram::Rollout(rollout)) => self.handle_rollout(rollout, now),
-            Some(Datagram::RelayedRollout(rollout)) => {
+            Datagram::Rollout(rollout) => self.handle_rollout(rollout, now),
+            Datagram::RelayedRollout(rollout) => {
                 self.relayed_rollouts.push(rollout.clone());
                 self.handle_rollout(rollout, now)
             }
-            Some(Datagram::HoldRequest(request)) => {
+            Datagram::HoldRequest(request) => {
                 self.hold_requests.push((request, from));
                 false
             }
-            Some(Datagram::HoldGiven) => true,
-            Some(Datagram::Load { .. }) | None => {
-                log::debug!(from:% = from; "cannot decode datagram, or unexpected datagram type");
+            Datagram::HoldGiven => true,
+            Datagram::Load { .. } => {
+                log::debug!(from:% = from; "unexpected datagram type");
                 false
             }
         }
@@ -377,8 +384,10 @@
             others.filter(|it| ranks.contains(&it.rank)).map(|it| self.agent_address(it)).collect()
         };
         let (coordinator, substitutes) = (candidates(0..1), candidates(1..COORDINATOR_CANDIDATES));
-        self.send(&Datagram::Status(full_status.clone()), &coordinator).await;
-        self.send(&Datagram::Status(status), &substitutes).await;
+        let pace = Some(report.pace).filter(|it| *it != RankPace::default());
+        let extension = DatagramExtension { pace, ..DatagramExtension::default() };
+        self.send_extended(&Datagram::Status(full_status.clone()), &extension, &coordinator).await;
+        self.send_extended(&Datagram::Status(status), &extension, &substitutes).await;
         if own_rank < COORDINATOR_CANDIDATES {
             self.rollout.handle_status(full_status, now);
         }
@@ -402,7 +411,16 @@
     }
 
     async fn send(&self, message: &Datagram, to: &[SocketAddr]) {
-        let bytes = match message.encode() {
+        self.send_extended(message, &DatagramExtension::default(), to).await;
+    }
+
+    async fn send_extended(
+        &self,
+        message: &Datagram,
+        extension: &DatagramExtension,
+        to: &[SocketAddr],
+    ) {
+        let bytes = match message.encode_extended(extension) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(error:% = error; "cannot encode datagram");
--- a/src/wire/datagrams.rs
+++ b/src/wire/datagrams.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    experts::{MapRollout, MemberStatus, StepNumber},
+    experts::{MapRollout, MemberStatus, RankPace, StepNumber},
     routing::{AccountDemand, ExpertLayout, GatewayLocation, LoadDetail, LoadReport},
 };
 
@@ -96,6 +96,8 @@
     /// With [`Datagram::Subscribe`]: what client accounts ask of the gateway. With
     /// [`Datagram::Load`]: the sum over the agent's subscribers.
     pub demand: Vec<AccountDemand>,
+    /// With [`Datagram::Status`]: pace of the rank; `None` for the usual one.
+    pub pace: Option<RankPace>,
 }
 
 impl Datagram {
--- a/tests/map_rollout.rs
+++ b/tests/map_rollout.rs
@@ -6,9 +6,9 @@
 
 use alderbay::{
     experts::{
-        GroupMap, MapRollout, MapVersion, MemberStatus, RankOrder, RankReport, RolloutEffect,
-        RolloutEvent, RolloutState, SampleAction, SampleSchedule, StepNumber, UsageSample,
-        relay_children,
+        GroupMap, MapRollout, MapVersion, MemberStatus, RankOrder, RankPace, RankReport,
+        RolloutEffect, RolloutEvent, RolloutState, SampleAction, SampleSchedule, StepNumber,
+        UsageSample, relay_children,
     },
     routing::{ExpertLayout, GroupMembership},
     units::Moment,
@@ -160,6 +160,7 @@
                 is_open: true,
             }),
             group_size: self.shape.ranks as u16,
+            pace: RankPace::default(),
         }
     }
 }
--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -5,8 +5,8 @@
 
 use alderbay::{
     experts::{
-        GroupMap, MapVersion, MemberStatus, RankReport, RolloutEffect, RolloutEvent, RolloutState,
-        StepNumber, UsageSample, group_skew,
+        GroupMap, MapVersion, MemberStatus, RankPace, RankReport, RolloutEffect, RolloutEvent,
+        RolloutState, StepNumber, UsageSample, group_skew,
     },
     routing::{ExpertLayout, GroupMembership},
     units::Moment,
@@ -66,6 +66,7 @@
             held,
             group: Some(membership(0)),
             group_size: RANKS,
+            pace: RankPace::default(),
         }
     }
 
@@ -87,6 +88,7 @@
                 known: None,
                 experts: vec![initial_map()[0][usize::from(rank)].clone()],
                 counts: Some(sample),
+                pace: RankPace::default(),
             };
             self.state.handle_status(status, self.now);
         }
