--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -5,8 +5,8 @@
 
 use alderbay::{
     experts::{
-        GroupMap, MapVersion, MemberStatus, RankReport, RolloutEffect, RolloutEvent, RolloutState,
-        RoundSettings, StepNumber, UsageSample, group_skew, plan_round,
+        GroupMap, MapVersion, MemberStatus, RankPace, RankReport, RolloutEffect, RolloutEvent,
+        RolloutState, RoundSettings, StepNumber, UsageSample, group_skew, plan_round,
     },
     routing::{ExpertLayout, GroupMembership},
     units::Moment,
@@ -70,6 +70,7 @@
             held,
             group: Some(membership(0)),
             group_size: RANKS,
+            pace: RankPace::default(),
         }
     }
 
@@ -91,6 +92,7 @@
                 known: None,
                 experts: vec![initial_map()[0][usize::from(rank)].clone(); self.layers],
                 counts: Some(sample),
+                pace: RankPace::default(),
             };
             self.state.handle_status(status, self.now);
         }
--- a/tests/support/rank_group.rs
+++ b/tests/support/rank_group.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use alderbay::{
-    experts::{GroupMap, MapVersion, RankOrder, RankReport, StepNumber},
+    experts::{GroupMap, MapVersion, RankOrder, RankPace, RankReport, StepNumber},
     routing::GroupMembership,
 };
 
@@ -141,6 +141,7 @@
                 is_open: true,
             }),
             group_size: self.shape.ranks as u16,
+            pace: RankPace::default(),
         }
     }
 }
