Report step times and memory of engines; end attempts at stalled groups early

Cause: gateways knew numbers of requests only. Idle ranks of a stalled group went on to get requests. Change: agents measure the step time of their group from the steps of their polls and send it with the time without a step, the group's state and the memory in an extension of the load report, which earlier releases ignore. Where several ranks report a stall of 600 ms, or a broken group, and none goes on, gateways send it nothing more and end attempts that can be repeated, those without a first event first, as many as their retry budget holds. A group with long steps counts as stalled only after three of them. Agents of the last release send no details: nothing ends early then.

--- a/src/experts.rs
+++ b/src/experts.rs
@@ -12,6 +12,7 @@
 mod popularity;
 mod rollout;
 mod rounds;
+mod step_timer;
 mod switch;
 
 pub use balance::{BalanceSettings, RebalancePlan, rebalance, repack};
@@ -23,6 +24,7 @@
     UsageSample, relay_children,
 };
 pub use rounds::{GroupMap, RoundPlan, RoundSettings, group_skew, plan_round};
+pub use step_timer::StepTimer;
 pub use switch::{
     HeldSwitch, MapVersion, MemberRanks, StepNumber, SwitchBallot, SwitchEffect, SwitchMember,
     SwitchMessage, SwitchTrigger,
--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -28,6 +28,10 @@
     pub group: Option<GroupMembership>,
     /// Number of ranks in the group; 0 if unknown.
     pub group_size: u16,
+    /// Tokens that requests hold in the rank's memory and cannot give up.
+    pub used_tokens: u32,
+    /// Tokens that the rank's memory holds; 0 if unknown.
+    pub max_tokens: u32,
 }
 
 /// How often the requests of a rank chose each expert since the engine started.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! Its data comes from the platform's store, from other gateways while the store cannot be read,
 //! and from the agents beside the servers. It has no persistent state.
 
+mod attempts;
 mod callers;
 mod event_stream;
 mod exchange;
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -125,7 +125,9 @@
                 continue;
             }
         };
-        match Datagram::decode(&buffer[..length]) {
+        let decoded = Datagram::decode_extended(&buffer[..length]);
+        let (datagram, extension) = decoded.map_or((None, None), |it| (Some(it.0), Some(it.1)));
+        match datagram {
             Some(Datagram::Load { server, report, subscribers, gateways }) => {
                 // Most reports omit the list of gateways. The reducer keeps the largest recent count.
                 let has_list = !gateways.is_empty();
@@ -136,6 +138,7 @@
                     address: server,
                     report,
                     gateway_count: known.max(subscribers),
+                    detail: extension.and_then(|it| it.load),
                 };
                 shell.dispatch(event);
             }
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -133,6 +133,7 @@
                     | RoutingEffect::Finished(_)
                     | RoutingEffect::StateChanged(_)
                     | RoutingEffect::ShareRecords
+                    | RoutingEffect::EndAttempt { .. }
                     | RoutingEffect::ProbeServer { .. },
                 )
                 | None => break,
@@ -146,6 +147,7 @@
                 | RoutingEffect::Wait(..)
                 | RoutingEffect::StateChanged(_)
                 | RoutingEffect::ShareRecords
+                | RoutingEffect::EndAttempt { .. }
                 | RoutingEffect::ProbeServer { .. },
             ) => {}
         }
@@ -195,12 +197,16 @@
         let deadline = self.shell.clock.instant(spec.deadline);
         // A run that may happen only once is not cancelled, since its effects cannot be undone.
         let may_cancel = spec.kind != RouteKind::Single;
+        let shell = self.shell.clone();
+        let mut open_attempt = shell.attempts.register((number, spec.attempt));
         let result = tokio::select! {
             result = timeout_at(deadline, self.exchange(spec)) => {
                 result.unwrap_or(AttemptResult::Abandoned)
             }
             () = disconnected, if may_cancel => AttemptResult::Abandoned,
+            () = open_attempt.ended() => AttemptResult::Stalled,
         };
+        drop(open_attempt);
         let elapsed = started.elapsed();
         self.shell.metrics.time(&format!("attempt.{result}"), elapsed);
         // Only failures are traced to what requests have in common.
@@ -379,6 +385,9 @@
                 }
                 self.last_event = event.id.or(self.last_event.take());
                 self.progress = self.progress.with_event();
+                if self.progress == AnswerProgress::Events(1) {
+                    self.shell.dispatch(RoutingEvent::AnswerBegan(self.number));
+                }
                 if self.progress == AnswerProgress::Events(SETTLED_EVENTS) {
                     self.shell.dispatch(RoutingEvent::AnswerSettled(self.number));
                 }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -22,7 +22,7 @@
     units::Moment,
 };
 
-use super::{probes::ServerProbe, sources::PlatformView};
+use super::{attempts::AttemptTable, probes::ServerProbe, sources::PlatformView};
 
 /// Timeout of requests whose callers state none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -48,6 +48,8 @@
     gateways_told_at: Mutex<Option<Moment>>,
     /// Probes for the task that makes them.
     probes: mpsc::Sender<ServerProbe>,
+    /// Attempts in progress.
+    pub(super) attempts: AttemptTable,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     /// Limits on HTTP messages and connections.
@@ -93,6 +95,7 @@
             records_changed: Notify::new(),
             gateways_told_at: Mutex::new(None),
             probes,
+            attempts: AttemptTable::default(),
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
@@ -116,6 +119,10 @@
                 RoutingEffect::ProbeServer { server, address } => {
                     self.request_probe(ServerProbe { server, address });
                 }
+                RoutingEffect::EndAttempt { number, attempt } => {
+                    self.metrics.count("attempts.ended_early");
+                    self.attempts.end((number, attempt));
+                }
                 other => request_effect = Some(other),
             }
         }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -44,6 +44,11 @@
     group: Option<WireGroup>,
     #[serde(default)]
     size: Option<u16>,
+    // Memory that cannot yield, and all of it, in tokens.
+    #[serde(default, rename = "kv-used")]
+    used: Option<u32>,
+    #[serde(default, rename = "kv-total")]
+    total: Option<u32>,
 }
 
 // Version of the prepared map that takes effect next, and its first step. Engines send a pair, an
@@ -258,6 +263,8 @@
             held: self.held.filter(|it| *it > 0).map(StepNumber),
             group: self.group.map(WireGroup::decode),
             group_size: self.size.unwrap_or(0),
+            used_tokens: self.used.unwrap_or(0),
+            max_tokens: self.total.unwrap_or(0),
         }
     }
 }
@@ -282,11 +289,13 @@
     #[gtest]
     fn report_is_decoded() {
         let text = r#"{"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":8,"queued":1,
-            "active":3,"step":181,"map":7,"prepared":9,"armed":{"version":9,"step":183},"held":null}"#;
+            "active":3,"step":181,"map":7,"prepared":9,"armed":{"version":9,"step":183},"held":null,
+            "kv-used":41000,"kv-total":90000}"#;
         let report = serde_json::from_str::<WireReport>(text).unwrap().decode();
         expect_that!(report.armed, some(eq((MapVersion(9), StepNumber(183)))));
         expect_that!(report.held, none());
         expect_that!(report.group_size, eq(8));
+        expect_that!((report.used_tokens, report.max_tokens), eq((41_000, 90_000)));
     }
 
     #[gtest]
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -5,6 +5,8 @@
 //! responds to polls from its own VM without delaying its group. The agent learns the state of
 //! gateways and other ranks from datagrams only; it does not read the platform's store.
 
+mod load_reports;
+
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
@@ -22,12 +24,12 @@
     experts::{
         COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapVersion, MemberStatus, RankOrder,
         RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction, SampleSchedule,
-        StepNumber, UsageSample,
+        StepNumber, StepTimer, UsageSample,
     },
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
     platform::{EngineClient, OrderOutcome, PlatformError},
-    routing::{GatewayLocation, LoadReport},
+    routing::GatewayLocation,
     telemetry::{MetricSink, init_logging, serve_metrics},
     units::Moment,
     wire::{Datagram, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription},
@@ -37,10 +39,6 @@
 const ROLLOUT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval between polls of the engine outside of rollouts.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval between load reports to gateways.
-const LOAD_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between load reports that include the list of gateways.
-const GATEWAY_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval between samples of expert usage: about one step, to detect a shift quickly.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of consecutive polls, each because an order of the previous one was accepted.
@@ -56,11 +54,6 @@
 /// Number of requests to another group's agent to hold a step, before this agent sends the order
 /// itself.
 const MAX_HOLD_REQUESTS: u32 = 4;
-/// Time without a new step, despite running requests, after which the group counts as stalled: a
-/// multiple of the usual step duration.
-const STALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after which the subscription of a gateway expires unless renewed.
-const SUBSCRIPTION_TTL: Duration = Duration::from_secs(3);
 
 /// Runs a rank agent until it receives a stop signal.
 ///
@@ -101,7 +94,7 @@
         hold_requests: Vec::new(),
         relayed_rollouts: Vec::new(),
         due: DueTimes::default(),
-        last_progress: (StepNumber(0), Moment(0)),
+        steps: StepTimer::default(),
         is_engine_reachable: true,
     };
     tokio::spawn(reload_on_sighup(arguments));
@@ -157,8 +150,8 @@
     /// Rollout messages to forward to other ranks.
     relayed_rollouts: Vec<MapRollout>,
     due: DueTimes,
-    /// Last step seen, and when it was first seen or no request was running.
-    last_progress: (StepNumber, Moment),
+    /// Times of the group's recent steps.
+    steps: StepTimer,
     is_engine_reachable: bool,
 }
 
@@ -278,13 +271,9 @@
         let effects = self.rollout.handle_report(report.clone());
         let mut has_changed = self.apply_effects(effects).await;
         let now = self.clock.now();
-        if report.step != self.last_progress.0 || report.running == 0 {
-            self.last_progress = (report.step, now);
-        }
-        if now >= self.due.load {
-            self.due.load = now.after(LOAD_INTERVAL);
-            self.report_load(&report, now).await;
-        }
+        let epoch = report.group.as_ref().map_or(0, |it| it.epoch);
+        self.steps.record(report.step, epoch, report.running > 0, now);
+        self.report_load(&report, now).await;
         self.poll_loaded_experts(&report, now).await;
         if now >= self.due.sample {
             self.due.sample = now.after(SAMPLE_INTERVAL);
@@ -302,31 +291,6 @@
         has_changed | self.apply_effects(effects).await
     }
 
-    async fn report_load(&mut self, report: &RankReport, now: Moment) {
-        let sends_gateways = now >= self.due.gateways;
-        if sends_gateways {
-            self.due.gateways = now.after(GATEWAY_LIST_INTERVAL);
-        }
-        let is_stalled = now.since(self.last_progress.1) >= STALL_TIMEOUT;
-        self.gateways.retain(|_, (_, at)| now.since(*at) < SUBSCRIPTION_TTL);
-        let message = Datagram::Load {
-            server: self.engine.address(),
-            report: LoadReport {
-                running: report.running,
-                waiting: report.waiting,
-                is_open: !is_stalled && report.group.as_ref().is_none_or(|it| it.is_open),
-            },
-            subscribers: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX),
-            gateways: if sends_gateways { self.gateway_locations() } else { Vec::new() },
-        };
-        let to: Vec<SocketAddr> = self.gateways.keys().copied().collect();
-        self.send(&message, &to).await;
-    }
-
-    fn gateway_locations(&self) -> Vec<GatewayLocation> {
-        self.gateways.values().map(|it| it.0.clone()).collect()
-    }
-
     async fn poll_loaded_experts(&mut self, report: &RankReport, now: Moment) {
         let is_current = self.loaded_experts.as_ref().is_some_and(|it| it.0 == report.map);
         if report.group.is_none() || is_current && now < self.due.loaded_experts {
@@ -402,16 +366,16 @@
     }
 
     async fn send(&self, message: &Datagram, to: &[SocketAddr]) {
-        let bytes = match message.encode() {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!(error:% = error; "cannot encode datagram");
-                return;
-            }
-        };
+        match message.encode() {
+            Ok(bytes) => self.send_bytes(&bytes, to).await,
+            Err(error) => log::error!(error:% = error; "cannot encode datagram"),
+        }
+    }
+
+    async fn send_bytes(&self, bytes: &[u8], to: &[SocketAddr]) {
         for address in to {
             // A datagram that cannot be sent is treated as lost; the next one replaces it.
-            if let Err(error) = self.socket.send_to(&bytes, address).await {
+            if let Err(error) = self.socket.send_to(bytes, address).await {
                 log::debug!(to:% = address, error:% = error; "cannot send datagram");
             }
         }
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -69,6 +69,11 @@
         self.balance = (self.balance + settings.retry_ratio * SAFETY_FACTOR).min(cap);
     }
 
+    /// Returns the number of retries that are left.
+    pub fn available(&self) -> usize {
+        self.balance.max(0.0) as usize
+    }
+
     /// Withdraws one retry. Returns `false` if none is left.
     #[must_use]
     pub fn withdraw(&mut self) -> bool {
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    BlockedInput, CrashReport, GatewayLocation, LimitReport, LimitSource, LoadReport, RouteCatalog,
-    RouteKind, ServerRecord, SuspectInput,
+    BlockedInput, CrashReport, GatewayLocation, LimitReport, LimitSource, LoadDetail, LoadReport,
+    RouteCatalog, RouteKind, ServerRecord, SuspectInput,
 };
 use crate::{
     core::Refusal,
@@ -247,6 +247,8 @@
         report: LoadReport,
         /// Number of gateways subscribed to the agent.
         gateway_count: u32,
+        /// What else the agent knows of its server; `None` from agents of earlier releases.
+        detail: Option<LoadDetail>,
     },
     /// A caller's request was received completely.
     RequestArrived(RoutingRequest),
@@ -268,6 +270,8 @@
         /// What the server said.
         notice: ServerNotice,
     },
+    /// The first event of the stream of an attempt has arrived.
+    AnswerBegan(RequestNumber),
     /// The stream of a request has reached [`SETTLED_EVENTS`] events.
     AnswerSettled(RequestNumber),
     /// Another gateway sent its records of servers that ended.
@@ -328,6 +332,13 @@
 pub enum RoutingEffect {
     /// Send the request to a server.
     Attempt(RequestNumber, Box<AttemptSpec>),
+    /// End an attempt in progress as [`AttemptResult::Stalled`]: its server makes no progress.
+    EndAttempt {
+        /// Request that the attempt belongs to.
+        number: RequestNumber,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// Wait this long, then dispatch [`RoutingEvent::WaitEnded`].
     Wait(RequestNumber, Duration),
     /// Refuse the request and end it.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -44,6 +44,10 @@
 pub struct LoadDetail {
     /// Time that a step of the server's group has taken lately, in microseconds; 0 if unknown.
     pub step_micros: u32,
+    /// Time for which the server has run requests without a new step, in microseconds.
+    pub silent_micros: u32,
+    /// Whether the server states that its group is broken.
+    pub is_broken: bool,
     /// Tokens that requests hold in the server's memory and cannot give up.
     pub used_tokens: u32,
     /// Tokens that the server's memory holds; 0 if unknown.
@@ -57,6 +61,9 @@
     /// Number of this gateway's attempts in progress at the server.
     pub outstanding: u32,
     report: Option<(LoadReport, Moment)>,
+    /// What the latest report says beside the numbers of requests.
+    #[serde(default)]
+    detail: Option<LoadDetail>,
     /// Number of attempts begun since the latest report.
     begun: u32,
     /// End times of recent attempts, and whether they failed.
@@ -69,8 +76,9 @@
 
 impl ServerLoad {
     /// Replaces the load report.
-    pub fn record_report(&mut self, report: LoadReport, now: Moment) {
+    pub fn record_report(&mut self, report: LoadReport, detail: Option<LoadDetail>, now: Moment) {
         self.report = Some((report, now));
+        self.detail = detail;
         self.begun = 0;
     }
 
@@ -79,6 +87,21 @@
         self.report.filter(|(_, at)| now.since(*at) < REPORT_TTL).map(|it| it.0)
     }
 
+    /// Returns the detail of the latest report, or `None` if there is none or it is too old.
+    pub fn detail(&self, now: Moment) -> Option<LoadDetail> {
+        self.detail.filter(|_| self.report(now).is_some())
+    }
+
+    /// Returns the latest report and its detail, if both are there and no older than `max_age`.
+    pub fn detailed_report(
+        &self,
+        max_age: Duration,
+        now: Moment,
+    ) -> Option<(LoadReport, LoadDetail)> {
+        let (report, _) = self.report.filter(|(_, at)| now.since(*at) <= max_age)?;
+        Some((report, self.detail?))
+    }
+
     /// Whether the agent has reported before but is silent now.
     pub fn is_silent(&self, now: Moment) -> bool {
         self.report.is_some_and(|(_, at)| now.since(at) >= SILENCE_TIMEOUT)
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -3,6 +3,8 @@
 
 mod attempts;
 mod eligibility;
+mod loads;
+mod stalls;
 mod suspects;
 
 use std::{
@@ -16,7 +18,7 @@
 
 use super::{
     AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec, BudgetSettings, CatalogSource,
-    ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable, LoadReport,
+    ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable,
     PlacementChoice, QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteRecord,
     RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet,
     ServerLoad, ServerTable, choose_subset, retry_after,
@@ -28,8 +30,10 @@
         ServiceName, UrgencyRank,
     },
 };
-use attempts::{attempt_ended, fail_over, server_noticed};
+use attempts::{answer_began, attempt_ended, fail_over, server_noticed};
 use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
+use loads::load_reported;
+use stalls::StallTable;
 use suspects::{
     EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
     server_probed, update_effects,
@@ -37,8 +41,6 @@
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
 const DEFAULT_GATEWAY_COUNT: u32 = 12;
-/// Time for which the largest reported number of gateways stays in use.
-const GATEWAY_COUNT_WINDOW: Duration = Duration::from_secs(10);
 /// Fraction of the route's timeout that the caller's timeout must reach for the request to count as
 /// the caller's first try.
 const FIRST_TRY_MIN_FRACTION: f64 = 0.9;
@@ -107,12 +109,18 @@
     current_attempt: Option<CurrentAttempt>,
 }
 
-/// The server of an attempt in progress, and when the attempt began.
+/// The server of an attempt in progress, and how far the attempt has come.
 #[derive(Clone, Debug)]
 struct CurrentAttempt {
     incarnation: Incarnation,
     address: SocketAddr,
+    /// Number of the attempt, starting at 1.
+    attempt: u32,
     began_at: Moment,
+    /// Whether the first event of a stream has arrived.
+    has_begun: bool,
+    /// Whether [`RoutingEffect::EndAttempt`] was returned.
+    is_ending: bool,
 }
 
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
@@ -135,6 +143,8 @@
     /// Servers that may have ended, until they are probed.
     ending_servers: BTreeMap<ServerId, EndingServer>,
     quarantine: QuarantineTable,
+    /// Groups that make no steps.
+    stalls: StallTable,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -156,6 +166,7 @@
             requests: BTreeMap::new(),
             ending_servers: BTreeMap::new(),
             quarantine: QuarantineTable::default(),
+            stalls: StallTable::default(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -251,8 +262,11 @@
             state.servers.mark_store_rewound(now);
             change_effects(vec![RoutingChange::StoreRewound])
         }
-        RoutingEvent::LoadReported { address, report, gateway_count } => {
-            load_reported(state, address, report, gateway_count, now);
+        RoutingEvent::LoadReported { address, report, gateway_count, detail } => {
+            load_reported(state, address, (report, detail), gateway_count, now)
+        }
+        RoutingEvent::AnswerBegan(number) => {
+            answer_began(state, number);
             Vec::new()
         }
         RoutingEvent::RequestArrived(caller_request) => {
@@ -325,21 +339,6 @@
     state.subset = services.into_iter().flat_map(subset_of).collect();
 }
 
-fn load_reported(
-    state: &mut RoutingState,
-    address: SocketAddr,
-    report: LoadReport,
-    gateway_count: u32,
-    now: Moment,
-) {
-    state.loads.entry(address).or_default().record_report(report, now);
-    let is_expired =
-        state.reported_gateways.is_none_or(|(_, at)| now.since(at) > GATEWAY_COUNT_WINDOW);
-    if is_expired || state.reported_gateways.is_some_and(|(max, _)| gateway_count >= max) {
-        state.reported_gateways = Some((gateway_count, now));
-    }
-}
-
 /// Merges what another gateway heard of servers' limits.
 fn limits_read(
     state: &mut RoutingState,
@@ -587,7 +586,15 @@
     request.is_waiting = false;
     request.tried_servers.push(id.clone());
     let address = record.address;
-    request.current_attempt = Some(CurrentAttempt { incarnation, address, began_at: now });
+    let attempt = request.attempts_sent + request.connect_failures + 1;
+    request.current_attempt = Some(CurrentAttempt {
+        incarnation,
+        address,
+        attempt,
+        began_at: now,
+        has_begun: false,
+        is_ending: false,
+    });
     let spec = AttemptSpec {
         server: id.clone(),
         address: record.address,
@@ -597,7 +604,7 @@
         kind: request.route.kind,
         deadline: request.deadline,
         latency_objective: request.route.latency_objective,
-        attempt: request.attempts_sent + request.connect_failures + 1,
+        attempt,
         load: estimate,
         rank: request.rank,
         shared_parts: request.shared_parts.clone(),
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -27,7 +27,7 @@
 /// [`super::MAX_STREAM_WAIT`] because detecting the failure took time already.
 const FAILOVER_WAIT: Duration = Duration::from_millis(800);
 /// Remaining time below which another attempt cannot complete.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
+pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Longest wait for the probe of a server that may have ended.
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(400);
 /// Time over which gateways spread their return to a server that wanted no requests.
@@ -94,6 +94,14 @@
     is_paused.then(|| RoutingChange::ServerPaused { server: id.clone(), result })
 }
 
+/// Records that the first event of a stream has arrived.
+pub(super) fn answer_began(state: &mut RoutingState, number: RequestNumber) {
+    let request = state.requests.get_mut(&number);
+    if let Some(attempt) = request.and_then(|it| it.current_attempt.as_mut()) {
+        attempt.has_begun = true;
+    }
+}
+
 /// Records what a server said about itself with a response.
 pub(super) fn server_noticed(
     state: &mut RoutingState,
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 
-use super::{RequestState, RoutingState};
+use super::{RequestState, RoutingState, stalls::GroupProgress};
 use crate::{
     routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
     units::{FailureDomain, GroupName, Moment, ServiceName},
@@ -45,6 +45,7 @@
     let in_other_group = |it: &&&KnownServer| {
         it.record.group.as_ref().is_none_or(|it| !request.failed_groups.contains(&it.name))
     };
+    let is_moving = |it: &&&KnownServer| group_progress(state, it, now) == GroupProgress::Moving;
     // Preferences, not requirements: each filter applies only if it leaves at least one server.
     let mut chosen: Vec<&KnownServer> = usable.iter().filter(unpaused).copied().collect();
     if chosen.is_empty() {
@@ -54,6 +55,10 @@
     if !reachable_servers.is_empty() {
         chosen = reachable_servers;
     }
+    let moving: Vec<&KnownServer> = chosen.iter().filter(is_moving).copied().collect();
+    if !moving.is_empty() {
+        chosen = moving;
+    }
     let other_groups: Vec<&KnownServer> = chosen.iter().filter(in_other_group).copied().collect();
     if !other_groups.is_empty() {
         chosen = other_groups;
@@ -130,6 +135,12 @@
     reporting == 0 && silent > 1 || unreachable > 1 && unreachable * 2 >= total
 }
 
+/// Returns what agents report of the steps of the server's group.
+fn group_progress(state: &RoutingState, server: &KnownServer, now: Moment) -> GroupProgress {
+    let group = server.record.group.as_ref();
+    group.map_or(GroupProgress::Moving, |it| state.stalls.progress(&it.name, now))
+}
+
 /// Whether the server's group is open and, if the server is cold, its rate limit allows one more
 /// request.
 fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
@@ -140,6 +151,10 @@
     if !report.map_or(is_listed_open, |it| it.is_open) {
         return false;
     }
+    match group_progress(state, server, now) {
+        GroupProgress::Stuck { .. } => return false,
+        GroupProgress::Moving | GroupProgress::Paused => {}
+    }
     if now >= server.cold_until {
         return true;
     }
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -402,7 +402,12 @@
 }
 
 fn report_load(gateway: &mut TestGateway, n: u16, report: LoadReport) {
-    gateway.dispatch(RoutingEvent::LoadReported { address: address(n), report, gateway_count: 9 });
+    gateway.dispatch(RoutingEvent::LoadReported {
+        address: address(n),
+        report,
+        gateway_count: 9,
+        detail: None,
+    });
 }
 
 #[gtest]
--- a/tests/limit_exploration.rs
+++ b/tests/limit_exploration.rs
@@ -350,8 +350,12 @@
             for n in 0..SERVER_COUNT {
                 let running = self.servers[usize::from(n)].running;
                 let report = LoadReport { running, waiting: 0, is_open: true };
-                let event =
-                    RoutingEvent::LoadReported { address: address(n), report, gateway_count };
+                let event = RoutingEvent::LoadReported {
+                    address: address(n),
+                    report,
+                    gateway_count,
+                    detail: None,
+                };
                 self.dispatch(gateway, event);
             }
         }
--- a/tests/map_rollout.rs
+++ b/tests/map_rollout.rs
@@ -160,6 +160,8 @@
                 is_open: true,
             }),
             group_size: self.shape.ranks as u16,
+            used_tokens: 0,
+            max_tokens: 0,
         }
     }
 }
--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -66,6 +66,8 @@
             held,
             group: Some(membership(0)),
             group_size: RANKS,
+            used_tokens: 0,
+            max_tokens: 0,
         }
     }
 
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -35,6 +35,8 @@
 mod server_limits;
 mod server_notices;
 mod slow_caller;
+mod stalled_groups;
+mod step_timer;
 mod store_rewind;
 mod whole_answer;
 mod whole_path;
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -189,7 +189,7 @@
             stream_events(&mut stream, &request, resume_after, None, pause).await;
             return;
         }
-        ("/a/hang", _) => {
+        ("/a/hang", _) | ("/a/hang-first", 0) => {
             let mut unexpected = [0; 1];
             if let Ok(0) | Err(_) = stream.read(&mut unexpected).await {
                 log.inner.lock().unwrap().closed_early += 1;
