Estimate when a server begins a request; weigh pace and memory in placement

Cause: all ranks of a group run each step together, so a slow rank or a shift of experts slows all its servers, but gateways placed by numbers of requests only. Nobody could tell when a full server begins a request. Change: start_delay and first_event_delay estimate it from slots, requests ahead that are at least as urgent, step time and learned lengths of streams; attempts carry the estimate, "attempt ended" logs its error and the histogram estimate.error counts it. Servers whose steps come near the longest pause allowed count as more loaded, and from that pause on are used only where no other has room; so are servers whose memory the request does not fit. Usual step times, and agents without details, change no decision.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -85,6 +85,8 @@
     progress: AnswerProgress,
     /// What that response says about the number of requests that its server takes.
     server_limit: LimitNotice,
+    /// When its first event arrived.
+    first_event_at: Option<Instant>,
 }
 
 impl RequestTask {
@@ -106,6 +108,7 @@
             server_error: None,
             progress,
             server_limit,
+            first_event_at: None,
         }
     }
 
@@ -193,6 +196,7 @@
         self.log_attempt(spec);
         self.progress = AnswerProgress::default();
         self.server_limit = LimitNotice::default();
+        self.first_event_at = None;
         let started = Instant::now();
         let deadline = self.shell.clock.instant(spec.deadline);
         // A run that may happen only once is not cancelled, since its effects cannot be undone.
@@ -209,6 +213,11 @@
         drop(open_attempt);
         let elapsed = started.elapsed();
         self.shell.metrics.time(&format!("attempt.{result}"), elapsed);
+        let first_event = self.first_event_at.map(|it| it - started);
+        let estimate_error = first_event.zip(spec.first_event).map(|(actual, expected)| {
+            self.shell.metrics.time("estimate.error", actual.abs_diff(expected));
+            actual.as_secs_f64() - expected.as_secs_f64()
+        });
         // Only failures are traced to what requests have in common.
         let is_failure = result != AttemptResult::Answered;
         let suspect_parts = if is_failure { spec.shared_parts.as_slice() } else { &[] };
@@ -218,7 +227,8 @@
             progress:% = self.progress, elapsed_ms = millis(elapsed),
             last_event:% = self.last_event.as_deref().unwrap_or(""),
             parts:% = join_parts(suspect_parts), content = content.as_deref(),
-            server_limit:% = self.server_limit;
+            server_limit:% = self.server_limit, first_event_ms = first_event.map(millis),
+            estimate_error_s = estimate_error;
             "attempt ended"
         );
         let progress = self.progress;
@@ -386,6 +396,7 @@
                 self.last_event = event.id.or(self.last_event.take());
                 self.progress = self.progress.with_event();
                 if self.progress == AnswerProgress::Events(1) {
+                    self.first_event_at = Some(Instant::now());
                     self.shell.dispatch(RoutingEvent::AnswerBegan(self.number));
                 }
                 if self.progress == AnswerProgress::Events(SETTLED_EVENTS) {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -2,7 +2,7 @@
 //!
 //! As in [`crate::core`], every input is an event and every output an effect: [`reduce`] reads no
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
-//! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), server choice
+//! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), the pace of servers (`pace`, `start`), server choice
 //! (`placement`), overload refusals (`admission`), retry and cold-server budgets (`budget`), inputs that end
 //! servers (`quarantine`), limits that servers name (`limits`), the other gateways (`peers`), and the
 //! servers that one gateway uses (`subset`).
@@ -13,12 +13,14 @@
 mod event;
 mod limits;
 mod load;
+mod pace;
 mod peers;
 mod placement;
 mod quarantine;
 mod reader_mark;
 mod servers;
 mod shares;
+mod start;
 mod state;
 mod subset;
 mod views;
@@ -37,12 +39,14 @@
 };
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
+pub use pace::{StepPace, pace_factor};
 pub use peers::{GatewayLocation, PeerTable};
 pub use placement::{Candidate, PlacementChoice, choose_candidate};
 pub use quarantine::{BlockedInput, CrashReport, QuarantineTable, QuarantineUpdate, SuspectInput};
 pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
 pub use servers::{GroupMembership, Incarnation, KnownServer, ServerRecord, ServerTable};
 pub use shares::AccountDemand;
+pub use start::{ServerPace, StartModel, first_event_delay, start_delay};
 pub use state::{RoutingSettings, RoutingState, reduce};
 pub use subset::choose_subset;
 pub use views::{
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -319,6 +319,8 @@
     pub attempt: u32,
     /// Estimated number of requests at the server when it was chosen.
     pub load: f64,
+    /// Expected time to the first event of a stream; `None` if the server's pace is unknown.
+    pub first_event: Option<Duration>,
     /// Urgency of the request in the server's queue; `None` where all requests are equally urgent.
     pub rank: Option<UrgencyRank>,
     /// Digests of the parts of the prompt that other requests may share, in order.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{ServerPace, StepPace};
 use crate::units::Moment;
 
 /// Age from which a load report is ignored: several missed reports.
@@ -64,6 +65,9 @@
     /// What the latest report says beside the numbers of requests.
     #[serde(default)]
     detail: Option<LoadDetail>,
+    /// Pace of the server's group, from the reports.
+    #[serde(default)]
+    pace: Option<StepPace>,
     /// Number of attempts begun since the latest report.
     begun: u32,
     /// End times of recent attempts, and whether they failed.
@@ -79,6 +83,11 @@
     pub fn record_report(&mut self, report: LoadReport, detail: Option<LoadDetail>, now: Moment) {
         self.report = Some((report, now));
         self.detail = detail;
+        let step_micros = detail.map_or(0, |it| it.step_micros);
+        if step_micros > 0 {
+            let step_time = Duration::from_micros(u64::from(step_micros));
+            self.pace = Some(StepPace::updated(self.pace, step_time, now));
+        }
         self.begun = 0;
     }
 
@@ -92,6 +101,24 @@
         self.detail.filter(|_| self.report(now).is_some())
     }
 
+    /// Returns the smoothed step time of the server's group, or `None` if it is unknown.
+    pub fn smoothed_step(&self, now: Moment) -> Option<Duration> {
+        self.pace.and_then(|it| it.step_time(now))
+    }
+
+    /// Returns the load and pace of the server with this many slots, or `None` if its agent reports no
+    /// step time.
+    pub fn pace(&self, slots: u32, now: Moment) -> Option<ServerPace> {
+        let report = self.report(now)?;
+        let step_time = self.smoothed_step(now)?;
+        Some(ServerPace {
+            slots,
+            running: f64::from(report.running),
+            waiting: f64::from(report.waiting + self.begun),
+            step_time,
+        })
+    }
+
     /// Returns the latest report and its detail, if both are there and no older than `max_age`.
     pub fn detailed_report(
         &self,
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -19,6 +19,8 @@
     pub load: f64,
     /// Number of requests that the server processes concurrently.
     pub slots: u32,
+    /// Factor by which the server counts as more loaded because it is slow.
+    pub pace_factor: f64,
 }
 
 impl Candidate<'_> {
@@ -26,6 +28,11 @@
     fn pressure(&self) -> f64 {
         self.load / f64::from(self.slots.max(1))
     }
+
+    /// Returns the number of requests per slot with one more, weighted by the server's pace.
+    fn cost(&self) -> f64 {
+        (self.load + 1.0) / f64::from(self.slots.max(1)) * self.pace_factor
+    }
 }
 
 /// Result of choosing a server.
@@ -47,7 +54,7 @@
 /// use alderbay::routing::{AdmissionSettings, Candidate, PlacementChoice, choose_candidate};
 /// use rand::{SeedableRng, rngs::SmallRng};
 /// let (a, b) = ("a".parse()?, "b".parse()?);
-/// let candidate = |id, load| Candidate { id, load, slots: 12 };
+/// let candidate = |id, load| Candidate { id, load, slots: 12, pace_factor: 1.0 };
 /// let mut rng = SmallRng::seed_from_u64(1);
 /// let settings = AdmissionSettings::default();
 /// let choice = choose_candidate(&[candidate(&a, 9.0), candidate(&b, 3.0)], &settings, &mut rng);
@@ -66,6 +73,6 @@
     let mut drawn = with_capacity.choose_multiple(rng, settings.choices.max(1));
     // The order of the sample is not random, and the first of equally loaded servers is chosen.
     drawn.shuffle(rng);
-    let least_loaded = drawn.into_iter().min_by(|a, b| a.pressure().total_cmp(&b.pressure()));
+    let least_loaded = drawn.into_iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
     least_loaded.map_or(PlacementChoice::Full, |it| PlacementChoice::Server(it.id.clone()))
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod eligibility;
 mod loads;
+mod pace;
 mod stalls;
 mod suspects;
 
@@ -19,9 +20,9 @@
 use super::{
     AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec, BudgetSettings, CatalogSource,
     ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable,
-    PlacementChoice, QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteRecord,
-    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet,
-    ServerLoad, ServerTable, choose_subset, retry_after,
+    PlacementChoice, QuarantineTable, RequestNumber, RequestSize, RetryReason, RouteCatalog,
+    RouteRecord, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
+    SenderSet, ServerLoad, ServerTable, StartModel, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
@@ -30,9 +31,10 @@
         ServiceName, UrgencyRank,
     },
 };
-use attempts::{answer_began, attempt_ended, fail_over, server_noticed};
+use attempts::{attempt_ended, fail_over, server_noticed};
 use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
 use loads::load_reported;
+use pace::{answer_began, expect_first_event};
 use stalls::StallTable;
 use suspects::{
     EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
@@ -89,6 +91,8 @@
     /// Digest of the whole request.
     content: InputDigest,
     deadline: Moment,
+    /// Size in tokens; `None` if the caller states none.
+    size: Option<RequestSize>,
     /// Servers already attempted, unreachable ones included.
     tried_servers: Vec<ServerId>,
     /// Groups in which an attempt was lost, stalled or not run.
@@ -119,10 +123,22 @@
     began_at: Moment,
     /// Whether the first event of a stream has arrived.
     has_begun: bool,
+    /// What the estimates learn from; `None` if the server's pace is unknown.
+    timing: Option<AttemptTiming>,
     /// Whether [`RoutingEffect::EndAttempt`] was returned.
     is_ending: bool,
 }
 
+/// Pace of the server of an attempt, and how the attempt went.
+#[derive(Clone, Copy, Debug)]
+struct AttemptTiming {
+    /// Step time of the server's group when the attempt began.
+    step_time: Duration,
+    /// Whether the server was expected to begin at once.
+    has_free_slot: bool,
+    first_event_at: Option<Moment>,
+}
+
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
 #[derive(Clone, Debug)]
 pub struct RoutingState {
@@ -145,6 +161,8 @@
     quarantine: QuarantineTable,
     /// Groups that make no steps.
     stalls: StallTable,
+    /// What was learned of the requests to each service.
+    models: BTreeMap<ServiceName, StartModel>,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -167,6 +185,7 @@
             ending_servers: BTreeMap::new(),
             quarantine: QuarantineTable::default(),
             stalls: StallTable::default(),
+            models: BTreeMap::new(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -266,7 +285,7 @@
             load_reported(state, address, (report, detail), gateway_count, now)
         }
         RoutingEvent::AnswerBegan(number) => {
-            answer_began(state, number);
+            answer_began(state, number, now);
             Vec::new()
         }
         RoutingEvent::RequestArrived(caller_request) => {
@@ -414,6 +433,7 @@
         account,
         shared_parts,
         content,
+        size: caller_request.size,
         tried_servers: Vec::new(),
         failed_groups: Vec::new(),
         attempts_sent: 0,
@@ -429,6 +449,7 @@
         is_waiting: false,
         current_attempt: None,
     };
+    state.models.entry(request.service.clone()).or_default().record_rank(request.rank);
     let gateway_count = state.gateway_count();
     let budget = budget_of(state, &request.service);
     budget.0.deposit(&budget.1, gateway_count);
@@ -574,6 +595,10 @@
     let Some(record) = state.servers.server(id).map(|it| it.record.clone()) else {
         return refuse(state, number, RefusalCode::NoServer, now);
     };
+    let expected = state.requests.get(&number).and_then(|request| {
+        let load = state.loads.get(&record.address)?;
+        expect_first_event(state, request, (load, record.slots), now)
+    });
     let load = state.loads.entry(record.address).or_default();
     let estimate = load.estimate(gateway_count, now);
     load.begin_attempt();
@@ -593,6 +618,7 @@
         attempt,
         began_at: now,
         has_begun: false,
+        timing: expected.map(|it| it.1),
         is_ending: false,
     });
     let spec = AttemptSpec {
@@ -606,6 +632,7 @@
         latency_objective: request.route.latency_objective,
         attempt,
         load: estimate,
+        first_event: expected.map(|it| it.0),
         rank: request.rank,
         shared_parts: request.shared_parts.clone(),
         content: request.content,
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -5,7 +5,9 @@
 use rand::Rng;
 
 use super::{
-    CurrentAttempt, RequestState, RoutingState, budget_of, change_effects, place_request, refuse,
+    CurrentAttempt, RequestState, RoutingState, budget_of, change_effects,
+    pace::stream_ended,
+    place_request, refuse,
     suspects::{
         PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning, is_suspect,
         record_suspect,
@@ -41,7 +43,7 @@
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
     let Some(attempt) = request.current_attempt.take() else { return Vec::new() };
-    let CurrentAttempt { incarnation: (id, _), address, .. } = attempt;
+    let CurrentAttempt { incarnation: (id, _), address, timing, .. } = attempt;
     request.may_have_run |= result.may_have_run();
     let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
     match result {
@@ -61,6 +63,10 @@
         .collect();
     effects.extend(record_suspect(state, number, (&id, address), (result, progress), now));
     if result == AttemptResult::Answered {
+        let service = state.requests.get(&number).map(|it| it.service.clone());
+        if let (Some(service), Some(timing)) = (service, timing) {
+            stream_ended(state, &service, timing, now);
+        }
         effects.extend(answer_progressed(state, number, progress, now));
     }
     effects.push(next_effect(state, number, (result, progress), now));
@@ -94,14 +100,6 @@
     is_paused.then(|| RoutingChange::ServerPaused { server: id.clone(), result })
 }
 
-/// Records that the first event of a stream has arrived.
-pub(super) fn answer_began(state: &mut RoutingState, number: RequestNumber) {
-    let request = state.requests.get_mut(&number);
-    if let Some(attempt) = request.and_then(|it| it.current_attempt.as_mut()) {
-        attempt.has_begun = true;
-    }
-}
-
 /// Records what a server said about itself with a response.
 pub(super) fn server_noticed(
     state: &mut RoutingState,
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -4,7 +4,11 @@
 
 use rand::rngs::SmallRng;
 
-use super::{RequestState, RoutingState, stalls::GroupProgress};
+use super::{
+    RequestState, RoutingState,
+    pace::{fits_memory, load_factor},
+    stalls::GroupProgress,
+};
 use crate::{
     routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
     units::{FailureDomain, GroupName, Moment, ServiceName},
@@ -12,6 +16,9 @@
 
 /// Time after the first directory read in which some agents may not have reported yet.
 const REPORTS_WARM_UP: Duration = Duration::from_millis(1_500);
+/// Pace factor from which a server gets requests only if no other has room: its steps are as long as
+/// the longest pause allowed.
+const MAX_PACE_FACTOR: f64 = 4.0 / 3.0;
 
 /// Chooses a server for an attempt of the request. Returns the random number generator to keep.
 pub(super) fn choose_server(
@@ -69,19 +76,37 @@
     if !slotted.is_empty() {
         chosen = slotted;
     }
-    let candidates: Vec<Candidate<'_>> = chosen
+    let candidates: Vec<(Candidate<'_>, bool)> = chosen
         .iter()
-        .map(|it| Candidate {
-            id: &it.record.id,
-            load: state
-                .loads
-                .get(&it.record.address)
-                .map_or(0.0, |load| load.estimate(gateway_count, now)),
-            slots: it.record.slots,
+        .map(|it| {
+            let load = state.loads.get(&it.record.address);
+            let pace_factor = load_factor(load, request, now);
+            let candidate = Candidate {
+                id: &it.record.id,
+                load: load.map_or(0.0, |load| load.estimate(gateway_count, now)),
+                slots: it.record.slots,
+                pace_factor,
+            };
+            (candidate, pace_factor < MAX_PACE_FACTOR && fits_memory(load, request, now))
         })
         .collect();
     let mut rng = state.rng.clone();
-    let choice = choose_candidate(&candidates, &state.settings.admission, &mut rng);
+    // What a slow server, or one without memory, can take is better than a refusal.
+    let suitable: Vec<Candidate<'_>> =
+        candidates.iter().filter(|it| it.1).map(|it| it.0.clone()).collect();
+    let settings = &state.settings.admission;
+    let choice = match choose_candidate(&suitable, settings, &mut rng) {
+        PlacementChoice::Full | PlacementChoice::NoCandidate
+            if suitable.len() < candidates.len() =>
+        {
+            let all: Vec<Candidate<'_>> = candidates.into_iter().map(|it| it.0).collect();
+            choose_candidate(&all, settings, &mut rng)
+        }
+        choice @ (PlacementChoice::Server(_)
+        | PlacementChoice::Full
+        | PlacementChoice::Resting(_)
+        | PlacementChoice::NoCandidate) => choice,
+    };
     (choice, rng)
 }
 
--- a/tests/gateway_herding.rs
+++ b/tests/gateway_herding.rs
@@ -64,6 +64,7 @@
                 id,
                 load: reported[n] + sent_since_report[gateway][n],
                 slots: SLOTS,
+                pace_factor: 1.0,
             })
             .collect();
         let Some(server) =
