--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -87,6 +87,10 @@
     pub group_size: u16,
     /// Time that the rank's work takes relative to its usual time.
     pub pace: RankPace,
+    /// Tokens that requests hold in the rank's memory and cannot give up.
+    pub used_tokens: u32,
+    /// Tokens that the rank's memory holds; 0 if unknown.
+    pub max_tokens: u32,
 }
 
 /// How often the requests of a rank chose each expert since the engine started.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -47,6 +47,11 @@
     // Factor by which work takes longer than usual; over 1 for a slow engine.
     #[serde(default)]
     pace: Option<f64>,
+    // Memory that cannot yield, and all of it, in tokens.
+    #[serde(default, rename = "kv-used")]
+    used: Option<u32>,
+    #[serde(default, rename = "kv-total")]
+    total: Option<u32>,
 }
 
 // Version of the prepared map that takes effect next, and its first step. Engines send a pair, an
@@ -262,6 +267,8 @@
             group: self.group.map(WireGroup::decode),
             group_size: self.size.unwrap_or(0),
             pace: self.pace.map_or_else(RankPace::default, RankPace::from_factor),
+            used_tokens: self.used.unwrap_or(0),
+            max_tokens: self.total.unwrap_or(0),
         }
     }
 }
@@ -286,7 +293,8 @@
     #[gtest]
     fn report_is_decoded() {
         let text = r#"{"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":8,"queued":1,
-            "active":3,"step":181,"map":7,"prepared":9,"armed":{"version":9,"step":183},"held":null}"#;
+            "active":3,"step":181,"map":7,"prepared":9,"armed":{"version":9,"step":183},"held":null,
+            "kv-used":41000,"kv-total":90000}"#;
         let report = serde_json::from_str::<WireReport>(text).unwrap().decode();
         expect_that!(report.armed, some(eq((MapVersion(9), StepNumber(183)))));
         expect_that!(report.held, none());
@@ -294,6 +302,7 @@
         expect_that!(report.pace, eq(RankPace::default()));
         let slow = serde_json::from_str::<WireReport>(r#"{"pace":2.5}"#).unwrap().decode();
         expect_that!(slow.pace.factor(), eq(2.5));
+        expect_that!((report.used_tokens, report.max_tokens), eq((41_000, 90_000)));
     }
 
     #[gtest]
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -3,6 +3,9 @@
 
 mod attempts;
 mod eligibility;
+mod loads;
+mod pace;
+mod stalls;
 mod suspects;
 
 use std::{
@@ -16,10 +19,10 @@
 
 use super::{
     AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec, BudgetSettings, CatalogSource,
-    ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable, LoadReport,
-    PlacementChoice, QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteRecord,
-    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet,
-    ServerLoad, ServerTable, choose_subset, retry_after,
+    ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable,
+    PlacementChoice, QuarantineTable, RequestNumber, RequestSize, RetryReason, RouteCatalog,
+    RouteRecord, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
+    SenderSet, ServerLoad, ServerTable, StartModel, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
@@ -30,6 +33,9 @@
 };
 use attempts::{attempt_ended, fail_over, server_noticed};
 use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
+use loads::load_reported;
+use pace::{answer_began, expect_first_event};
+use stalls::StallTable;
 use suspects::{
     EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
     server_probed, update_effects,
@@ -37,8 +43,6 @@
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
 const DEFAULT_GATEWAY_COUNT: u32 = 12;
-/// Time for which the largest reported number of gateways stays in use.
-const GATEWAY_COUNT_WINDOW: Duration = Duration::from_secs(10);
 /// Fraction of the route's timeout that the caller's timeout must reach for the request to count as
 /// the caller's first try.
 const FIRST_TRY_MIN_FRACTION: f64 = 0.9;
@@ -87,6 +91,8 @@
     /// Digest of the whole request.
     content: InputDigest,
     deadline: Moment,
+    /// Size in tokens; `None` if the caller states none.
+    size: Option<RequestSize>,
     /// Servers already attempted, unreachable ones included.
     tried_servers: Vec<ServerId>,
     /// Groups in which an attempt was lost, stalled or not run.
@@ -107,12 +113,30 @@
     current_attempt: Option<CurrentAttempt>,
 }
 
-/// The server of an attempt in progress, and when the attempt began.
+/// The server of an attempt in progress, and how far the attempt has come.
 #[derive(Clone, Debug)]
 struct CurrentAttempt {
     incarnation: Incarnation,
     address: SocketAddr,
+    /// Number of the attempt, starting at 1.
+    attempt: u32,
     began_at: Moment,
+    /// Whether the first event of a stream has arrived.
+    has_begun: bool,
+    /// What the estimates learn from; `None` if the server's pace is unknown.
+    timing: Option<AttemptTiming>,
+    /// Whether [`RoutingEffect::EndAttempt`] was returned.
+    is_ending: bool,
+}
+
+/// Pace of the server of an attempt, and how the attempt went.
+#[derive(Clone, Copy, Debug)]
+struct AttemptTiming {
+    /// Step time of the server's group when the attempt began.
+    step_time: Duration,
+    /// Whether the server was expected to begin at once.
+    has_free_slot: bool,
+    first_event_at: Option<Moment>,
 }
 
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
@@ -135,6 +159,10 @@
     /// Servers that may have ended, until they are probed.
     ending_servers: BTreeMap<ServerId, EndingServer>,
     quarantine: QuarantineTable,
+    /// Groups that make no steps.
+    stalls: StallTable,
+    /// What was learned of the requests to each service.
+    models: BTreeMap<ServiceName, StartModel>,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -156,6 +184,8 @@
             requests: BTreeMap::new(),
             ending_servers: BTreeMap::new(),
             quarantine: QuarantineTable::default(),
+            stalls: StallTable::default(),
+            models: BTreeMap::new(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -251,8 +281,11 @@
             state.servers.mark_store_rewound(now);
             change_effects(vec![RoutingChange::StoreRewound])
         }
-        RoutingEvent::LoadReported { address, report, gateway_count } => {
-            load_reported(state, address, report, gateway_count, now);
+        RoutingEvent::LoadReported { address, report, gateway_count, detail } => {
+            load_reported(state, address, (report, detail), gateway_count, now)
+        }
+        RoutingEvent::AnswerBegan(number) => {
+            answer_began(state, number, now);
             Vec::new()
         }
         RoutingEvent::RequestArrived(caller_request) => {
@@ -325,21 +358,6 @@
     state.subset = services.into_iter().flat_map(subset_of).collect();
 }
 
-fn load_reported(
-    state: &mut RoutingState,
-    address: SocketAddr,
-    report: LoadReport,
-    gateway_count: u32,
-    now: Moment,
-) {
-    state.loads.entry(address).or_default().record_report(report, now);
-    let is_expired =
-        state.reported_gateways.is_none_or(|(_, at)| now.since(at) > GATEWAY_COUNT_WINDOW);
-    if is_expired || state.reported_gateways.is_some_and(|(max, _)| gateway_count >= max) {
-        state.reported_gateways = Some((gateway_count, now));
-    }
-}
-
 /// Merges what another gateway heard of servers' limits.
 fn limits_read(
     state: &mut RoutingState,
@@ -415,6 +433,7 @@
         account,
         shared_parts,
         content,
+        size: caller_request.size,
         tried_servers: Vec::new(),
         failed_groups: Vec::new(),
         attempts_sent: 0,
@@ -430,6 +449,7 @@
         is_waiting: false,
         current_attempt: None,
     };
+    state.models.entry(request.service.clone()).or_default().record_rank(request.rank);
     let gateway_count = state.gateway_count();
     let budget = budget_of(state, &request.service);
     budget.0.deposit(&budget.1, gateway_count);
@@ -575,6 +595,10 @@
     let Some(record) = state.servers.server(id).map(|it| it.record.clone()) else {
         return refuse(state, number, RefusalCode::NoServer, now);
     };
+    let expected = state.requests.get(&number).and_then(|request| {
+        let load = state.loads.get(&record.address)?;
+        expect_first_event(state, request, (load, record.slots), now)
+    });
     let load = state.loads.entry(record.address).or_default();
     let estimate = load.estimate(gateway_count, now);
     load.begin_attempt();
@@ -587,7 +611,16 @@
     request.is_waiting = false;
     request.tried_servers.push(id.clone());
     let address = record.address;
-    request.current_attempt = Some(CurrentAttempt { incarnation, address, began_at: now });
+    let attempt = request.attempts_sent + request.connect_failures + 1;
+    request.current_attempt = Some(CurrentAttempt {
+        incarnation,
+        address,
+        attempt,
+        began_at: now,
+        has_begun: false,
+        timing: expected.map(|it| it.1),
+        is_ending: false,
+    });
     let spec = AttemptSpec {
         server: id.clone(),
         address: record.address,
@@ -597,8 +630,9 @@
         kind: request.route.kind,
         deadline: request.deadline,
         latency_objective: request.route.latency_objective,
-        attempt: request.attempts_sent + request.connect_failures + 1,
+        attempt,
         load: estimate,
+        first_event: expected.map(|it| it.0),
         rank: request.rank,
         shared_parts: request.shared_parts.clone(),
         content: request.content,
--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -71,6 +71,8 @@
             group: Some(membership(0)),
             group_size: RANKS,
             pace: RankPace::default(),
+            used_tokens: 0,
+            max_tokens: 0,
         }
     }
 
--- a/tests/support/rank_group.rs
+++ b/tests/support/rank_group.rs
@@ -142,6 +142,8 @@
             }),
             group_size: self.shape.ranks as u16,
             pace: RankPace::default(),
+            used_tokens: 0,
+            max_tokens: 0,
         }
     }
 }
