Count what gateways hold for slow callers and servers, and end it in time

Cause: a stream whose caller read nothing was held past its deadline: the message that should break it off waited in the full queue, which held 32 events of up to 256 kB. Whole answers and request bodies had no bound for the process; a listener cannot end a connection whose caller reads nothing, since the HTTP library looks at a body only as it can write. Change: a ledger counts bodies from their first byte, collected answers and what waits for callers, by request, account and process (setting `memory_mb`, half of it). New requests are refused before their body is read; the largest ends first. Streams have 256 kB; a caller that takes nothing for 5 s loses its connection by a reset. A stream that breaks off after it was not read for 1 s is not held against its server.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -276,6 +276,7 @@
     ConcurrencyLimited = "concurrency_limited", 429, "the account is over its plan's requests in progress";
     NoServer = "no_server", 503, "no backend server of this model or service can be reached";
     Overloaded = "overloaded", 503, "all backend servers of this model or service are busy";
+    OutOfMemory = "out_of_memory", 503, "this process holds all the memory that it may; the request was not run";
     ShuttingDown = "shutting_down", 503, "this entry takes no new work; ask another";
     NoConfiguration = "no_configuration", 503, "this entry has not learned the configuration yet";
     ClaimsUnavailable = "claims_unavailable", 503, "keys cannot be claimed now, so nothing was run";
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,8 +7,10 @@
 mod callers;
 mod event_stream;
 mod exchange;
+mod held_memory;
 mod peers;
 mod probes;
+mod relay;
 mod reports;
 mod requests;
 mod shell;
@@ -65,6 +67,7 @@
     tokio::spawn(reports::exchange_datagrams(shell.clone(), settings.datagrams).await?);
     tokio::spawn(exchange::exchange_records(shell.clone()));
     tokio::spawn(probes::probe_servers(shell.clone(), probes));
+    tokio::spawn(shell.memory.clone().report());
     tokio::spawn(reload_on_sighup(arguments));
     wait_for_stop_signal().await?;
     stop(&shell, &settings, &phase, served).await;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -4,16 +4,20 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header, request::Parts, uri::PathAndQuery};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 use tokio::{sync::oneshot, time::Instant};
 use uuid::Uuid;
 use volo_http::{body::Body, response::Response};
 
-use super::{requests::RequestTask, shell::GatewayShell};
+use super::{
+    held_memory::{HeldBodyError, RequestMemory},
+    requests::RequestTask,
+    shell::GatewayShell,
+};
 use crate::{
     core::{Refusal, RefusalCode},
-    http::{BodyError, read_body, text_response},
+    http::{BodyError, ConnectionAbort, discard_body, text_response},
     platform::{CallerHeaders, READY_PATH, echo_request_id, set_retry_after},
     routing::{RequestNumber, RoutingRequest},
     units::{ByteCount, ContentHash, RequestId},
@@ -23,12 +27,14 @@
 const DEFAULT_MAX_BODY: ByteCount = ByteCount(4 << 20);
 
 /// A caller's request with its complete body.
-#[derive(Debug)]
 pub(super) struct CallerRequest {
+    pub(super) number: RequestNumber,
     pub(super) head: Parts,
     pub(super) headers: CallerHeaders,
     pub(super) request_id: RequestId,
     pub(super) body: Bytes,
+    /// What the request holds, its body included.
+    pub(super) memory: Arc<RequestMemory>,
     pub(super) content: ContentHash,
     pub(super) arrived: Instant,
 }
@@ -60,26 +66,41 @@
 async fn answer(shell: Arc<GatewayShell>, request: http::Request<Incoming>) -> Response {
     let arrived = Instant::now();
     shell.metrics.count("requests.arrived");
-    let (head, body) = request.into_parts();
+    let (mut head, mut body) = request.into_parts();
     let headers = CallerHeaders::decode(&head.headers);
     let request_id =
         headers.request_id.clone().unwrap_or_else(|| RequestId::from_uuid(Uuid::now_v7()));
-    let max_body =
-        shell.read(|it| it.catalog().map_or(DEFAULT_MAX_BODY, |it| it.limits().max_body));
+    let (max_body, account) = shell.read(|it| {
+        let catalog = it.catalog();
+        let account = headers.api_key.as_ref().and_then(|key| catalog?.account_of(key)).cloned();
+        (catalog.map_or(DEFAULT_MAX_BODY, |it| it.limits().max_body), account)
+    });
+    let number = shell.next_number();
+    let announced = ByteCount(body.size_hint().lower().min(max_body.0));
+    let connection = head.extensions.remove::<ConnectionAbort>().unwrap_or_default();
+    let admitted = shell.memory.admit(number, (&request_id, account), announced, connection);
     let body_timeout = Duration::from_millis(shell.limits.body_timeout_ms);
-    let body = match read_body(body, max_body, body_timeout).await {
-        Ok(body) => body,
-        Err(error) => {
+    let content = match &admitted {
+        Ok(memory) => memory.read_body(&mut body, max_body, body_timeout).await,
+        Err(error) => Err((*error).into()),
+    };
+    let (memory, body) = match (admitted, content) {
+        (Ok(memory), Ok(content)) => (memory, content),
+        (_, Err(HeldBodyError::Body(error))) => {
             log::info!(request:% = request_id, error:% = error; "request body rejected");
             return refusal_answer(&body_refusal(error), &head.headers);
         }
+        (Err(_), _) | (_, Err(HeldBodyError::Memory(_))) => {
+            return refuse_for_memory(&shell, (&head, &headers), body);
+        }
     };
     let (sender, answer) = oneshot::channel();
     let request_headers = head.headers.clone();
     let gateway_shell = shell.clone();
     let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let content = ContentHash::of_request(head.method.as_str(), &host_name(&head), path, &body);
-    let request = CallerRequest { head, headers, request_id, body, content, arrived };
+    let request =
+        CallerRequest { number, head, headers, request_id, body, memory, content, arrived };
     let (answered_tx, answered_rx) = oneshot::channel();
     tokio::spawn(RequestTask::new(shell, request, sender).run(answered_rx));
     match answer.await {
@@ -100,6 +121,21 @@
     }
 }
 
+/// Answers a request for whose body there is no room. The rest of the body is read without being
+/// held, so that its caller can read the answer.
+fn refuse_for_memory(
+    shell: &GatewayShell,
+    (head, headers): (&Parts, &CallerHeaders),
+    mut body: Incoming,
+) -> Response {
+    let refusal = shell.memory_refusal(headers.time_left);
+    shell.metrics.count(&format!("refused.{}", refusal.code));
+    tokio::spawn(async move { discard_body(&mut body).await });
+    let mut answer = refusal_answer(&refusal, &head.headers);
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 fn body_refusal(error: BodyError) -> Refusal {
     Refusal::not_run(match error {
         BodyError::TooLarge(_) => RefusalCode::BodyTooLarge,
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -1,44 +1,41 @@
 //! The task of one caller's request: makes one attempt at a time, as the reducer decides, and
 //! passes the response on.
 
+mod answers;
+
 use std::{pin::Pin, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{StatusCode, response::Parts, uri::PathAndQuery};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Incoming};
+use http_body_util::Full;
 use smol_str::SmolStr;
 use tokio::{
-    sync::{Semaphore, SemaphorePermit, oneshot},
-    time::{Instant, sleep_until, timeout, timeout_at},
+    sync::oneshot,
+    time::{Instant, timeout, timeout_at},
 };
-use volo_http::{body::Body, response::Response};
+use volo_http::response::Response;
 
 use super::{
     callers::{CallerRequest, refusal_answer, routing_request},
-    event_stream::{SseSplitter, is_repeated},
+    held_memory::{IDLE_TIME, watch_delivery},
+    relay::StreamSender,
     shell::GatewayShell,
 };
 use crate::{
     core::{Refusal, RefusalCode},
-    http::{
-        OpenCall, RelayAborted, RelaySender, caller_disconnected, connect, relay_body, start_call,
-    },
+    http::{OpenCall, caller_disconnected, connect, start_call},
     platform::{
         AttemptHeaders, ResponseKind, build_attempt_headers, classify_response,
-        decode_server_notice, strip_hop_by_hop,
+        decode_server_notice,
     },
     routing::{
         AnswerProgress, AttemptResult, AttemptSpec, LimitNotice, RequestNumber, RouteKind,
-        RoutingEffect, RoutingEvent, SETTLED_EVENTS, ServerNotice, join_parts,
+        RoutingEffect, RoutingEvent, ServerNotice, join_parts,
     },
 };
 
 /// Timeout of a connection attempt: many round-trip times.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time without an event after which a stream is resumed at another server. Callers give up after
-/// two seconds at the earliest.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without a first event after which another server is tried.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Multiple of the route's latency objective after which an idempotent request goes to another
@@ -47,15 +44,12 @@
 /// Time after which an idempotent request without a latency objective goes to another server.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Size up to which an answer takes nothing of the memory for large ones.
-const FREE_ANSWER_BYTES: usize = 64 << 10;
-
 /// How much of the response the caller has received.
 enum AnswerState {
     /// Nothing yet.
     Waiting(oneshot::Sender<Response>),
     /// The head, and possibly some events.
-    Streaming(RelaySender),
+    Streaming(StreamSender),
     /// Everything, or the caller has disconnected.
     Done,
 }
@@ -65,7 +59,7 @@
     /// otherwise.
     async fn closed(&self) {
         match self {
-            Self::Streaming(sender) => sender.closed().await,
+            Self::Streaming(sender) => sender.disconnected().await,
             Self::Waiting(_) | Self::Done => std::future::pending().await,
         }
     }
@@ -95,7 +89,7 @@
     ) -> Self {
         let last_event = request.headers.resume_after.clone();
         let state = AnswerState::Waiting(answer_sender);
-        let (number, progress) = (shell.next_number(), AnswerProgress::default());
+        let (number, progress) = (request.number, AnswerProgress::default());
         let server_limit = LimitNotice::default();
         Self {
             shell,
@@ -139,7 +133,7 @@
             };
         }
         match effect {
-            Some(RoutingEffect::Refuse(_, refusal)) => self.refuse(&refusal).await,
+            Some(RoutingEffect::Refuse(_, refusal)) => self.refuse(&refusal),
             Some(RoutingEffect::Finished(_)) | None => self.forward_server_error(),
             Some(
                 RoutingEffect::Attempt(..)
@@ -149,6 +143,10 @@
                 | RoutingEffect::ProbeServer { .. },
             ) => {}
         }
+        if let AnswerState::Streaming(sender) = &self.state {
+            // Dropping the sender breaks the stream off after the events that wait.
+            self.let_deliver(sender, IDLE_TIME);
+        }
         self.shell.metrics.time("request.duration", self.request.arrived.elapsed());
         self.shell.dispatch(RoutingEvent::RequestEnded(number));
     }
@@ -323,143 +321,6 @@
         Ok(request)
     }
 
-    /// Relays a stream of events to the caller, only complete events, and skips those it has
-    /// already.
-    ///
-    /// A stream without a length or chunks is whole if its connection ends in order after an event.
-    async fn relay_stream(
-        &mut self,
-        head: Parts,
-        mut body: Incoming,
-        kind: RouteKind,
-    ) -> AttemptResult {
-        let is_delimited = body.size_hint().exact().is_some() || is_chunked(&head);
-        let mut splitter = SseSplitter::default();
-        let mut head = Some(head);
-        // Bytes that complete no event do not postpone it.
-        let mut event_deadline = Instant::now() + FIRST_EVENT_TIMEOUT;
-        loop {
-            let frame = tokio::select! {
-                biased;
-                frame = self.next_frame(&mut body) => frame,
-                // Only a stream that another server can resume is given up for its silence.
-                () = sleep_until(event_deadline), if kind.is_idempotent() => return AttemptResult::Stalled,
-            };
-            let Some(frame) = frame else { return AttemptResult::Abandoned };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    splitter.push(&data);
-                }
-                Some(Err(_)) => return AttemptResult::Lost,
-                None if splitter.has_partial() => return AttemptResult::Lost,
-                None if !is_delimited && self.progress == AnswerProgress::Head => {
-                    return AttemptResult::Lost;
-                }
-                None => {
-                    self.begin_stream(&mut head);
-                    self.state = AnswerState::Done;
-                    self.progress = AnswerProgress::Whole;
-                    return AttemptResult::Answered;
-                }
-            }
-            if splitter.is_oversized() {
-                return AttemptResult::Lost;
-            }
-            while let Some(event) = splitter.next_event() {
-                if is_repeated(event.id.as_deref(), self.last_event.as_deref()) {
-                    continue;
-                }
-                self.begin_stream(&mut head);
-                let AnswerState::Streaming(sender) = &self.state else {
-                    return AttemptResult::Abandoned;
-                };
-                if sender.send(Ok(event.bytes)).await.is_err() {
-                    return AttemptResult::Abandoned;
-                }
-                self.last_event = event.id.or(self.last_event.take());
-                self.progress = self.progress.with_event();
-                if self.progress == AnswerProgress::Events(SETTLED_EVENTS) {
-                    self.shell.dispatch(RoutingEvent::AnswerSettled(self.number));
-                }
-                event_deadline = Instant::now() + EVENT_TIMEOUT;
-            }
-        }
-    }
-
-    /// Reads the next frame of a stream. The outer `None` means that the caller has
-    /// disconnected.
-    async fn next_frame(
-        &self,
-        body: &mut Incoming,
-    ) -> Option<Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>> {
-        match &self.state {
-            AnswerState::Streaming(sender) => tokio::select! {
-                frame = body.frame() => Some(frame),
-                () = sender.closed() => None,
-            },
-            AnswerState::Waiting(_) | AnswerState::Done => Some(body.frame().await),
-        }
-    }
-
-    /// Sends the head of the response to the caller, unless an earlier attempt has done so.
-    fn begin_stream(&mut self, head: &mut Option<Parts>) {
-        let (Some(head), AnswerState::Waiting(_)) = (head.take(), &self.state) else { return };
-        let (sender, body) = relay_body();
-        let answer = build_answer(head, Body::from_body(body));
-        let state = std::mem::replace(&mut self.state, AnswerState::Streaming(sender));
-        if let AnswerState::Waiting(answer_sender) = state
-            && answer_sender.send(answer).is_err()
-        {
-            self.state = AnswerState::Done;
-        }
-    }
-
-    /// Reads the complete response before the caller gets any of it, so that the request can be
-    /// retried if the response breaks off.
-    async fn collect_answer(&mut self, head: Parts, mut body: Incoming) -> AttemptResult {
-        let max_bytes = usize::try_from(self.shell.limits.max_answer_bytes.0).unwrap_or(usize::MAX);
-        let shell = self.shell.clone();
-        let mut memory = AnswerMemory::new(&shell.answer_memory);
-        let mut collected = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return AttemptResult::Lost };
-            let Ok(data) = frame.into_data() else { continue };
-            collected.extend_from_slice(&data);
-            if collected.len() > max_bytes || !memory.hold(collected.len()) {
-                log::info!(
-                    request:% = self.request.request_id, bytes = collected.len();
-                    "response of the server is too large"
-                );
-                return AttemptResult::Lost;
-            }
-        }
-        let is_error = head.status.is_server_error();
-        if head.status.is_success() {
-            self.progress = AnswerProgress::Whole;
-        }
-        let answer = build_answer(head, Body::from(collected.freeze()));
-        match std::mem::replace(&mut self.state, AnswerState::Done) {
-            AnswerState::Waiting(answer_sender) if is_error => {
-                self.state = AnswerState::Waiting(answer_sender);
-                self.server_error = Some(answer);
-                AttemptResult::ServerError
-            }
-            // A caller that has disconnected needs no response.
-            AnswerState::Waiting(answer_sender) => match answer_sender.send(answer) {
-                Ok(()) => AttemptResult::Answered,
-                Err(_) => AttemptResult::Abandoned,
-            },
-            // The caller has the beginning of a stream, which a response that is not a stream
-            // cannot continue.
-            AnswerState::Streaming(sender) => {
-                self.state = AnswerState::Streaming(sender);
-                AttemptResult::Lost
-            }
-            AnswerState::Done => AttemptResult::Abandoned,
-        }
-    }
-
     /// Sends a server's error response to the caller, if an attempt ended with one.
     fn forward_server_error(&mut self) {
         let Some(answer) = self.server_error.take() else { return };
@@ -471,8 +332,15 @@
         }
     }
 
+    /// Lets the caller take the events that wait, unless it takes none for `max_wait`.
+    fn let_deliver(&self, sender: &StreamSender, max_wait: Duration) {
+        if !sender.is_drained() {
+            tokio::spawn(watch_delivery(Arc::downgrade(&self.request.memory), max_wait));
+        }
+    }
+
     /// Sends the refusal or a server's earlier error to the caller, or breaks off its stream.
-    async fn refuse(&mut self, refusal: &Refusal) {
+    fn refuse(&mut self, refusal: &Refusal) {
         self.shell.metrics.count(&format!("refused.{}", refusal.code));
         log::info!(
             request:% = self.request.request_id, code:% = refusal.code,
@@ -492,41 +360,12 @@
                     self.shell.metrics.count("caller.gone");
                 }
             }
-            AnswerState::Streaming(sender) => {
-                if sender.send(Err(RelayAborted)).await.is_err() {
-                    self.shell.metrics.count("caller.gone");
-                }
-            }
+            AnswerState::Streaming(sender) => self.state = AnswerState::Streaming(sender),
             AnswerState::Done => {}
         }
     }
 }
 
-/// The part of the memory for large answers that one answer holds.
-struct AnswerMemory<'a> {
-    pool: &'a Semaphore,
-    held: Option<SemaphorePermit<'a>>,
-}
-
-impl<'a> AnswerMemory<'a> {
-    fn new(pool: &'a Semaphore) -> Self {
-        Self { pool, held: None }
-    }
-
-    /// Takes what an answer of this many bytes needs. Returns `false` if other answers hold it.
-    fn hold(&mut self, bytes: usize) -> bool {
-        let needed_kb = bytes.saturating_sub(FREE_ANSWER_BYTES).div_ceil(1 << 10);
-        let held_kb = self.held.as_ref().map_or(0, SemaphorePermit::num_permits);
-        let missing = u32::try_from(needed_kb.saturating_sub(held_kb)).unwrap_or(u32::MAX);
-        let Ok(permit) = self.pool.try_acquire_many(missing) else { return false };
-        match &mut self.held {
-            Some(held) => held.merge(permit),
-            None => self.held = Some(permit),
-        }
-        true
-    }
-}
-
 /// Returns the time without the head of a response after which another server is tried, or `None`
 /// for a request that may run only once: it must not be repeated, and a slow response does not
 /// prove that it failed.
@@ -541,17 +380,6 @@
     }
 }
 
-fn is_chunked(head: &Parts) -> bool {
-    head.headers.contains_key(http::header::TRANSFER_ENCODING)
-}
-
-fn build_answer(head: Parts, body: Body) -> Response {
-    let mut answer = Response::new(body);
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = strip_hop_by_hop(&head.headers);
-    answer
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -3,26 +3,33 @@
 
 use std::{
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, Semaphore, mpsc};
 
 use crate::{
+    core::{Refusal, RefusalCode},
     daemon::ProcessClock,
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
-        CatalogVersion, GatewayLocation, PeerTable, ReaderMark, RequestNumber, RouteCatalog,
-        RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce,
+        AdmissionSettings, CatalogVersion, GatewayLocation, PeerTable, ReaderMark, RequestNumber,
+        RetryReason, RouteCatalog, RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings,
+        RoutingState, reduce, retry_after,
     },
     telemetry::MetricSink,
     units::Moment,
 };
 
-use super::{probes::ServerProbe, sources::PlatformView};
+use super::{
+    held_memory::{HeldMemory, held_bound},
+    probes::ServerProbe,
+    sources::PlatformView,
+};
 
 /// Timeout of requests whose callers state none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -54,6 +61,10 @@
     pub(super) limits: HttpLimits,
     /// Kilobytes that large answers may take together while they are collected.
     pub(super) answer_memory: Semaphore,
+    /// Memory that requests hold.
+    pub(super) memory: Arc<HeldMemory>,
+    /// Settings of the retry delays.
+    admission: AdmissionSettings,
     /// Time within which a draining server must stop getting new work; sets the read intervals of
     /// the directory.
     pub(super) leave_time: Duration,
@@ -97,6 +108,8 @@
             was_ready: AtomicBool::new(false),
             limits: settings.http,
             answer_memory: Semaphore::new(MAX_ANSWER_MEMORY_KB),
+            memory: Arc::new(HeldMemory::new(held_bound(gateway.memory_mb), metrics.clone())),
+            admission: gateway.admission,
             leave_time: Duration::from_millis(gateway.leave_ms),
             apply_time: Duration::from_millis(gateway.apply_ms),
             clock: ProcessClock::start(),
@@ -166,6 +179,14 @@
         self.read(|it| it.catalog().map(RouteCatalog::version).unwrap_or_default())
     }
 
+    /// Returns the refusal of a request for whose body there is no memory.
+    pub(super) fn memory_refusal(&self, time_left: Option<Duration>) -> Refusal {
+        let time_left = time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let delay = retry_after(time_left, RetryReason::Full, &self.admission, &mut rng);
+        Refusal::not_run(RefusalCode::OutOfMemory).retry_after(delay)
+    }
+
     /// Allocates the number of the next request.
     pub(super) fn next_number(&self) -> RequestNumber {
         RequestNumber(self.next_request.fetch_add(1, Ordering::Relaxed))
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,10 +2,12 @@
 //! own responses.
 
 mod responses;
+mod abort;
 mod body;
 mod call;
 mod listener;
 
+pub use abort::ConnectionAbort;
 pub use body::{
     BodyError, RelayAborted, RelayBody, RelaySender, caller_disconnected, collect_body,
     discard_body, read_body, relay_body,
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -18,7 +18,10 @@
 use volo::net::Address;
 use volo_http::{body::Body, context::ServerContext, response::Response, server::Router};
 
-use super::text_response;
+use super::{
+    abort::{AbortableStream, ConnectionAbort},
+    text_response,
+};
 use crate::{options::HttpLimits, units::ByteCount};
 
 /// Backoff after an accept error, such as an exhausted descriptor table, to avoid a busy loop.
@@ -83,7 +86,7 @@
     }
 
     /// Serves with `handle` in place of routes, as [`Self::serve`] does. The handler gets the
-    /// address of the caller and the request.
+    /// address of the caller and the request, with a [`ConnectionAbort`] among its extensions.
     pub async fn serve_with<H, F>(self, handle: H, mut phase: watch::Receiver<ListenerPhase>)
     where
         H: Fn(SocketAddr, http::Request<Incoming>) -> F + Clone + Send + 'static,
@@ -134,7 +137,11 @@
     // Nagle's algorithm would delay small events of streams.
     let _ = stream.set_nodelay(true);
     let response_phase = phase.clone();
-    let service = service_fn(move |request| {
+    let abort = ConnectionAbort::default();
+    let stream = AbortableStream::new(stream, abort.clone());
+    let request_abort = abort.clone();
+    let service = service_fn(move |mut request: http::Request<Incoming>| {
+        request.extensions_mut().insert(request_abort.clone());
         let (response, phase) = (handle(peer, request), response_phase.clone());
         async move {
             let mut response = response.await;
@@ -153,13 +160,17 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
+        () = abort.aborted() => return,
         Ok(_) = phase.wait_for(|it| *it == ListenerPhase::Closed) => None,
     };
     let ended = match ended {
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                () = abort.aborted() => return,
+            }
         }
     };
     if let Err(error) = ended {
--- a/src/options/direct.rs
+++ b/src/options/direct.rs
@@ -72,8 +72,19 @@
     /// Limits for admission of requests under load.
     #[serde(default)]
     pub admission: AdmissionSettings,
+    /// Memory of the VM in megabytes; at least 64. Requests may hold half of it together.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
 }
 
+/// Memory of the smallest VM on which gateways run.
+fn default_memory_mb() -> f64 {
+    112.0
+}
+
+/// Least memory of a VM on which a gateway can run.
+const MIN_MEMORY_MB: f64 = 64.0;
+
 fn default_leave_ms() -> u64 {
     2_000
 }
@@ -132,6 +143,13 @@
                 allowed: "between 0 and 1",
             });
         }
+        if !(gateway.memory_mb.is_finite() && gateway.memory_mb >= MIN_MEMORY_MB) {
+            return Err(SettingsError::OutOfBounds {
+                field: "role.gateway.memory_mb",
+                value: gateway.memory_mb.to_string().into(),
+                allowed: "a number of megabytes of at least 64",
+            });
+        }
         let bounds = [
             ("role.gateway.leave_ms", gateway.leave_ms),
             ("role.gateway.apply_ms", gateway.apply_ms),
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -4,8 +4,8 @@
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), server choice
 //! (`placement`), overload refusals (`admission`), retry and cold-server budgets (`budget`), inputs that end
-//! servers (`quarantine`), limits that servers name (`limits`), the other gateways (`peers`), and the
-//! servers that one gateway uses (`subset`).
+//! servers (`quarantine`), limits that servers name (`limits`), the memory that requests hold (`memory`),
+//! the other gateways (`peers`), and the servers that one gateway uses (`subset`).
 
 mod admission;
 mod budget;
@@ -13,6 +13,7 @@
 mod event;
 mod limits;
 mod load;
+mod memory;
 mod peers;
 mod placement;
 mod quarantine;
@@ -37,6 +38,7 @@
 };
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
+pub use memory::{EndedHolder, HoldKind, HoldOutcome, HoldStage, MemoryLedger};
 pub use peers::{GatewayLocation, PeerTable};
 pub use placement::{Candidate, PlacementChoice, choose_candidate};
 pub use quarantine::{BlockedInput, CrashReport, QuarantineTable, QuarantineUpdate, SuspectInput};
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -20,6 +20,7 @@
 mod gateway_path;
 mod gateway_routing;
 mod graceful_stop;
+mod held_memory;
 mod limit_exploration;
 mod map_rollout;
 mod map_switch;
