End uploads that stand still before others, and test servers that cut off unread streams

Cause: a caller that stopped in the middle of its body kept its own account's new requests refused for as long as a body may take. The tests did not cover resets, servers that cut off what is not read, and bodies that stand still. Change: a body of which nothing comes for 1 s ends for new requests, like an answer of which nothing is taken.

--- a/src/gateway/held_memory.rs
+++ b/src/gateway/held_memory.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use thiserror::Error;
 use tokio::time::{interval, timeout};
 use tokio_util::sync::CancellationToken;
@@ -24,7 +24,7 @@
     units::{ByteCount, ClientAccount, RequestId},
 };
 
-/// Time after which a caller that takes nothing counts as idle.
+/// Time after which a caller that sends or takes nothing counts as idle.
 pub(super) const IDLE_TIME: Duration = Duration::from_secs(1);
 /// Time after which the connection of a caller that takes nothing is closed. Servers cut off what
 /// is not read for some seconds.
@@ -142,7 +142,7 @@
                 "request ended for memory"
             );
             match stage {
-                HoldStage::Reading => handle.refused.cancel(),
+                HoldStage::Reading | HoldStage::Paused => handle.refused.cancel(),
                 HoldStage::Delivering
                 | HoldStage::Idle
                 | HoldStage::Running
@@ -272,6 +272,17 @@
         }
     }
 
+    /// Reads the next part of a body, and marks the request if none comes for a while.
+    async fn next_frame(&self, body: &mut Incoming) -> Option<hyper::Result<Frame<Bytes>>> {
+        if let Ok(frame) = timeout(IDLE_TIME, body.frame()).await {
+            return frame;
+        }
+        self.set_stage(HoldStage::Paused);
+        let frame = body.frame().await;
+        self.set_stage(HoldStage::Reading);
+        frame
+    }
+
     async fn collect_body(
         self: &Arc<Self>,
         body: &mut Incoming,
@@ -285,7 +296,7 @@
         let reserved = announced.exact().and_then(|it| usize::try_from(it).ok());
         let mut content = BytesMut::with_capacity(reserved.unwrap_or(0));
         let mut part = self.hold(HoldKind::RequestBody);
-        while let Some(frame) = body.frame().await {
+        while let Some(frame) = self.next_frame(body).await {
             let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
             if (content.len() + data.len()) as u64 > limit.0 {
                 return Err(BodyError::TooLarge(limit).into());
--- a/src/routing/memory.rs
+++ b/src/routing/memory.rs
@@ -46,6 +46,8 @@
 pub enum HoldStage {
     /// Its body is being read: it can be refused.
     Reading,
+    /// Its body is being read, and nothing of it has come for a while.
+    Paused,
     /// It waits for a server or runs: ending it would leave its outcome unknown.
     Running,
     /// Its caller takes the response.
@@ -65,6 +67,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Reading => "reading",
+            Self::Paused => "paused",
             Self::Running => "running",
             Self::Delivering => "delivering",
             Self::Idle => "idle",
@@ -106,8 +109,8 @@
     }
 }
 
-/// Order in which requests end: accounts over their part first, then callers that take nothing,
-/// then the largest.
+/// Order in which requests end: accounts over their part first, then callers that neither send nor
+/// take anything, then the largest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct EndOrder {
     is_over_part: bool,
@@ -160,8 +163,8 @@
     }
 
     /// Adds a request that will hold `announced` once its body is read. It is refused if there is
-    /// no room, unless others can end for it: those whose callers take nothing, and those of an
-    /// account that holds more than its part.
+    /// no room, unless others can end for it: those whose callers neither send nor take
+    /// anything, and those of an account that holds more than its part.
     pub fn admit(
         &mut self,
         number: RequestNumber,
@@ -194,7 +197,7 @@
         let missing = needed - before;
         let order = EndOrder {
             is_over_part: self.is_over_part(&holder.account, missing),
-            is_idle: holder.stage == HoldStage::Idle,
+            is_idle: false,
             bytes: holder.total() + missing,
         };
         let account = holder.account.clone();
@@ -290,7 +293,7 @@
     fn end_order(&self, holder: &MemoryHolder, demand: &MemoryDemand) -> Option<EndOrder> {
         let is_idle = match holder.stage {
             HoldStage::Reading | HoldStage::Delivering => false,
-            HoldStage::Idle => true,
+            HoldStage::Paused | HoldStage::Idle => true,
             HoldStage::Running | HoldStage::Ending => return None,
         };
         let is_over_part =
--- a/tests/held_memory.rs
+++ b/tests/held_memory.rs
@@ -39,9 +39,14 @@
 const VM_MEMORY: u64 = 112 << 20;
 /// Time that callers have.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time that callers of streams have: far more than the seconds for which servers leave a response
+/// unread.
+const STREAM_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after the callers' by which nothing is held for them: seconds for which servers leave a
 /// response unread.
 const END_SLACK: Duration = Duration::from_secs(4);
+/// Time after which a server cuts off a response that is not read.
+const UNREAD_TIME: Duration = Duration::from_secs(3);
 /// Size of a large body, the most that callers send.
 const LARGE_BODY: usize = 4 << 20;
 
@@ -110,7 +115,7 @@
         64,
         &[
             ("a", 28, HoldStage::Delivering),
-            ("b", 12, HoldStage::Idle),
+            ("b", 12, HoldStage::Paused),
             ("c", 16, HoldStage::Idle),
             ("d", 8, HoldStage::Delivering),
         ],
@@ -120,7 +125,7 @@
     let refused = ledger.admit(RequestNumber(10), account("e"), kilobytes(40));
     expect_that!(refused, eq(&HoldOutcome::Refused), "ending all idle ones is not enough");
     let outcome = ledger.admit(RequestNumber(11), account("e"), kilobytes(28));
-    expect_that!(outcome, eq(&HoldOutcome::Held(vec![ended(1, HoldStage::Idle, 12)])));
+    expect_that!(outcome, eq(&HoldOutcome::Held(vec![ended(1, HoldStage::Paused, 12)])));
 }
 
 #[gtest]
@@ -155,7 +160,13 @@
 #[gtest]
 fn ledger_stays_within_its_bound() {
     const BOUND_KB: u64 = 256;
-    let stages = [HoldStage::Reading, HoldStage::Running, HoldStage::Delivering, HoldStage::Idle];
+    let stages = [
+        HoldStage::Reading,
+        HoldStage::Paused,
+        HoldStage::Running,
+        HoldStage::Delivering,
+        HoldStage::Idle,
+    ];
     let step = (0..5u8, 0..12u64, 0..3usize, 0..100u64);
     let steps = proptest::collection::vec(step, 1..200);
     let result = TestRunner::new(seeded(300)).run(&steps, |steps| {
@@ -298,7 +309,7 @@
                 stream.write_all(text.as_bytes()).await.ok()?;
                 stream.write_all(&vec![b'x'; LARGE_BODY]).await.ok()?;
             }
-            "/st/endless" | "/st/whole" => {
+            "/st/endless" | "/st/whole" | "/st/cut" => {
                 let text = format!(
                     "{start}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 );
@@ -307,7 +318,12 @@
                 for n in 1..=last {
                     let event = event(n);
                     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-                    stream.write_all(chunk.as_bytes()).await.ok()?;
+                    let write = stream.write_all(chunk.as_bytes());
+                    if path == "/st/cut" {
+                        timeout(UNREAD_TIME, write).await.ok()?.ok()?;
+                    } else {
+                        write.await.ok()?;
+                    }
                 }
                 stream.write_all(b"0\r\n\r\n").await.ok()?;
             }
@@ -338,7 +354,7 @@
         let store = Arc::new(FakeStore::start(free_address()).await);
         let route = |name: &str, prefix: &str, kind: &str| {
             json!({"name": name, "hostname": "h.example", "path-prefix": prefix, "kind": kind,
-                "timeout-ms": 8000, "target-latency-ms": 4000, "service": "s", "max-attempts": 2,
+                "timeout-ms": STREAM_TIMEOUT.as_millis() as u64, "target-latency-ms": 4000, "service": "s", "max-attempts": 2,
                 "public": false, "resumable": true})
         };
         let manifest = json!({"version": 3,
@@ -362,7 +378,7 @@
         let head = format!(
             "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\nAuthorization: Token k1\r\n\
              Time-Budget-Ms: {}\r\nContent-Length: {length}\r\n\r\n",
-            CALLER_TIMEOUT.as_millis()
+            if path.starts_with("/st/") { STREAM_TIMEOUT } else { CALLER_TIMEOUT }.as_millis()
         );
         let _ = stream.write_all(head.as_bytes()).await;
         let _ = stream.write_all(&vec![b'x'; sent]).await;
@@ -423,10 +439,13 @@
         callers.push(bed.open("/st/endless", 0, 0).await);
     }
     let total = |it: &AtomicUsize| it.load(Ordering::SeqCst);
-    let deadline = Instant::now() + CALLER_TIMEOUT + END_SLACK;
+    let started = Instant::now();
+    // Servers are not kept until the callers' time is over.
+    let deadline = started + STREAM_TIMEOUT * 2 / 3;
     while total(&bed.server.closed) < 24 && Instant::now() < deadline {
         sleep(Duration::from_millis(100)).await;
     }
+    println!("streams broken off within {} ms", started.elapsed().as_millis());
     expect_that!(total(&bed.server.closed), eq(24), "servers are kept waiting");
     expect_that!(total(&bed.server.begun), eq(24), "a stream was asked for again");
     expect_that!(bed.send_sound("/a/x", 4).await, some(eq(&(StatusCode::OK, "sound".into()))));
@@ -434,12 +453,33 @@
     for caller in &mut callers {
         let mut rest = Vec::new();
         let read = timeout(END_SLACK, caller.read_to_end(&mut rest)).await;
-        expect_that!(read.is_ok(), eq(true), "the connection stays open");
+        // A stream without chunks would look complete at an orderly end.
+        expect_that!(read.is_ok_and(|it| it.is_err()), eq(true), "the connection is not reset");
         expect_that!(rest.ends_with(b"0\r\n\r\n"), eq(false), "the stream looks complete");
     }
+    let log = bed.gateway.log_text();
+    expect_that!(log, not(contains_substring("for memory")), "streams hold more than their part");
     bed.check_memory();
 }
 
+#[gtest]
+#[tokio::test]
+async fn server_is_not_blamed_for_a_slow_caller() {
+    let bed = TestBed::start().await;
+    let mut caller = bed.open("/st/cut", 0, 0).await;
+    let deadline = Instant::now() + CALLER_TIMEOUT;
+    while bed.server.closed.load(Ordering::SeqCst) == 0 && Instant::now() < deadline {
+        sleep(Duration::from_millis(100)).await;
+    }
+    let mut text = Vec::new();
+    let _ = timeout(CALLER_TIMEOUT, caller.read_to_end(&mut text)).await.unwrap();
+    expect_that!(text.ends_with(b"0\r\n\r\n"), eq(false), "the stream looks complete");
+    expect_that!(bed.server.begun.load(Ordering::SeqCst), eq(1), "a second server was asked");
+    let log = bed.gateway.log_text();
+    expect_that!(log, contains_substring("\"result\":\"abandoned\""));
+    expect_that!(log, not(contains_substring("\"result\":\"lost\"")));
+}
+
 #[gtest]
 #[tokio::test]
 async fn slow_caller_gets_the_whole_stream() {
@@ -522,6 +562,9 @@
     // Half of the VM's memory holds fourteen bodies.
     expect_that!(refused, ge(CALLERS - 14));
     expect_that!(bed.server.begun.load(Ordering::SeqCst), eq(1), "a refused request ran");
+    // The account's own callers are served as well, once the others have sent nothing for a while.
+    let mut own = bed.open("/a/x", 4, 4).await;
+    expect_that!(read_status(&mut own).await, some(eq("200")));
     bed.check_memory();
     drop(callers);
     expect_that!(bed.wait_released("request_body", END_SLACK).await, eq(true));
