Admit requests by rank: limits of load, an ordered queue woken by events, refusal by latest start

Cause: where routes or accounts of one service differ in rank, gateways placed, held and refused requests without knowing it (worth of the most urgent kind below the least urgent one). Change: limits of load by rank from recent traffic (routing/urgency.rs); a queue in the reducer, ordered by rank, returned callers and latest start, woken by load reports and ends of attempts (state/waiting.rs, RoutingEffect::Resume); refusal at once when the backlog passes the latest start; Retry-After from the backlog, the more urgent earlier; log lines and metrics. Without ranks all stays as it was.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 use tokio::{
-    sync::{Semaphore, SemaphorePermit, oneshot},
+    sync::{Notify, Semaphore, SemaphorePermit, oneshot},
     time::{Instant, sleep_until, timeout, timeout_at},
 };
 use volo_http::{body::Body, response::Response};
@@ -114,6 +114,7 @@
     pub(super) async fn run(mut self, answered_rx: oneshot::Receiver<()>) {
         let number = self.number;
         let mut disconnected = std::pin::pin!(caller_disconnected(answered_rx));
+        let wake = self.shell.register_wake(number);
         let request = routing_request(number, &self.request);
         let mut effect = self.shell.dispatch(RoutingEvent::RequestArrived(request));
         let mut has_waited = false;
@@ -126,11 +127,13 @@
                     if !std::mem::replace(&mut has_waited, true) {
                         self.log_wait();
                     }
-                    self.wait_for_server(number, delay, disconnected.as_mut()).await
+                    self.wait_for_server(number, (delay, &wake), disconnected.as_mut()).await
                 }
                 Some(
                     RoutingEffect::Refuse(..)
                     | RoutingEffect::Finished(_)
+                    | RoutingEffect::Resume(_)
+                    | RoutingEffect::AdmissionNoted(_)
                     | RoutingEffect::StateChanged(_)
                     | RoutingEffect::ShareRecords
                     | RoutingEffect::ProbeServer { .. },
@@ -144,6 +147,8 @@
             Some(
                 RoutingEffect::Attempt(..)
                 | RoutingEffect::Wait(..)
+                | RoutingEffect::Resume(_)
+                | RoutingEffect::AdmissionNoted(_)
                 | RoutingEffect::StateChanged(_)
                 | RoutingEffect::ShareRecords
                 | RoutingEffect::ProbeServer { .. },
@@ -151,24 +156,26 @@
         }
         self.shell.metrics.time("request.duration", self.request.arrived.elapsed());
         self.shell.dispatch(RoutingEvent::RequestEnded(number));
+        self.shell.remove_wake(number);
     }
 
-    /// Waits, then lets the reducer look for a server again. Returns `None` if the caller
+    /// Waits until the time has passed or the reducer ends the wait, then lets the reducer look for a
+    /// server again. Returns `None` if the caller
     /// disconnects.
     async fn wait_for_server(
         &self,
         number: RequestNumber,
-        delay: Duration,
+        (delay, wake): (Duration, &Notify),
         disconnected: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<RoutingEffect> {
         tokio::select! {
-            () = tokio::time::sleep(delay) => {
-                let request = routing_request(number, &self.request);
-                self.shell.dispatch(RoutingEvent::WaitEnded(request))
-            }
-            () = disconnected => None,
-            () = self.state.closed() => None,
+            () = tokio::time::sleep(delay) => {}
+            () = wake.notified() => {}
+            () = disconnected => return None,
+            () = self.state.closed() => return None,
         }
+        let request = routing_request(number, &self.request);
+        self.shell.dispatch(RoutingEvent::WaitEnded(request))
     }
 
     fn log_wait(&self) {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -2,8 +2,9 @@
 //! and returns the effects for the tasks to carry out.
 
 use std::{
+    collections::HashMap,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -15,8 +16,9 @@
     daemon::ProcessClock,
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
-        CatalogVersion, GatewayLocation, PeerTable, ReaderMark, RequestNumber, RouteCatalog,
-        RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce,
+        AdmissionNote, AdmissionOutcome, CatalogVersion, GatewayLocation, PeerTable, ReaderMark,
+        RequestNumber, RouteCatalog, RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings,
+        RoutingState, reduce,
     },
     telemetry::MetricSink,
     units::Moment,
@@ -48,6 +50,8 @@
     gateways_told_at: Mutex<Option<Moment>>,
     /// Probes for the task that makes them.
     probes: mpsc::Sender<ServerProbe>,
+    /// Ends the waits of requests, by their numbers.
+    wakes: Mutex<HashMap<RequestNumber, Arc<Notify>>>,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     /// Limits on HTTP messages and connections.
@@ -93,6 +97,7 @@
             records_changed: Notify::new(),
             gateways_told_at: Mutex::new(None),
             probes,
+            wakes: Mutex::default(),
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
@@ -116,6 +121,12 @@
                 RoutingEffect::ProbeServer { server, address } => {
                     self.request_probe(ServerProbe { server, address });
                 }
+                RoutingEffect::Resume(number) => {
+                    if let Some(wake) = lock(&self.wakes).get(&number) {
+                        wake.notify_one();
+                    }
+                }
+                RoutingEffect::AdmissionNoted(note) => self.log_admission(&note),
                 other => request_effect = Some(other),
             }
         }
@@ -128,6 +139,40 @@
         }
     }
 
+    /// Registers a request, so that its wait can be ended. The returned value is notified then.
+    pub(super) fn register_wake(&self, number: RequestNumber) -> Arc<Notify> {
+        lock(&self.wakes).entry(number).or_default().clone()
+    }
+
+    /// Forgets a request that has ended.
+    pub(super) fn remove_wake(&self, number: RequestNumber) {
+        lock(&self.wakes).remove(&number);
+    }
+
+    fn log_admission(&self, note: &AdmissionNote) {
+        let AdmissionNote { rank, outcome, .. } = note;
+        self.metrics.gauge("admission.queue", note.queue_length as u64);
+        match outcome {
+            AdmissionOutcome::Queued => {}
+            AdmissionOutcome::Began | AdmissionOutcome::Abandoned => {
+                self.metrics.time("admission.wait", note.waited);
+            }
+            AdmissionOutcome::Refused => {
+                self.metrics.time("admission.wait", note.waited);
+                self.metrics.count(&format!("admission.refused.rank_{rank}"));
+            }
+        }
+        if note.is_logged {
+            log::info!(
+                request:% = note.request_id, rank:% = rank, limit = note.limit,
+                best_load = note.best_load, news_age_ms = note.news_age.map(millis),
+                position = note.position, queue_length = note.queue_length,
+                waited_ms = millis(note.waited), outcome:% = outcome;
+                "admission decided"
+            );
+        }
+    }
+
     fn log_change(&self, change: &RoutingChange) {
         self.metrics.count("beliefs.changed");
         let age_ms = self.directory_age_ms();
@@ -228,6 +273,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Locks a mutex and ignores poisoning: each update is one assignment or one reduction, so a panic
 /// leaves no partially updated value behind.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -3,7 +3,8 @@
 //! As in [`crate::core`], every input is an event and every output an effect: [`reduce`] reads no
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), server choice
-//! (`placement`), overload refusals (`admission`), retry and cold-server budgets (`budget`), inputs that end
+//! (`placement`), overload refusals (`admission`), limits of load by
+//! rank (`urgency`), retry and cold-server budgets (`budget`), inputs that end
 //! servers (`quarantine`), limits that servers name (`limits`), the other gateways (`peers`), and the
 //! servers that one gateway uses (`subset`).
 
@@ -21,6 +22,7 @@
 mod shares;
 mod state;
 mod subset;
+mod urgency;
 mod views;
 
 pub use admission::{AdmissionSettings, RetryReason, retry_after};
@@ -31,9 +33,9 @@
 };
 pub(crate) use event::join_parts;
 pub use event::{
-    AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, LimitNotice, RequestNumber,
-    RequestSize, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
-    ServerNotice,
+    AdmissionNote, AdmissionOutcome, AnswerProgress, AttemptResult, AttemptSpec, CatalogSource,
+    LimitNotice, RequestNumber, RequestSize, RoutingChange, RoutingEffect, RoutingEvent,
+    RoutingRequest, SETTLED_EVENTS, ServerNotice,
 };
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
@@ -45,6 +47,7 @@
 pub use shares::AccountDemand;
 pub use state::{RoutingSettings, RoutingState, reduce};
 pub use subset::choose_subset;
+pub use urgency::{RankTraffic, ServiceCapacity, start_wait};
 pub use views::{
     DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange, OperatorTable, OperatorView,
     ReadKind,
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -42,6 +42,28 @@
     }
 }
 
+impl AdmissionSettings {
+    /// Returns the settings whose retry delays, if all servers are full, come from the earlier part of
+    /// the range that these ones draw from.
+    ///
+    /// ```
+    /// use alderbay::routing::AdmissionSettings;
+    /// let (settings, whole) = (AdmissionSettings::default(), AdmissionSettings::default());
+    /// assert_eq!(settings.for_part(1.0), whole);
+    /// assert!(settings.for_part(0.5).max_wait < whole.max_wait);
+    /// ```
+    #[must_use]
+    pub fn for_part(self, part: f64) -> Self {
+        if part >= 1.0 {
+            return self;
+        }
+        let shortest = 1.0 - self.full_spread;
+        let longest = shortest + self.full_spread * part.max(0.0);
+        let full_spread = 1.0 - shortest / longest.max(f64::EPSILON);
+        Self { max_wait: self.max_wait * longest, full_spread, ..self }
+    }
+}
+
 /// Why a caller is asked to retry later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryReason {
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -323,6 +323,55 @@
     pub content: InputDigest,
 }
 
+/// What became of a request that was admitted out of the queue, waits or is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionOutcome {
+    /// It waits for a server.
+    Queued,
+    /// It began after a wait.
+    Began,
+    /// It was refused.
+    Refused,
+    /// Its caller left while it waited.
+    Abandoned,
+}
+
+impl fmt::Display for AdmissionOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Queued => "queued",
+            Self::Began => "began",
+            Self::Refused => "refused",
+            Self::Abandoned => "abandoned",
+        })
+    }
+}
+
+/// A decision on the admission of a request, for the log and the metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionNote {
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// Its rank in the order of urgency.
+    pub rank: UrgencyRank,
+    /// Load, in requests per slot, from which a server gets no more requests like it.
+    pub limit: f64,
+    /// Lowest load of the servers that this gateway uses; `None` if it uses none.
+    pub best_load: Option<f64>,
+    /// Age of the load report of that server; `None` if there is none.
+    pub news_age: Option<Duration>,
+    /// Number of requests ahead of it in the queue; `None` if it does not wait.
+    pub position: Option<usize>,
+    /// Number of waiting requests.
+    pub queue_length: usize,
+    /// Time that it has waited.
+    pub waited: Duration,
+    /// What became of it.
+    pub outcome: AdmissionOutcome,
+    /// Whether the decision is logged; the metrics count all.
+    pub is_logged: bool,
+}
+
 /// An output of the reducer, carried out by the gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RoutingEffect {
@@ -330,6 +379,10 @@
     Attempt(RequestNumber, Box<AttemptSpec>),
     /// Wait this long, then dispatch [`RoutingEvent::WaitEnded`].
     Wait(RequestNumber, Duration),
+    /// End the wait of a request: dispatch [`RoutingEvent::WaitEnded`] at once.
+    Resume(RequestNumber),
+    /// Log and count a decision on admission.
+    AdmissionNoted(Box<AdmissionNote>),
     /// Refuse the request and end it.
     Refuse(RequestNumber, Refusal),
     /// End the request: no further attempt follows.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -79,6 +79,11 @@
         self.report.filter(|(_, at)| now.since(*at) < REPORT_TTL).map(|it| it.0)
     }
 
+    /// Returns the age of the latest report, or `None` if there is none.
+    pub fn report_age(&self, now: Moment) -> Option<Duration> {
+        self.report.map(|(_, at)| now.since(at))
+    }
+
     /// Whether the agent has reported before but is silent now.
     pub fn is_silent(&self, now: Moment) -> bool {
         self.report.is_some_and(|(_, at)| now.since(at) >= SILENCE_TIMEOUT)
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod eligibility;
 mod suspects;
+mod waiting;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -15,11 +16,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec, BudgetSettings, CatalogSource,
-    ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable, LoadReport,
-    PlacementChoice, QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteRecord,
-    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet,
-    ServerLoad, ServerTable, choose_subset, retry_after,
+    AdmissionOutcome, AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec,
+    BudgetSettings, CatalogSource, ColdLimiter, GatewayLocation, Incarnation, KnownServer,
+    LimitReport, LimitTable, LoadReport, PlacementChoice, QuarantineTable, RankTraffic,
+    RequestNumber, RetryReason, RouteCatalog, RouteRecord, RoutingChange, RoutingEffect,
+    RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet, ServerLoad, ServerTable,
+    choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
@@ -29,11 +31,15 @@
     },
 };
 use attempts::{attempt_ended, fail_over, server_noticed};
-use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
+use eligibility::{choose_server, has_usable, is_isolated};
 use suspects::{
     EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
     server_probed, update_effects,
 };
+use waiting::{
+    WaitingQueue, backlog_wait, has_expired, leave, note, record_arrival, room_scope,
+    start_in_order, wait_limit, wait_or_refuse, wait_or_refuse_full, wake,
+};
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
 const DEFAULT_GATEWAY_COUNT: u32 = 12;
@@ -44,16 +50,8 @@
 const FIRST_TRY_MIN_FRACTION: f64 = 0.9;
 /// Interval at which a waiting request looks for a server again.
 const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Fraction of its remaining time for which a retried request may wait for a server. Callers seldom
-/// try a third time, so waiting beats another refusal.
-const MAX_WAIT_FRACTION: f64 = 0.45;
-/// Longest wait of a stream for a server. Callers give up after two seconds without an event, and
-/// the first event takes a while.
-const MAX_STREAM_WAIT: Duration = Duration::from_millis(1_400);
 /// Longest wait of a request for the first catalog of a process that has just started.
 const MAX_CATALOG_WAIT: Duration = Duration::from_millis(1_500);
-/// Maximum number of requests that wait for a server at the same time.
-const MAX_WAITING: usize = 200;
 /// Settings of the reducer.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -103,6 +101,12 @@
     /// The request may wait for a server until this time.
     wait_deadline: Moment,
     is_waiting: bool,
+    /// When the gateway received the request.
+    received_at: Moment,
+    /// Whether the caller was refused before.
+    is_returned: bool,
+    /// The request may begin until this time where ranks are in force.
+    latest_start: Moment,
     /// Server of the attempt in progress.
     current_attempt: Option<CurrentAttempt>,
 }
@@ -132,6 +136,10 @@
     /// Largest number of gateways reported lately, and the time of that report.
     reported_gateways: Option<(u32, Moment)>,
     requests: BTreeMap<RequestNumber, RequestState>,
+    /// Requests that wait because all servers are full.
+    waiting: WaitingQueue,
+    /// Recent traffic of services with ranks.
+    traffic: BTreeMap<ServiceName, RankTraffic>,
     /// Servers that may have ended, until they are probed.
     ending_servers: BTreeMap<ServerId, EndingServer>,
     quarantine: QuarantineTable,
@@ -154,6 +162,8 @@
             budgets: BTreeMap::new(),
             reported_gateways: None,
             requests: BTreeMap::new(),
+            waiting: WaitingQueue::default(),
+            traffic: BTreeMap::new(),
             ending_servers: BTreeMap::new(),
             quarantine: QuarantineTable::default(),
             first_directory_at: None,
@@ -206,6 +216,11 @@
         self.requests.len()
     }
 
+    /// Returns the number of requests that wait because all servers are full.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Returns the number of gateways, as agents report it or as assumed before any report.
     pub fn gateway_count(&self) -> u32 {
         self.reported_gateways.map_or(DEFAULT_GATEWAY_COUNT, |it| it.0.max(1))
@@ -216,7 +231,11 @@
 pub fn reduce(state: &mut RoutingState, now: Moment, event: RoutingEvent) -> Vec<RoutingEffect> {
     // Expired entries are dropped on every event, since the directory may not be read for a while.
     let mut effects = change_effects(state.servers.expire(now));
-    effects.extend(reduce_event(state, now, event));
+    let scope = room_scope(state, &event);
+    let own_effects = reduce_event(state, now, event);
+    effects.extend(state.waiting.take_effects());
+    effects.extend(wake(state, scope, now));
+    effects.extend(own_effects);
     effects
 }
 
@@ -278,7 +297,7 @@
             Vec::new()
         }
         RoutingEvent::InputLifted(input) => update_effects(state.quarantine.lift(input)),
-        RoutingEvent::RequestEnded(number) => request_ended(state, number),
+        RoutingEvent::RequestEnded(number) => request_ended(state, number, now),
         RoutingEvent::StopRequested => {
             state.is_stopping = true;
             change_effects(vec![RoutingChange::Stopping])
@@ -406,6 +425,8 @@
         caller_request.shared_parts.iter().map(|it| InputDigest::of_part(&service, it)).collect();
     let content = InputDigest::of_request(&service, account.as_ref(), caller_request.content);
     let rank = catalog.rank_of(route, account.as_ref()).filter(|_| catalog.has_ranks(&service));
+    let wait_deadline =
+        if is_first_try { now } else { now.after(wait_limit(route, caller_timeout)) };
     let request = RequestState {
         rank,
         request_id: caller_request.request_id,
@@ -422,18 +443,18 @@
         may_have_run: false,
         suspicion: Suspicion::None,
         was_lost: false,
-        wait_deadline: if is_first_try {
-            now
-        } else {
-            now.after(wait_limit(route, caller_timeout))
-        },
+        wait_deadline,
         is_waiting: false,
+        received_at: Moment(now.0.saturating_sub(micros(caller_request.waited))),
+        is_returned: !is_first_try,
+        latest_start: wait_deadline,
         current_attempt: None,
     };
     let gateway_count = state.gateway_count();
     let budget = budget_of(state, &request.service);
     budget.0.deposit(&budget.1, gateway_count);
     state.requests.insert(number, request);
+    record_arrival(state, number, now);
     place_request(state, number, now)
 }
 
@@ -474,32 +495,6 @@
     }
 }
 
-/// Returns how long a request that is not its caller's first try may wait for a server.
-fn wait_limit(route: &RouteRecord, caller_timeout: Duration) -> Duration {
-    let limit = caller_timeout.mul_f64(MAX_WAIT_FRACTION);
-    if route.kind.is_stream() { limit.min(MAX_STREAM_WAIT) } else { limit }
-}
-
-/// Handles a request for which no server is usable: makes it wait if it may, else refuses it.
-fn wait_or_refuse(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    code: RefusalCode,
-    now: Moment,
-) -> RoutingEffect {
-    let waiting_count = state.requests.values().filter(|it| it.is_waiting).count();
-    let service = state.requests.get(&number).map(|it| it.service.clone());
-    let is_recovering = service.is_some_and(|it| is_recovering(state, &it, now));
-    let eligible = state.requests.get_mut(&number).filter(|it| now < it.wait_deadline);
-    match eligible.filter(|_| is_recovering) {
-        Some(request) if request.is_waiting || waiting_count < MAX_WAITING => {
-            request.is_waiting = true;
-            RoutingEffect::Wait(number, WAIT_POLL_INTERVAL)
-        }
-        Some(_) | None => refuse(state, number, code, now),
-    }
-}
-
 fn budget_of<'a>(
     state: &'a mut RoutingState,
     service: &ServiceName,
@@ -524,11 +519,14 @@
     if state.quarantine.blocked_request(request.content).is_some() {
         return refuse(state, number, RefusalCode::HarmfulRequest, now);
     }
+    if has_expired(state, number, now) {
+        return refuse(state, number, RefusalCode::Overloaded, now);
+    }
     let choice = choose_server(state, request, now);
     match choice {
         (PlacementChoice::Server(id), rng) => {
             state.rng = rng;
-            start_attempt(state, number, &id, now)
+            start_in_order(state, number, &id, now)
         }
         (PlacementChoice::Resting(delay), rng) => {
             state.rng = rng;
@@ -536,10 +534,11 @@
         }
         (PlacementChoice::Full, rng) => {
             state.rng = rng;
-            refuse(state, number, RefusalCode::Overloaded, now)
+            wait_or_refuse_full(state, number, now)
         }
         (PlacementChoice::NoCandidate, rng) => {
             state.rng = rng;
+            state.waiting.remove(number);
             wait_or_refuse(state, number, RefusalCode::NoServer, now)
         }
     }
@@ -631,12 +630,31 @@
     let may_retry = !is_suspect && (!request.may_have_run || request.route.kind.is_idempotent());
     let is_full = code == RefusalCode::Overloaded;
     let reason = if is_full { RetryReason::Full } else { RetryReason::Outage };
-    let (time_left, settings) = (request.deadline.since(now), state.settings.admission);
+    let (time_left, mut settings) = (request.deadline.since(now), state.settings.admission);
+    let mut backlog = Duration::ZERO;
+    let traffic = state.traffic.get(&request.service).filter(|_| is_full);
+    if let Some((rank, traffic)) = request.rank.zip(traffic) {
+        settings = settings.for_part(traffic.retry_fraction(rank, now));
+        backlog = backlog_wait(state, request, now).min(time_left.mul_f64(settings.max_wait));
+    }
     let delay = may_retry.then(|| retry_after(time_left, reason, &settings, &mut state.rng));
+    let delay = delay.map(|it| it.max(backlog));
+    note(state, number, AdmissionOutcome::Refused, now);
+    state.waiting.remove(number);
     RoutingEffect::Refuse(number, Refusal { retry_after: delay, ..refusal })
 }
 
-fn request_ended(state: &mut RoutingState, number: RequestNumber) -> Vec<RoutingEffect> {
+/// Returns a time in microseconds.
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn request_ended(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    leave(state, number, AdmissionOutcome::Abandoned, now);
     let Some(request) = state.requests.remove(&number) else { return Vec::new() };
     // The caller left while an attempt was in progress.
     if let Some(attempt) = request.current_attempt
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -41,7 +41,11 @@
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
     let Some(attempt) = request.current_attempt.take() else { return Vec::new() };
-    let CurrentAttempt { incarnation: (id, _), address, .. } = attempt;
+    let CurrentAttempt { incarnation: (id, _), address, began_at } = attempt;
+    if result == AttemptResult::Answered && request.rank.is_some() {
+        let traffic = state.traffic.entry(request.service.clone()).or_default();
+        traffic.record_hold(now.since(began_at));
+    }
     request.may_have_run |= result.may_have_run();
     let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
     match result {
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 
-use super::{RequestState, RoutingState};
+use super::{RequestState, RoutingState, waiting::request_admission};
 use crate::{
     routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
     units::{FailureDomain, GroupName, Moment, ServiceName},
@@ -76,7 +76,8 @@
         })
         .collect();
     let mut rng = state.rng.clone();
-    let choice = choose_candidate(&candidates, &state.settings.admission, &mut rng);
+    let admission = request_admission(state, request, now);
+    let choice = choose_candidate(&candidates, &admission, &mut rng);
     (choice, rng)
 }
 
@@ -132,7 +133,7 @@
 
 /// Whether the server's group is open and, if the server is cold, its rate limit allows one more
 /// request.
-fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
+pub(super) fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
     let record = &server.record;
     let report = state.loads.get(&record.address).and_then(|it| it.report(now));
     let is_listed_open = record.group.as_ref().is_none_or(|it| it.is_open);
