Share the room that a load report shows among gateways; play the order of admission

Cause: all gateways woke on the same report and sent to the same slot; limits of two ranks that differ by less than a slot were the same limit. Change: each gateway takes its part of the room a report shows (state/room_shares.rs), for less urgent ranks only; a slot at least between the limits of two ranks. tests/admission_order.rs plays 12 gateways, 24 servers.

--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod eligibility;
+mod room_shares;
 mod suspects;
 mod waiting;
 
@@ -32,6 +33,7 @@
 };
 use attempts::{attempt_ended, fail_over, server_noticed};
 use eligibility::{choose_server, has_usable, is_isolated};
+use room_shares::{RoomShares, draw_share, use_share};
 use suspects::{
     EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
     server_probed, update_effects,
@@ -138,6 +140,8 @@
     requests: BTreeMap<RequestNumber, RequestState>,
     /// Requests that wait because all servers are full.
     waiting: WaitingQueue,
+    /// Parts of the room at servers that this gateway may still use.
+    room_shares: RoomShares,
     /// Recent traffic of services with ranks.
     traffic: BTreeMap<ServiceName, RankTraffic>,
     /// Servers that may have ended, until they are probed.
@@ -163,6 +167,7 @@
             reported_gateways: None,
             requests: BTreeMap::new(),
             waiting: WaitingQueue::default(),
+            room_shares: RoomShares::new(),
             traffic: BTreeMap::new(),
             ending_servers: BTreeMap::new(),
             quarantine: QuarantineTable::default(),
@@ -328,6 +333,7 @@
     state.cold_limiters.retain(|id, _| servers.server(id).is_some());
     let listed: Vec<SocketAddr> = servers.servers().map(|it| it.record.address).collect();
     state.loads.retain(|address, load| load.outstanding > 0 || listed.contains(address));
+    state.room_shares.retain(|address, _| listed.contains(address));
 }
 
 fn update_subset(state: &mut RoutingState) {
@@ -352,6 +358,7 @@
     now: Moment,
 ) {
     state.loads.entry(address).or_default().record_report(report, now);
+    draw_share(state, address, now);
     let is_expired =
         state.reported_gateways.is_none_or(|(_, at)| now.since(at) > GATEWAY_COUNT_WINDOW);
     if is_expired || state.reported_gateways.is_some_and(|(max, _)| gateway_count >= max) {
@@ -577,6 +584,7 @@
     let load = state.loads.entry(record.address).or_default();
     let estimate = load.estimate(gateway_count, now);
     load.begin_attempt();
+    use_share(state, record.address);
     state.cold_limiters.entry(id.clone()).or_default().record(now);
     let incarnation = (id.clone(), record.started_ms);
     state.limits.record_send(&incarnation, now);
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -4,7 +4,11 @@
 
 use rand::rngs::SmallRng;
 
-use super::{RequestState, RoutingState, waiting::request_admission};
+use super::{
+    RequestState, RoutingState,
+    room_shares::{has_share, needs_share},
+    waiting::request_admission,
+};
 use crate::{
     routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
     units::{FailureDomain, GroupName, Moment, ServiceName},
@@ -64,6 +68,13 @@
     if !slotted.is_empty() {
         chosen = slotted;
     }
+    if needs_share(state, request, now) {
+        let is_any = !chosen.is_empty();
+        chosen.retain(|it| has_share(state, it, now));
+        if is_any && chosen.is_empty() {
+            return (PlacementChoice::Full, state.rng.clone());
+        }
+    }
     let candidates: Vec<Candidate<'_>> = chosen
         .iter()
         .map(|it| Candidate {
--- a/src/routing/state/waiting.rs
+++ b/src/routing/state/waiting.rs
@@ -127,7 +127,8 @@
         let Some(request) = state.requests.get(&entry.number) else { continue };
         let kind = (request.route.name.clone(), entry.rank);
         let is_open = now < entry.latest_start && !without_room.contains(&kind);
-        if !entry.is_woken && !(is_open && finds_room(state, request, scope, now)) {
+        let can_begin = entry.is_woken || is_open && finds_room(state, request, scope, now);
+        if !can_begin {
             if request.tried_servers.is_empty() && now < entry.latest_start {
                 without_room.push(kind);
             }
@@ -198,7 +199,9 @@
 
 fn capacity(state: &RoutingState, service: &ServiceName, now: Moment) -> ServiceCapacity {
     let open = state.servers.usable(service).filter(|it| can_accept(state, it, now));
-    ServiceCapacity { slots: open.map(|it| it.record.slots).sum(), gateways: state.gateway_count() }
+    let (slots, servers) =
+        open.fold((0, 0), |(slots, count), it| (slots + it.record.slots, count + 1));
+    ServiceCapacity { slots, servers, gateways: state.gateway_count() }
 }
 
 /// Returns the longest time from its arrival to the start of a request that is to be on time.
--- a/src/routing/urgency.rs
+++ b/src/routing/urgency.rs
@@ -61,6 +61,8 @@
 pub struct ServiceCapacity {
     /// Slots of all servers that take requests.
     pub slots: u32,
+    /// Number of these servers.
+    pub servers: u32,
     /// Number of gateways.
     pub gateways: u32,
 }
@@ -92,6 +94,11 @@
         meters.filter(move |it| now.since(it.last_arrival) < TRAFFIC_WINDOW)
     }
 
+    /// Whether requests of a more urgent rank arrived lately.
+    pub fn has_more_urgent(&self, rank: UrgencyRank, now: Moment) -> bool {
+        self.more_urgent(rank, now).next().is_some()
+    }
+
     /// Returns the load, in requests per slot, from which a server gets no more requests of a rank.
     ///
     /// `start_wait` is the time within which the request has to begin, `usual` the limit for
@@ -101,8 +108,8 @@
     /// use std::time::Duration;
     /// use alderbay::{routing::{RankTraffic, ServiceCapacity}, units::{Moment, UrgencyRank}};
     /// let (mut traffic, wait) = (RankTraffic::default(), Duration::from_millis(300));
-    /// let capacity = ServiceCapacity { slots: 100, gateways: 5 };
-    /// (0..20).for_each(|n| traffic.record_arrival(UrgencyRank(0), wait, Moment(n * 100_000)));
+    /// let capacity = ServiceCapacity { slots: 100, servers: 10, gateways: 5 };
+    /// [0, 1].map(|rank| traffic.record_arrival(UrgencyRank(rank), wait, Moment(1_000_000)));
     /// let now = Moment(2_000_000);
     /// let limit = |rank| traffic.load_limit(UrgencyRank(rank), wait, capacity, 0.95, now);
     /// assert!(limit(0) > 1.0 && limit(2) < 0.95);
@@ -115,7 +122,7 @@
         usual: f64,
         now: Moment,
     ) -> f64 {
-        if self.more_urgent(rank, now).next().is_none() {
+        if !self.has_more_urgent(rank, now) {
             let queue_time = start_wait.mul_f64(SERVER_QUEUE_FRACTION).as_secs_f64();
             let limit = 1.0 + queue_time / self.hold_time().as_secs_f64();
             return limit.clamp(usual, MAX_LIMIT.max(usual));
@@ -124,7 +131,12 @@
             .more_urgent(rank, now)
             .map(|it| it.rate(now) * (it.start_wait + NEWS_AGE).as_secs_f64());
         let all_gateways = expected.sum::<f64>() * f64::from(capacity.gateways.max(1));
-        let reserve = all_gateways / f64::from(capacity.slots.max(1));
+        let slots = f64::from(capacity.slots.max(1));
+        // The most urgent rank has a slot's worth of room beyond the slots. Between the others there is
+        // a slot at least, since servers are full by whole requests.
+        let slot = f64::from(capacity.servers.max(1)) / slots;
+        let steps = self.more_urgent(rank, now).count() as f64 - 1.0;
+        let reserve = (all_gateways / slots - slot).max(steps * slot);
         (usual - reserve).max(MIN_LIMIT.min(usual))
     }
 
@@ -135,7 +147,7 @@
     /// use alderbay::{routing::{RankTraffic, ServiceCapacity}, units::{Moment, UrgencyRank}};
     /// let mut traffic = RankTraffic::default();
     /// traffic.record_hold(Duration::from_secs(2));
-    /// let capacity = ServiceCapacity { slots: 100, gateways: 5 };
+    /// let capacity = ServiceCapacity { slots: 100, servers: 10, gateways: 5 };
     /// // Ten slots free each second for this gateway.
     /// let wait = traffic.expected_wait(UrgencyRank(1), 4, capacity, Moment(0));
     /// assert_eq!(wait, Duration::from_millis(500));
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+mod admission_order;
 mod bad_input;
 mod cold_server;
 mod config_race;
