--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -2,6 +2,7 @@
 //! and returns the effects for the tasks to carry out.
 
 use std::{
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -17,9 +18,9 @@
     daemon::ProcessClock,
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
-        AdmissionSettings, CatalogVersion, GatewayLocation, PeerTable, ReaderMark, RequestNumber,
-        RetryReason, RouteCatalog, RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings,
-        RoutingState, reduce, retry_after,
+        AdmissionNote, AdmissionOutcome, AdmissionSettings, CatalogVersion, GatewayLocation,
+        PeerTable, ReaderMark, RequestNumber, RetryReason, RouteCatalog, RoutingChange,
+        RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce, retry_after,
     },
     telemetry::MetricSink,
     units::Moment,
@@ -58,6 +59,8 @@
     probes: mpsc::Sender<ServerProbe>,
     /// Attempts in progress.
     pub(super) attempts: AttemptTable,
+    /// Ends the waits of requests, by their numbers.
+    wakes: Mutex<HashMap<RequestNumber, Arc<Notify>>>,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     /// Limits on HTTP messages and connections.
@@ -108,6 +111,7 @@
             gateways_told_at: Mutex::new(None),
             probes,
             attempts: AttemptTable::default(),
+            wakes: Mutex::default(),
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
@@ -137,6 +141,12 @@
                     self.metrics.count("attempts.ended_early");
                     self.attempts.end((number, attempt));
                 }
+                RoutingEffect::Resume(number) => {
+                    if let Some(wake) = lock(&self.wakes).get(&number) {
+                        wake.notify_one();
+                    }
+                }
+                RoutingEffect::AdmissionNoted(note) => self.log_admission(&note),
                 other => request_effect = Some(other),
             }
         }
@@ -149,6 +159,40 @@
         }
     }
 
+    /// Registers a request, so that its wait can be ended. The returned value is notified then.
+    pub(super) fn register_wake(&self, number: RequestNumber) -> Arc<Notify> {
+        lock(&self.wakes).entry(number).or_default().clone()
+    }
+
+    /// Forgets a request that has ended.
+    pub(super) fn remove_wake(&self, number: RequestNumber) {
+        lock(&self.wakes).remove(&number);
+    }
+
+    fn log_admission(&self, note: &AdmissionNote) {
+        let AdmissionNote { rank, outcome, .. } = note;
+        self.metrics.gauge("admission.queue", note.queue_length as u64);
+        match outcome {
+            AdmissionOutcome::Queued => {}
+            AdmissionOutcome::Began | AdmissionOutcome::Abandoned => {
+                self.metrics.time("admission.wait", note.waited);
+            }
+            AdmissionOutcome::Refused => {
+                self.metrics.time("admission.wait", note.waited);
+                self.metrics.count(&format!("admission.refused.rank_{rank}"));
+            }
+        }
+        if note.is_logged {
+            log::info!(
+                request:% = note.request_id, rank:% = rank, limit = note.limit,
+                best_load = note.best_load, news_age_ms = note.news_age.map(millis),
+                position = note.position, queue_length = note.queue_length,
+                waited_ms = millis(note.waited), outcome:% = outcome;
+                "admission decided"
+            );
+        }
+    }
+
     fn log_change(&self, change: &RoutingChange) {
         self.metrics.count("beliefs.changed");
         let age_ms = self.directory_age_ms();
@@ -257,6 +301,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Locks a mutex and ignores poisoning: each update is one assignment or one reduction, so a panic
 /// leaves no partially updated value behind.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -2,10 +2,11 @@
 //!
 //! As in [`crate::core`], every input is an event and every output an effect: [`reduce`] reads no
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
-//! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), the pace of servers (`pace`, `start`), server choice
-//! (`placement`), overload refusals (`admission`), retry and cold-server budgets (`budget`), inputs that end
-//! servers (`quarantine`), limits that servers name (`limits`), the memory that requests hold (`memory`),
-//! the other gateways (`peers`), and the servers that one gateway uses (`subset`).
+//! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), the pace of servers
+//! (`pace`, `start`), server choice (`placement`), overload refusals (`admission`), limits of load by
+//! rank (`urgency`), retry and cold-server budgets (`budget`), inputs that end servers (`quarantine`),
+//! limits that servers name (`limits`), the memory that requests hold (`memory`), the other gateways
+//! (`peers`), and the servers that one gateway uses (`subset`).
 
 mod admission;
 mod budget;
@@ -24,6 +25,7 @@
 mod start;
 mod state;
 mod subset;
+mod urgency;
 mod views;
 
 pub use admission::{AdmissionSettings, RetryReason, retry_after};
@@ -34,9 +36,9 @@
 };
 pub(crate) use event::join_parts;
 pub use event::{
-    AnswerProgress, AttemptResult, AttemptSpec, CatalogSource, LimitNotice, RequestNumber,
-    RequestSize, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
-    ServerNotice,
+    AdmissionNote, AdmissionOutcome, AnswerProgress, AttemptResult, AttemptSpec, CatalogSource,
+    LimitNotice, RequestNumber, RequestSize, RoutingChange, RoutingEffect, RoutingEvent,
+    RoutingRequest, SETTLED_EVENTS, ServerNotice,
 };
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
@@ -51,6 +53,7 @@
 pub use start::{ServerPace, StartModel, first_event_delay, start_delay};
 pub use state::{RoutingSettings, RoutingState, reduce};
 pub use subset::choose_subset;
+pub use urgency::{RankTraffic, ServiceCapacity, start_wait};
 pub use views::{
     DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange, OperatorTable, OperatorView,
     ReadKind,
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -7,7 +7,9 @@
 use super::{
     RequestState, RoutingState,
     pace::{fits_memory, load_factor},
+    room_shares::{has_share, needs_share},
     stalls::GroupProgress,
+    waiting::request_admission,
 };
 use crate::{
     routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
@@ -76,6 +78,13 @@
     if !slotted.is_empty() {
         chosen = slotted;
     }
+    if needs_share(state, request, now) {
+        let is_any = !chosen.is_empty();
+        chosen.retain(|it| has_share(state, it, now));
+        if is_any && chosen.is_empty() {
+            return (PlacementChoice::Full, state.rng.clone());
+        }
+    }
     let candidates: Vec<(Candidate<'_>, bool)> = chosen
         .iter()
         .map(|it| {
@@ -91,16 +100,16 @@
         })
         .collect();
     let mut rng = state.rng.clone();
+    let admission = request_admission(state, request, now);
     // What a slow server, or one without memory, can take is better than a refusal.
     let suitable: Vec<Candidate<'_>> =
         candidates.iter().filter(|it| it.1).map(|it| it.0.clone()).collect();
-    let settings = &state.settings.admission;
-    let choice = match choose_candidate(&suitable, settings, &mut rng) {
+    let choice = match choose_candidate(&suitable, &admission, &mut rng) {
         PlacementChoice::Full | PlacementChoice::NoCandidate
             if suitable.len() < candidates.len() =>
         {
             let all: Vec<Candidate<'_>> = candidates.into_iter().map(|it| it.0).collect();
-            choose_candidate(&all, settings, &mut rng)
+            choose_candidate(&all, &admission, &mut rng)
         }
         choice @ (PlacementChoice::Server(_)
         | PlacementChoice::Full
@@ -168,7 +177,7 @@
 
 /// Whether the server's group is open and, if the server is cold, its rate limit allows one more
 /// request.
-fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
+pub(super) fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
     let record = &server.record;
     let report = state.loads.get(&record.address).and_then(|it| it.report(now));
     let is_listed_open = record.group.as_ref().is_none_or(|it| it.is_open);
--- a/src/routing/state/loads.rs
+++ b/src/routing/state/loads.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{RoutingState, stalls::progress_reported};
+use super::{RoutingState, room_shares::draw_share, stalls::progress_reported};
 use crate::{
     routing::{LoadDetail, LoadReport, RoutingEffect},
     units::Moment,
@@ -19,6 +19,7 @@
     now: Moment,
 ) -> Vec<RoutingEffect> {
     state.loads.entry(address).or_default().record_report(report, detail, now);
+    draw_share(state, address, now);
     let is_expired =
         state.reported_gateways.is_none_or(|(_, at)| now.since(at) > GATEWAY_COUNT_WINDOW);
     if is_expired || state.reported_gateways.is_some_and(|(max, _)| gateway_count >= max) {
