Serve accounts within their shares first where a service is crowded

Cause: a gateway admits all accounts alike. Change: gateways measure demand by account and send the largest with their subscriptions; agents return the sums with the reports that list gateways; gateways divide what the service takes by max-min. In a crowded service, accounts beyond their shares meet a lower limit of load, never below 0.55 of the slots. GET /v1/shares on the peer address shows demands and shares.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface between gateways. `GET /v1/view` returns all data read from the platform's
 //! store, for gateways that cannot read it; `GET /v1/directory` returns the directory, for gateways
-//! that rely on this one as their reader; [`super::exchange`] serves the others.
+//! that rely on this one as their reader; `GET /v1/shares` returns demands and shares of client
+//! accounts for operators; [`super::exchange`] serves the others.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -30,6 +31,8 @@
 const CATALOG_QUERY: &str = "operator";
 /// Path of the directory.
 const DIRECTORY_PATH: &str = "/v1/directory";
+/// Path of the demands and shares of client accounts.
+const SHARES_PATH: &str = "/v1/shares";
 /// Timeout of a request for another gateway's view.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a request for the directory of the reader, which is in the same failure domain.
@@ -84,11 +87,17 @@
         VIEW_PATH => view_answer(&shell, request.uri().query()),
         DIRECTORY_PATH => directory_answer(&shell, request.uri().query()),
         EXCHANGE_PATH => exchange_answer(&shell, request).await,
+        SHARES_PATH => shares_answer(&shell),
         LIFT_PATH => lift_answer(&shell, &request),
         _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
+fn shares_answer(shell: &GatewayShell) -> Response {
+    let now = shell.clock.now();
+    json_response(StatusCode::OK, &shell.read(|it| it.account_standings(now)))
+}
+
 fn view_answer(shell: &GatewayShell, query: Option<&str>) -> Response {
     let operator = shell.view().operator.view();
     let has_directory = query != Some(CATALOG_QUERY);
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -17,9 +17,9 @@
     daemon::DaemonError,
     experts::COORDINATOR_CANDIDATES,
     http::ListenerError,
-    routing::{ExpertLayout, RoutingEvent, RoutingState},
-    units::GroupName,
-    wire::{Datagram, GroupMember, MAX_DATAGRAM_BYTES, Subscription},
+    routing::{DemandNews, ExpertLayout, RoutingEvent, RoutingState},
+    units::{GroupName, Moment},
+    wire::{Datagram, DatagramExtension, GroupMember, MAX_DATAGRAM_BYTES, Subscription},
 };
 
 /// Interval between subscriptions; agents drop a gateway after a few missed ones.
@@ -50,13 +50,16 @@
 
 async fn subscribe(shell: &GatewayShell, socket: &UdpSocket, port: u16) {
     for round in 0_usize.. {
-        for AgentSubscription { vm, mut group, helper, layout } in shell.read(agent_subscriptions) {
+        let now = shell.clock.now();
+        for subscription in shell.read(|state| agent_subscriptions(state, now)) {
+            let AgentSubscription { vm, mut group, helper, layout, demand } = subscription;
             if group.len() >= LONG_GROUP_LIST && !round.is_multiple_of(GROUP_LIST_ROUNDS) {
                 group.clear();
             }
             let gateway = shell.peers().own().clone();
             let message = Datagram::Subscribe(Subscription { gateway, group, helper, layout });
-            match message.encode() {
+            let extension = DatagramExtension { demand, ..DatagramExtension::default() };
+            match message.encode_extended(&extension) {
                 Ok(bytes) => send(socket, SocketAddr::new(vm, port), &bytes).await,
                 Err(error) => log::error!(error:% = error; "cannot encode subscription"),
             }
@@ -79,11 +82,13 @@
     /// VM of an agent of another group that sends hold orders on behalf of this group.
     helper: Option<IpAddr>,
     layout: Option<ExpertLayout>,
+    /// What client accounts ask of this gateway for the agent's service.
+    demand: DemandNews,
 }
 
 /// Builds the subscriptions to the agents of all model engines, each with the members of its group
 /// and a helper.
-fn agent_subscriptions(state: &RoutingState) -> Vec<AgentSubscription> {
+fn agent_subscriptions(state: &RoutingState, now: Moment) -> Vec<AgentSubscription> {
     let mut groups: BTreeMap<&GroupName, Vec<GroupMember>> = BTreeMap::new();
     for server in state.servers().servers() {
         let record = &server.record;
@@ -110,6 +115,7 @@
             group: name.and_then(|it| groups.get(it)).cloned().unwrap_or_default(),
             helper: name.and_then(|it| helpers.get(it)).copied().flatten(),
             layout: engine.layout,
+            demand: state.demand_news(&record.service, now),
         })
     };
     state.subset().filter_map(subscription_of).collect()
@@ -125,7 +131,8 @@
                 continue;
             }
         };
-        match Datagram::decode(&buffer[..length]) {
+        let (datagram, extension) = Datagram::decode_extended(&buffer[..length]).unzip();
+        match datagram {
             Some(Datagram::Load { server, report, subscribers, gateways }) => {
                 // Most reports omit the list of gateways. The reducer keeps the largest recent count.
                 let has_list = !gateways.is_empty();
@@ -138,6 +145,11 @@
                     gateway_count: known.max(subscribers),
                 };
                 shell.dispatch(event);
+                let news = extension.map(|it| it.demand).unwrap_or_default();
+                if !news.accounts.is_empty() {
+                    let address = server;
+                    shell.dispatch(RoutingEvent::DemandReported { address, news, subscribers });
+                }
             }
             Some(
                 Datagram::Subscribe(_)
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -130,6 +130,9 @@
 
     fn log_change(&self, change: &RoutingChange) {
         self.metrics.count("beliefs.changed");
+        if let RoutingChange::AccountShare { is_beyond: true, .. } = change {
+            self.metrics.count("shares.beyond");
+        }
         let age_ms = self.directory_age_ms();
         log::info!(change:% = change, directory_age_ms = age_ms; "routing state changed");
     }
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -27,10 +27,12 @@
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
     platform::{EngineClient, OrderOutcome, PlatformError},
-    routing::{GatewayLocation, LoadReport},
+    routing::{GatewayLocation, LoadReport, NewsTable},
     telemetry::{MetricSink, init_logging, serve_metrics},
     units::Moment,
-    wire::{Datagram, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription},
+    wire::{
+        Datagram, DatagramExtension, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription,
+    },
 };
 
 /// Interval between polls of the engine during a rollout.
@@ -88,6 +90,7 @@
         clock: ProcessClock::start(),
         metrics,
         gateways: BTreeMap::new(),
+        demands: NewsTable::default(),
         group: Vec::new(),
         helper: None,
         hold_attempts: 0,
@@ -134,6 +137,8 @@
     metrics: MetricSink,
     /// Subscribed gateways with the time of their last subscription, by datagram address.
     gateways: BTreeMap<SocketAddr, (GatewayLocation, Moment)>,
+    /// What client accounts ask of the subscribed gateways.
+    demands: NewsTable,
     /// Members of this agent's group, from the latest subscription.
     group: Vec<GroupMember>,
     /// VM of another group's agent, which sends hold orders to this agent's engine on request.
@@ -199,9 +204,11 @@
     /// Handles a datagram. Returns `true` if the engine should be polled at once.
     fn handle_datagram(&mut self, bytes: &[u8], from: SocketAddr) -> bool {
         let now = self.clock.now();
-        match Datagram::decode(bytes) {
+        let (datagram, extension) = Datagram::decode_extended(bytes).unzip();
+        match datagram {
             Some(Datagram::Subscribe(Subscription { gateway, group, helper, layout })) => {
                 self.gateways.insert(from, (gateway, now));
+                self.demands.record(from, extension.unwrap_or_default().demand, now);
                 if !group.is_empty() {
                     self.group = group;
                 }
@@ -319,8 +326,13 @@
             subscribers: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX),
             gateways: if sends_gateways { self.gateway_locations() } else { Vec::new() },
         };
+        let mut extension = DatagramExtension::default();
+        if sends_gateways {
+            self.demands.drop_expired(now);
+            extension.demand = self.demands.sum(now).unwrap_or_default();
+        }
         let to: Vec<SocketAddr> = self.gateways.keys().copied().collect();
-        self.send(&message, &to).await;
+        self.send_extended(&message, &extension, &to).await;
     }
 
     fn gateway_locations(&self) -> Vec<GatewayLocation> {
@@ -402,7 +414,16 @@
     }
 
     async fn send(&self, message: &Datagram, to: &[SocketAddr]) {
-        let bytes = match message.encode() {
+        self.send_extended(message, &DatagramExtension::default(), to).await;
+    }
+
+    async fn send_extended(
+        &self,
+        message: &Datagram,
+        extension: &DatagramExtension,
+        to: &[SocketAddr],
+    ) {
+        let bytes = match message.encode_extended(extension) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(error:% = error; "cannot encode datagram");
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    BlockedInput, CrashReport, GatewayLocation, LimitReport, LimitSource, LoadReport, RouteCatalog,
-    RouteKind, ServerRecord, SuspectInput,
+    BlockedInput, CrashReport, DemandNews, GatewayLocation, LimitReport, LimitSource, LoadReport,
+    RouteCatalog, RouteKind, ServerRecord, SuspectInput,
 };
 use crate::{
     core::Refusal,
@@ -248,6 +248,15 @@
         /// Number of gateways subscribed to the agent.
         gateway_count: u32,
     },
+    /// An agent sent what accounts ask of the gateways that subscribe to it.
+    DemandReported {
+        /// Address of the agent's server.
+        address: SocketAddr,
+        /// Sums over those gateways.
+        news: DemandNews,
+        /// Number of those gateways.
+        subscribers: u32,
+    },
     /// A caller's request was received completely.
     RequestArrived(RoutingRequest),
     /// The delay of a [`RoutingEffect::Wait`] has passed.
@@ -421,6 +430,21 @@
     },
     /// A part of prompts, or a whole request, is no longer blocked.
     InputUnblocked(InputDigest),
+    /// An account asks for more than its share in a crowded service, or no longer does.
+    AccountShare {
+        /// The service.
+        service: ServiceName,
+        /// The account.
+        account: ClientAccount,
+        /// Whether it asks for more.
+        is_beyond: bool,
+        /// What it asks for per second.
+        demand: TokenCount,
+        /// Its share per second.
+        share: TokenCount,
+        /// Age of the newest sums of demand; `None` if this gateway knows only its own.
+        sums_age: Option<Duration>,
+    },
     /// The platform's store cannot be read.
     StoreUnavailable,
     /// The platform's store can be read again.
@@ -490,6 +514,18 @@
                 if others.is_empty() { Ok(()) } else { write!(f, ", with {}", join_parts(&others)) }
             }
             Self::InputUnblocked(input) => write!(f, "input {input} is no longer blocked"),
+            Self::AccountShare { service, account, is_beyond, demand, share, sums_age } => {
+                let position = if *is_beyond { "beyond" } else { "within" };
+                write!(
+                    f,
+                    "account {account} is {position} its share of service {service}: asks for "
+                )?;
+                write!(f, "{demand} tokens a second, share {share}, ")?;
+                match sums_age {
+                    Some(age) => write!(f, "sums {} ms old", age.as_millis()),
+                    None => f.write_str("own demand only"),
+                }
+            }
             Self::StoreUnavailable => f.write_str("platform store is unavailable"),
             Self::StoreRecovered => f.write_str("platform store is available again"),
             Self::StoreRewound => f.write_str("platform store came back from an older copy"),
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod eligibility;
+mod shares;
 mod suspects;
 
 use std::{
@@ -19,13 +20,13 @@
     ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable, LoadReport,
     PlacementChoice, QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteRecord,
     RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet,
-    ServerLoad, ServerTable, choose_subset, retry_after,
+    ServerLoad, ServerTable, ShareTable, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
     units::{
         ClientAccount, FailureDomain, GroupName, InputDigest, Moment, RequestId, ServerId,
-        ServiceName, UrgencyRank,
+        ServiceName, TokenCount, UrgencyRank,
     },
 };
 use attempts::{attempt_ended, fail_over, server_noticed};
@@ -87,6 +88,8 @@
     /// Digest of the whole request.
     content: InputDigest,
     deadline: Moment,
+    /// Work that counts as its account's demand.
+    work: TokenCount,
     /// Servers already attempted, unreachable ones included.
     tried_servers: Vec<ServerId>,
     /// Groups in which an attempt was lost, stalled or not run.
@@ -135,6 +138,8 @@
     /// Servers that may have ended, until they are probed.
     ending_servers: BTreeMap<ServerId, EndingServer>,
     quarantine: QuarantineTable,
+    /// Demands and shares of client accounts.
+    shares: ShareTable,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -156,6 +161,7 @@
             requests: BTreeMap::new(),
             ending_servers: BTreeMap::new(),
             quarantine: QuarantineTable::default(),
+            shares: ShareTable::default(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -216,6 +222,7 @@
 pub fn reduce(state: &mut RoutingState, now: Moment, event: RoutingEvent) -> Vec<RoutingEffect> {
     // Expired entries are dropped on every event, since the directory may not be read for a while.
     let mut effects = change_effects(state.servers.expire(now));
+    effects.extend(change_effects(state.shares.take_changes()));
     effects.extend(reduce_event(state, now, event));
     effects
 }
@@ -255,6 +262,10 @@
             load_reported(state, address, report, gateway_count, now);
             Vec::new()
         }
+        RoutingEvent::DemandReported { address, news, subscribers } => {
+            shares::demand_reported(state, address, news, subscribers, now);
+            Vec::new()
+        }
         RoutingEvent::RequestArrived(caller_request) => {
             vec![request_arrived(state, caller_request, now)]
         }
@@ -406,7 +417,8 @@
         caller_request.shared_parts.iter().map(|it| InputDigest::of_part(&service, it)).collect();
     let content = InputDigest::of_request(&service, account.as_ref(), caller_request.content);
     let rank = catalog.rank_of(route, account.as_ref()).filter(|_| catalog.has_ranks(&service));
-    let request = RequestState {
+    let mut request = RequestState {
+        work: TokenCount(0),
         rank,
         request_id: caller_request.request_id,
         deadline: now.after(caller_timeout.min(route.timeout)),
@@ -430,6 +442,7 @@
         is_waiting: false,
         current_attempt: None,
     };
+    request.work = shares::record_arrival(state, &request, caller_request.size, now);
     let gateway_count = state.gateway_count();
     let budget = budget_of(state, &request.service);
     budget.0.deposit(&budget.1, gateway_count);
@@ -584,6 +597,7 @@
     let Some(request) = state.requests.get_mut(&number) else {
         return RoutingEffect::Finished(number);
     };
+    shares::record_start(&mut state.shares, request, now);
     request.is_waiting = false;
     request.tried_servers.push(id.clone());
     let address = record.address;
@@ -630,6 +644,9 @@
     // A caller that must not repeat its request, or whose request ends servers, gets no retry delay.
     let may_retry = !is_suspect && (!request.may_have_run || request.route.kind.is_idempotent());
     let is_full = code == RefusalCode::Overloaded;
+    if is_full {
+        state.shares.record_refusal(&request.service, now);
+    }
     let reason = if is_full { RetryReason::Full } else { RetryReason::Outage };
     let (time_left, settings) = (request.deadline.since(now), state.settings.admission);
     let delay = may_retry.then(|| retry_after(time_left, reason, &settings, &mut state.rng));
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 
-use super::{RequestState, RoutingState};
+use super::{RequestState, RoutingState, shares::share_factor};
 use crate::{
     routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
     units::{FailureDomain, GroupName, Moment, ServiceName},
@@ -76,7 +76,9 @@
         })
         .collect();
     let mut rng = state.rng.clone();
-    let choice = choose_candidate(&candidates, &state.settings.admission, &mut rng);
+    let mut admission = state.settings.admission;
+    admission.max_pressure *= share_factor(state, request, now);
+    let choice = choose_candidate(&candidates, &admission, &mut rng);
     (choice, rng)
 }
 
--- a/src/wire/datagrams.rs
+++ b/src/wire/datagrams.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     experts::{MapRollout, MemberStatus, StepNumber},
-    routing::{AccountDemand, ExpertLayout, GatewayLocation, LoadDetail, LoadReport},
+    routing::{DemandNews, ExpertLayout, GatewayLocation, LoadDetail, LoadReport},
 };
 
 /// Version of the encoding, sent as the first byte. Datagrams of other versions are dropped.
@@ -95,7 +95,7 @@
     pub load: Option<LoadDetail>,
     /// With [`Datagram::Subscribe`]: what client accounts ask of the gateway. With
     /// [`Datagram::Load`]: the sum over the agent's subscribers.
-    pub demand: Vec<AccountDemand>,
+    pub demand: DemandNews,
 }
 
 impl Datagram {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+mod account_shares;
 mod bad_input;
 mod cold_server;
 mod config_race;
