--- a/tests/account_shares.rs
+++ b/tests/account_shares.rs
@@ -5,13 +5,14 @@
 
 use alderbay::{
     routing::{
-        AccountRecord, AccountStanding, AnswerProgress, AttemptResult, BudgetSettings,
-        CallerLimits, CatalogSource, CatalogVersion, DemandNews, GatewayLocation, LoadReport,
-        NewsTable, RequestNumber, RequestSize, RouteCatalog, RouteKind, RouteRecord, RouteTarget,
-        RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, RoutingSettings, RoutingState,
-        ServerRecord, ServiceRecord, reduce,
+        AccountDemand, AccountRecord, AccountStanding, AnswerProgress, AttemptResult,
+        BudgetSettings, CallerLimits, CatalogSource, CatalogVersion, DemandNews, GatewayLocation,
+        LoadReport, NewsTable, RequestNumber, RequestSize, RouteCatalog, RouteKind, RouteRecord,
+        RouteTarget, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, RoutingSettings,
+        RoutingState, ServerRecord, ServiceRecord, reduce,
     },
     units::{ByteCount, ClientAccount, Moment, ServiceName, TokenCount},
+    wire::{Datagram, DatagramExtension},
 };
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -678,3 +679,96 @@
         expect_that!(effects.iter().find_map(server_of), some(anything()));
     }
 }
+
+/// Sums of all gateways in which the large account asks for ten times its share.
+fn pressing_sums(sent_at: u64, factor: f32) -> DemandNews {
+    let demand = |n: usize| AccountDemand {
+        account: account(n),
+        tokens_per_second: if n == LARGE { 10_000.0 * factor } else { 500.0 },
+        taken_per_second: if n == LARGE { 1_000.0 } else { 500.0 },
+    };
+    DemandNews { sent_at: Moment(sent_at), accounts: (0..=SMALL_COUNT).map(demand).collect() }
+}
+
+#[gtest]
+fn account_beyond_its_share_is_served_while_there_is_room() {
+    let mut play = Play::new((1, 3), 151, Accounts::Known, Fault::None);
+    for n in 0..3 {
+        let report = LoadReport { running: 8, waiting: 0, is_open: true };
+        let event = RoutingEvent::LoadReported { address: address(n), report, gateway_count: 1 };
+        play.dispatch(0, event);
+        let (address, news) = (address(n), pressing_sums(1, 1.0));
+        play.dispatch(0, RoutingEvent::DemandReported { address, news, subscribers: 1 });
+    }
+    for n in 0..3_u64 {
+        let number = RequestNumber(n);
+        let caller_request = RoutingRequest { api_key: Some("key-0".into()), ..request(number) };
+        let effects = play.dispatch(0, RoutingEvent::RequestArrived(caller_request));
+        expect_that!(effects.iter().find_map(server_of), some(anything()));
+    }
+}
+
+#[gtest]
+fn repeated_and_overtaken_news_counts_once() {
+    let mut table = NewsTable::default();
+    let (first, second) = (address(1), address(2));
+    let demand = |table: &NewsTable, now| {
+        let sum = table.sum(Moment(now)).map(|it| it.accounts[0].tokens_per_second);
+        sum.unwrap_or_default()
+    };
+    table.record(first, pressing_sums(2, 2.0), Moment(10));
+    table.record(second, pressing_sums(1, 1.0), Moment(11));
+    expect_that!(demand(&table, 12), eq(30_000.0));
+    // Older news, and the same again.
+    table.record(first, pressing_sums(1, 9.0), Moment(13));
+    for n in 0..10 {
+        table.record(second, pressing_sums(1, 1.0), Moment(14 + n));
+    }
+    expect_that!(demand(&table, 30), eq(30_000.0));
+    // What is repeated lasts no longer.
+    table.record(second, pressing_sums(1, 1.0), Moment(2 * SECOND_US));
+    expect_that!(demand(&table, 3 * SECOND_US + 20), eq(0.0));
+}
+
+/// Bytes per second of the links of agents' VMs.
+const AGENT_LINK: f64 = 1e6;
+
+#[gtest]
+fn news_takes_little_of_the_links() {
+    let news = |count: usize| {
+        let demand = |n: usize| AccountDemand {
+            account: format!("account-{n:03}x").parse().unwrap(),
+            tokens_per_second: 100_000.0 + n as f32,
+            taken_per_second: 50_000.0,
+        };
+        DemandNews { sent_at: Moment(40 * SECOND_US), accounts: (0..count).map(demand).collect() }
+    };
+    let mut table = NewsTable::default();
+    for n in 0..4 {
+        table.record(address(n), news(1_000), Moment(1));
+    }
+    let sums = table.sum(Moment(2)).unwrap();
+    expect_that!(sums.accounts.len(), le(32));
+    let bytes = |demand: DemandNews| {
+        let extension = DatagramExtension { demand, ..DatagramExtension::default() };
+        let plain = Datagram::HoldGiven.encode().unwrap().len();
+        (Datagram::HoldGiven.encode_extended(&extension).unwrap().len() - plain) as f64
+    };
+    for gateways in [44.0, 99.0] {
+        // A gateway subscribes to 48 of 72 agents.
+        let subscribers = gateways * 48.0 / 72.0;
+        let (received, sent) = (subscribers * bytes(news(16)) / 0.8, subscribers * bytes(news(24)));
+        let most = subscribers * bytes(sums.clone());
+        println!(
+            "{gateways} gateways: an agent receives at most {received:.0} bytes per second, sends \
+             {sent:.0} with 24 accounts, at most {most:.0}; a gateway sends at most {:.0} and \
+             receives {:.0}, at most {:.0}",
+            48.0 * bytes(news(16)) / 0.8,
+            48.0 * bytes(news(24)),
+            48.0 * bytes(sums.clone()),
+        );
+        // A twentieth of the link in each direction.
+        expect_that!(received, le(AGENT_LINK / 20.0));
+        expect_that!(most, le(AGENT_LINK / 20.0));
+    }
+}
