--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -29,7 +29,7 @@
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
     platform::{EngineClient, OrderOutcome, PlatformError},
-    routing::GatewayLocation,
+    routing::{GatewayLocation, NewsTable},
     telemetry::{MetricSink, init_logging, serve_metrics},
     units::Moment,
     wire::{
@@ -83,6 +83,7 @@
         clock: ProcessClock::start(),
         metrics,
         gateways: BTreeMap::new(),
+        demands: NewsTable::default(),
         group: Vec::new(),
         helper: None,
         hold_attempts: 0,
@@ -129,6 +130,8 @@
     metrics: MetricSink,
     /// Subscribed gateways with the time of their last subscription, by datagram address.
     gateways: BTreeMap<SocketAddr, (GatewayLocation, Moment)>,
+    /// What client accounts ask of the subscribed gateways.
+    demands: NewsTable,
     /// Members of this agent's group, from the latest subscription.
     group: Vec<GroupMember>,
     /// VM of another group's agent, which sends hold orders to this agent's engine on request.
@@ -201,6 +204,7 @@
         match datagram {
             Datagram::Subscribe(Subscription { gateway, group, helper, layout }) => {
                 self.gateways.insert(from, (gateway, now));
+                self.demands.record(from, extension.demand, now);
                 if !group.is_empty() {
                     self.group = group;
                 }
--- a/src/rank_agent/load_reports.rs
+++ b/src/rank_agent/load_reports.rs
@@ -41,7 +41,11 @@
             gateways: if sends_gateways { self.gateway_locations() } else { Vec::new() },
         };
         let load = Some(load_detail(report, &self.steps, now));
-        let extension = DatagramExtension { load, ..DatagramExtension::default() };
+        let mut extension = DatagramExtension { load, ..DatagramExtension::default() };
+        if sends_gateways {
+            self.demands.drop_expired(now);
+            extension.demand = self.demands.sum(now).unwrap_or_default();
+        }
         let to: Vec<SocketAddr> = self.gateways.keys().copied().collect();
         self.send_extended(&message, &extension, &to).await;
     }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -6,11 +6,13 @@
 //! (`pace`, `start`), server choice (`placement`), overload refusals (`admission`), limits of load by
 //! rank (`urgency`), retry and cold-server budgets (`budget`), inputs that end servers (`quarantine`),
 //! limits that servers name (`limits`), the memory that requests hold (`memory`), the other gateways
-//! (`peers`), and the servers that one gateway uses (`subset`).
+//! (`peers`), the servers that one gateway uses (`subset`), and the demands and shares of client accounts
+//! (`demand`, `shares`).
 
 mod admission;
 mod budget;
 mod catalog;
+mod demand;
 mod event;
 mod limits;
 mod load;
@@ -28,12 +30,13 @@
 mod urgency;
 mod views;
 
-pub use admission::{AdmissionSettings, RetryReason, retry_after};
+pub use admission::{AdmissionSettings, RetryReason, ShareScope, retry_after};
 pub use budget::{AttemptBudget, BudgetSettings, ColdLimiter};
 pub use catalog::{
     AccountRecord, CallerLimits, CatalogVersion, EngineModel, ExpertLayout, RouteCatalog,
     RouteKind, RouteRecord, RouteTarget, ServiceRecord,
 };
+pub use demand::{AccountDemand, DemandMeter, DemandNews, NewsTable};
 pub(crate) use event::join_parts;
 pub use event::{
     AdmissionNote, AdmissionOutcome, AnswerProgress, AttemptResult, AttemptSpec, CatalogSource,
@@ -49,7 +52,7 @@
 pub use quarantine::{BlockedInput, CrashReport, QuarantineTable, QuarantineUpdate, SuspectInput};
 pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
 pub use servers::{GroupMembership, Incarnation, KnownServer, ServerRecord, ServerTable};
-pub use shares::AccountDemand;
+pub use shares::{AccountStanding, ShareTable, fair_level};
 pub use start::{ServerPace, StartModel, first_event_delay, start_delay};
 pub use state::{RoutingSettings, RoutingState, reduce};
 pub use subset::choose_subset;
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -28,6 +28,20 @@
     /// The same if no server was usable. Smaller by default, so that these callers retry late:
     /// outages last.
     pub outage_spread: f64,
+    /// Services in which accounts beyond their shares of a crowded service are admitted last.
+    pub account_shares: ShareScope,
+}
+
+/// Services in which a crowd is divided among client accounts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ShareScope {
+    /// Those whose requests differ in urgency.
+    #[default]
+    Ranked,
+    /// All.
+    All,
 }
 
 impl Default for AdmissionSettings {
@@ -38,6 +52,7 @@
             max_wait: 0.33,
             full_spread: 0.6,
             outage_spread: 0.12,
+            account_shares: ShareScope::default(),
         }
     }
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -6,6 +6,7 @@
 mod loads;
 mod pace;
 mod room_shares;
+mod shares;
 mod stalls;
 mod suspects;
 mod waiting;
@@ -24,14 +25,14 @@
     BudgetSettings, CatalogSource, ColdLimiter, GatewayLocation, Incarnation, KnownServer,
     LimitReport, LimitTable, PlacementChoice, QuarantineTable, RankTraffic, RequestNumber,
     RequestSize, RetryReason, RouteCatalog, RouteRecord, RoutingChange, RoutingEffect,
-    RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet, ServerLoad, ServerTable, StartModel,
-    choose_subset, retry_after,
+    RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet, ServerLoad, ServerTable, ShareTable,
+    StartModel, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
     units::{
         ClientAccount, FailureDomain, GroupName, InputDigest, Moment, RequestId, ServerId,
-        ServiceName, UrgencyRank,
+        ServiceName, TokenCount, UrgencyRank,
     },
 };
 use attempts::{attempt_ended, fail_over, server_noticed};
@@ -93,6 +94,8 @@
     deadline: Moment,
     /// Size in tokens; `None` if the caller states none.
     size: Option<RequestSize>,
+    /// Work that counts as its account's demand.
+    work: TokenCount,
     /// Servers already attempted, unreachable ones included.
     tried_servers: Vec<ServerId>,
     /// Groups in which an attempt was lost, stalled or not run.
@@ -175,6 +178,8 @@
     stalls: StallTable,
     /// What was learned of the requests to each service.
     models: BTreeMap<ServiceName, StartModel>,
+    /// Demands and shares of client accounts.
+    shares: ShareTable,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -201,6 +206,7 @@
             quarantine: QuarantineTable::default(),
             stalls: StallTable::default(),
             models: BTreeMap::new(),
+            shares: ShareTable::default(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -266,6 +272,7 @@
 pub fn reduce(state: &mut RoutingState, now: Moment, event: RoutingEvent) -> Vec<RoutingEffect> {
     // Expired entries are dropped on every event, since the directory may not be read for a while.
     let mut effects = change_effects(state.servers.expire(now));
+    effects.extend(change_effects(state.shares.take_changes()));
     let scope = room_scope(state, &event);
     let own_effects = reduce_event(state, now, event);
     effects.extend(state.waiting.take_effects());
@@ -312,6 +319,10 @@
             answer_began(state, number, now);
             Vec::new()
         }
+        RoutingEvent::DemandReported { address, news, subscribers } => {
+            shares::demand_reported(state, address, news, subscribers, now);
+            Vec::new()
+        }
         RoutingEvent::RequestArrived(caller_request) => {
             vec![request_arrived(state, caller_request, now)]
         }
@@ -451,7 +462,8 @@
     let rank = catalog.rank_of(route, account.as_ref()).filter(|_| catalog.has_ranks(&service));
     let wait_deadline =
         if is_first_try { now } else { now.after(wait_limit(route, caller_timeout)) };
-    let request = RequestState {
+    let mut request = RequestState {
+        work: TokenCount(0),
         rank,
         request_id: caller_request.request_id,
         deadline: now.after(caller_timeout.min(route.timeout)),
@@ -476,6 +488,7 @@
         current_attempt: None,
     };
     state.models.entry(request.service.clone()).or_default().record_rank(request.rank);
+    request.work = shares::record_arrival(state, &request, caller_request.size, now);
     let gateway_count = state.gateway_count();
     let budget = budget_of(state, &request.service);
     budget.0.deposit(&budget.1, gateway_count);
@@ -614,6 +627,7 @@
     let Some(request) = state.requests.get_mut(&number) else {
         return RoutingEffect::Finished(number);
     };
+    shares::record_start(&mut state.shares, request, now);
     request.is_waiting = false;
     request.tried_servers.push(id.clone());
     let address = record.address;
@@ -670,6 +684,9 @@
     // A caller that must not repeat its request, or whose request ends servers, gets no retry delay.
     let may_retry = !is_suspect && (!request.may_have_run || request.route.kind.is_idempotent());
     let is_full = code == RefusalCode::Overloaded;
+    if is_full {
+        state.shares.record_refusal(&request.service, now);
+    }
     let reason = if is_full { RetryReason::Full } else { RetryReason::Outage };
     let (time_left, mut settings) = (request.deadline.since(now), state.settings.admission);
     let mut backlog = Duration::ZERO;
--- a/src/routing/state/waiting.rs
+++ b/src/routing/state/waiting.rs
@@ -6,7 +6,9 @@
 use super::{
     RequestState, RoutingState, WAIT_POLL_INTERVAL, choose_server,
     eligibility::{can_accept, is_recovering},
-    refuse, start_attempt,
+    refuse,
+    shares::share_factor,
+    start_attempt,
 };
 use crate::{
     core::RefusalCode,
@@ -101,6 +103,7 @@
         | RoutingEvent::StoreRewound
         | RoutingEvent::ServerNoticed { .. }
         | RoutingEvent::AnswerBegan(_)
+        | RoutingEvent::DemandReported { .. }
         | RoutingEvent::AnswerSettled(_)
         | RoutingEvent::QuarantineRead(_)
         | RoutingEvent::LimitsRead(_)
@@ -183,9 +186,10 @@
 pub(super) fn load_limit(state: &RoutingState, request: &RequestState, now: Moment) -> f64 {
     let usual = state.settings.admission.max_pressure;
     let traffic = state.traffic.get(&request.service);
-    let Some((rank, traffic)) = request.rank.zip(traffic) else { return usual };
+    let share = share_factor(state, request, now);
+    let Some((rank, traffic)) = request.rank.zip(traffic) else { return usual * share };
     let capacity = capacity(state, &request.service, now);
-    traffic.load_limit(rank, objective_wait(state, request), capacity, usual, now)
+    share * traffic.load_limit(rank, objective_wait(state, request), capacity, usual, now)
 }
 
 /// Returns the settings of the choice of a server for a request.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+mod account_shares;
 mod admission_order;
 mod bad_input;
 mod cold_server;
