--- a/src/routing/state/room_shares.rs
+++ b/src/routing/state/room_shares.rs
@@ -42,13 +42,12 @@
     }
 }
 
-/// Whether requests of a rank keep to this gateway's part. The most urgent do not, since few of them
-/// arrive between two reports.
+/// Whether a request keeps to this gateway's part: those of the least urgent of several ranks do. Few
+/// of the others arrive between two reports.
 pub(super) fn needs_share(state: &RoutingState, request: &RequestState, now: Moment) -> bool {
     let traffic = state.traffic.get(&request.service);
-    let has_more_urgent =
-        |rank: UrgencyRank| traffic.is_some_and(|it| it.has_more_urgent(rank, now));
-    request.rank.is_some_and(has_more_urgent)
+    let is_least = |rank: UrgencyRank| traffic.is_some_and(|it| it.is_least_urgent(rank, now));
+    request.rank.is_some_and(is_least)
 }
 
 /// Whether this gateway has a part left of the room at a server.
--- a/src/routing/urgency.rs
+++ b/src/routing/urgency.rs
@@ -94,6 +94,16 @@
         meters.filter(move |it| now.since(it.last_arrival) < TRAFFIC_WINDOW)
     }
 
+    fn less_urgent(&self, rank: UrgencyRank, now: Moment) -> impl Iterator<Item = &RankMeter> {
+        let meters = self.meters.range(rank..).filter(move |it| *it.0 > rank).map(|it| it.1);
+        meters.filter(move |it| now.since(it.last_arrival) < TRAFFIC_WINDOW)
+    }
+
+    /// Whether requests of more urgent ranks arrived lately, and of no less urgent one.
+    pub fn is_least_urgent(&self, rank: UrgencyRank, now: Moment) -> bool {
+        self.has_more_urgent(rank, now) && self.less_urgent(rank, now).next().is_none()
+    }
+
     /// Whether requests of a more urgent rank arrived lately.
     pub fn has_more_urgent(&self, rank: UrgencyRank, now: Moment) -> bool {
         self.more_urgent(rank, now).next().is_some()
@@ -169,9 +179,8 @@
     /// Returns the part of a range of retry delays from which callers of a rank draw theirs, between
     /// 0 and 1: more urgent ones come back earlier.
     pub fn retry_fraction(&self, rank: UrgencyRank, now: Moment) -> f64 {
-        let is_present = |it: &RankMeter| now.since(it.last_arrival) < TRAFFIC_WINDOW;
         let earlier = self.more_urgent(rank, now).count();
-        let later = self.meters.range(rank..).filter(|it| *it.0 > rank && is_present(it.1)).count();
+        let later = self.less_urgent(rank, now).count();
         (earlier + 1) as f64 / (earlier + 1 + later) as f64
     }
 }
