--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -34,8 +34,8 @@
     /// Creates a pace from the factor by which work takes longer than usual. A factor below one, or
     /// one that is not a number, counts as one.
     pub fn from_factor(factor: f64) -> Self {
-        // `max` drops a value that is not a number.
-        Self((factor.max(1.0).min(MAX_PACE_FACTOR) * f64::from(USUAL_PACE)).round() as u32)
+        let factor = if factor.is_nan() { 1.0 } else { factor.clamp(1.0, MAX_PACE_FACTOR) };
+        Self((factor * f64::from(USUAL_PACE)).round() as u32)
     }
 
     /// Returns the factor by which work takes longer than usual.
