Wait for the log line of an ended attempt in a test of held memory

Cause: `server_is_not_blamed_for_a_slow_caller` read the log as soon as the connection ended, and failed in 3 of 4 runs at a load average of 30: log lines are written by a thread of their own.

--- a/tests/held_memory.rs
+++ b/tests/held_memory.rs
@@ -475,6 +475,11 @@
     let _ = timeout(CALLER_TIMEOUT, caller.read_to_end(&mut text)).await.unwrap();
     expect_that!(text.ends_with(b"0\r\n\r\n"), eq(false), "the stream looks complete");
     expect_that!(bed.server.begun.load(Ordering::SeqCst), eq(1), "a second server was asked");
+    // Log lines are written by a thread of their own.
+    let deadline = Instant::now() + END_SLACK;
+    while !bed.gateway.log_text().contains("attempt ended") && Instant::now() < deadline {
+        sleep(Duration::from_millis(50)).await;
+    }
     let log = bed.gateway.log_text();
     expect_that!(log, contains_substring("\"result\":\"abandoned\""));
     expect_that!(log, not(contains_substring("\"result\":\"lost\"")));
