Explore shifts while a requested hold is under way

Cause: with orders executed after 30 ms, tests/shift_rollout.rs passes also if a rollout is abandoned after its hold was requested: the ranks still have its map prepared when the order is executed. Change: a third exploration with passes of 280 ms and orders executed after 240 ms. Without HoldPurpose the exploration of 50 or 140 ms passes fails ('the group hangs at step 4'). Switching off renew_map or has_rollout_above fails none of the first two explorations.

--- a/tests/shift_rollout.rs
+++ b/tests/shift_rollout.rs
@@ -24,8 +24,6 @@
 const AGENT_TICK_MS: u64 = 20;
 const STATUS_MS: u64 = 40;
 const INTERVAL_MS: u64 = 100;
-/// Time from an order by way of another group's agent to its execution.
-const HOLD_DELAY_MS: u64 = 30;
 const MESSAGE_DELAY_MS: u64 = 10;
 /// Time from the start to the end of the shifts explored, which covers the first rollout.
 const SHIFT_TIMES_MS: Range<u64> = 100..900;
@@ -82,6 +80,8 @@
     deliveries: Vec<(u64, Delivery)>,
     now: u64,
     pass_ms: u64,
+    /// Time from an order by way of another group's agent to its execution.
+    hold_delay_ms: u64,
     next_pass_at: u64,
     idle_until: u64,
     shift_at: u64,
@@ -98,7 +98,7 @@
 }
 
 impl Exploration {
-    fn new(pass_ms: u64, shift_at: u64) -> Self {
+    fn new(pass_ms: u64, hold_delay_ms: u64, shift_at: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(17);
         let agents = (0..SHAPE.ranks).map(|_| new_agent(&mut rng)).collect();
         Self {
@@ -109,6 +109,7 @@
             deliveries: Vec::new(),
             now: 0,
             pass_ms,
+            hold_delay_ms,
             next_pass_at: pass_ms,
             idle_until: 0,
             shift_at,
@@ -219,7 +220,7 @@
                 RolloutEffect::OrderOwnEngine(it) => self.emit(n, 0, order(n, it)),
                 RolloutEffect::RequestHold(step) => {
                     self.next_step_holds += usize::from(step.0 == self.group.step + 1);
-                    self.emit(n, HOLD_DELAY_MS, order(n, RankOrder::Hold(step)));
+                    self.emit(n, self.hold_delay_ms, order(n, RankOrder::Hold(step)));
                 }
                 RolloutEffect::OrderPeer(rank, it) => {
                     self.emit(n, 0, order(usize::from(rank), it));
@@ -331,10 +332,10 @@
 }
 
 /// Explores all shift times and faults with passes of this length.
-fn explore(pass_ms: u64) -> std::result::Result<Coverage, String> {
+fn explore(pass_ms: u64, hold_delay_ms: u64) -> std::result::Result<Coverage, String> {
     let mut coverage = Coverage::default();
     for shift_at in SHIFT_TIMES_MS.step_by(20) {
-        let mut base = Exploration::new(pass_ms, shift_at);
+        let mut base = Exploration::new(pass_ms, hold_delay_ms, shift_at);
         while base.now < shift_at + FAULT_WINDOW_MS {
             let before = base.clone();
             base.tick().map_err(|it| format!("shift at {shift_at} ms: {it}"))?;
@@ -358,7 +359,7 @@
 
 #[gtest]
 fn shift_at_any_point_of_short_passes() {
-    match explore(50) {
+    match explore(50, 30) {
         Ok(coverage) => {
             expect_that!(coverage.runs, gt(1_000));
             expect_that!(coverage.superseded, gt(0));
@@ -370,7 +371,7 @@
 
 #[gtest]
 fn shift_at_any_point_of_long_passes() {
-    match explore(140) {
+    match explore(140, 30) {
         Ok(coverage) => {
             expect_that!(coverage.runs, gt(1_000));
             expect_that!(coverage.next_step_holds, gt(0));
@@ -380,3 +381,16 @@
         Err(violation) => add_failure!("{violation}"),
     }
 }
+
+/// A shift is often detected while a requested hold is under way.
+#[gtest]
+fn shift_at_any_point_of_slow_orders() {
+    match explore(280, 240) {
+        Ok(coverage) => {
+            expect_that!(coverage.runs, gt(1_000));
+            expect_that!(coverage.superseded, gt(0));
+            expect_that!(coverage.activated, gt(0));
+        }
+        Err(violation) => add_failure!("{violation}"),
+    }
+}
