Send deltas to agents that have the map of an abandoned rollout

Cause: after a rollout was abandoned all agents got the full map, and with two rounds a shift the busiest link of 96 ranks carried 443,781 bytes in a second (map_rollout::large_group_spares_links, bound 375,000). Change: an agent with the map of the abandoned rollout is taken to have its base too. One that lacks the base reports that map no longer, and gets the full map as before.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -121,6 +121,9 @@
     settling_intervals: u32,
     /// Whether the next round is the first one after a shift of popularity.
     is_relief_due: bool,
+    /// The rollout abandoned last. Most agents that have its map also have the one that it was to
+    /// replace; one that lacks it reports so, and gets the full map.
+    superseded: Option<MapVersion>,
     pace: StepPace,
     /// Latest map that this agent has in full, for all ranks.
     known_map: Option<(MapVersion, GroupMap)>,
@@ -157,6 +160,7 @@
             interval_counts: Vec::new(),
             settling_intervals: 0,
             is_relief_due: false,
+            superseded: None,
             pace: StepPace::new(),
             known_map: None,
             active: None,
@@ -344,6 +348,7 @@
         let shifted = RolloutEffect::Log(RolloutEvent::PopularityShifted { distance });
         let superseded =
             self.active.take_if(|it| it.requested_step.is_none() && it.is_replaceable());
+        self.superseded = superseded.as_ref().map(|it| it.version).or(self.superseded);
         let superseded = superseded.map(|it| RolloutEvent::Superseded(it.version));
         [shifted].into_iter().chain(superseded.map(RolloutEffect::Log)).collect()
     }
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -341,7 +341,10 @@
     fn knows_base(&self, active: &RolloutProgress, rank: u16) -> bool {
         let base = active.base.as_ref().map(|it| it.0);
         let status = self.statuses.get(&rank);
-        status.is_some_and(|(it, _)| base.is_some() && it.known == base)
+        let knows_superseded = |it: &MemberStatus| {
+            it.known.is_some() && it.known == self.superseded && base > Some(MapVersion(0))
+        };
+        status.is_some_and(|(it, _)| base.is_some() && it.known == base || knows_superseded(it))
     }
 
     fn start_round(
