Forget groups under suspicion once the evidence is old

Cause: a group that vanished from the directory while it stalled stayed in the table, so each later report searched the directory. Change: entries expire with the evidence.

--- a/src/routing/state/stalls.rs
+++ b/src/routing/state/stalls.rs
@@ -40,6 +40,10 @@
 }
 
 impl StallTable {
+    fn expire(&mut self, now: Moment) {
+        self.groups.retain(|_, (_, at)| now.since(*at) < EVIDENCE_TTL);
+    }
+
     /// Returns what is known of the group.
     pub(super) fn progress(&self, group: &GroupName, now: Moment) -> GroupProgress {
         let known = self.groups.get(group).filter(|(_, at)| now.since(*at) < EVIDENCE_TTL);
@@ -54,6 +58,7 @@
     report: LoadReport,
     now: Moment,
 ) -> Vec<RoutingEffect> {
+    state.stalls.expire(now);
     // Reports of servers that make steps matter only to groups under suspicion.
     if report.is_open && state.stalls.groups.is_empty() {
         return Vec::new();
