Admit fewer streams where steps come near the longest pause allowed

Change: a server's limit of load falls while its steps come near the gap objective and recovers slowly; never below a part that leaves half of the slots in use. In force where routes set a gap objective and agents report step times.

--- a/src/routing.rs
+++ b/src/routing.rs
@@ -46,7 +46,7 @@
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
 pub use memory::{EndedHolder, HoldKind, HoldOutcome, HoldStage, MemoryLedger};
-pub use pace::{StepPace, pace_factor};
+pub use pace::{PaceLimit, StepPace, pace_factor};
 pub use peers::{GatewayLocation, PeerTable};
 pub use placement::{Candidate, PlacementChoice, choose_candidate};
 pub use quarantine::{BlockedInput, CrashReport, QuarantineTable, QuarantineUpdate, SuspectInput};
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -204,6 +204,8 @@
     account_ranks: BTreeMap<ClientAccount, UrgencyRank>,
     /// Services whose requests differ in urgency.
     ranked_services: BTreeSet<ServiceName>,
+    /// Shortest of the gap objectives of the routes to each service.
+    gap_objectives: BTreeMap<ServiceName, Duration>,
     limits: CallerLimits,
 }
 
@@ -224,8 +226,18 @@
     fn from(text: CatalogText) -> Self {
         let CatalogText { version, routes, services, accounts, account_ranks, limits } = text;
         let ranked_services = ranked_services(&routes, &account_ranks);
+        let gap_objectives = gap_objectives(&routes);
         let routes = index_routes(routes);
-        Self { version, routes, services, accounts, account_ranks, ranked_services, limits }
+        Self {
+            version,
+            routes,
+            services,
+            accounts,
+            account_ranks,
+            ranked_services,
+            gap_objectives,
+            limits,
+        }
     }
 }
 
@@ -255,8 +267,18 @@
         };
         let accounts = accounts.into_iter().flat_map(by_key).collect();
         let ranked_services = ranked_services(&routes, &account_ranks);
+        let gap_objectives = gap_objectives(&routes);
         let routes = index_routes(routes);
-        Self { version, routes, services, accounts, account_ranks, ranked_services, limits }
+        Self {
+            version,
+            routes,
+            services,
+            accounts,
+            account_ranks,
+            ranked_services,
+            gap_objectives,
+            limits,
+        }
     }
 
     /// Returns the version of the catalog.
@@ -312,6 +334,12 @@
         account.and_then(|it| self.account_ranks.get(it)).copied().or(route.rank)
     }
 
+    /// Returns the longest pause that a stream of the service may have, by the strictest of its routes;
+    /// `None` if no route sets one.
+    pub fn gap_objective(&self, service: &ServiceName) -> Option<Duration> {
+        self.gap_objectives.get(service).copied()
+    }
+
     /// Whether requests to a service differ in urgency, so that the order of their service matters:
     /// its routes have different ranks, or accounts set ranks of their own.
     pub fn has_ranks(&self, service: &ServiceName) -> bool {
@@ -324,6 +352,18 @@
     }
 }
 
+/// Returns the shortest gap objective of the routes to each service.
+fn gap_objectives(routes: &[RouteRecord]) -> BTreeMap<ServiceName, Duration> {
+    let mut shortest: BTreeMap<ServiceName, Duration> = BTreeMap::new();
+    for route in routes {
+        for (target, objective) in route.targets.iter().zip(route.gap_objective.iter().cycle()) {
+            let entry = shortest.entry(target.service.clone()).or_insert(*objective);
+            *entry = (*entry).min(*objective);
+        }
+    }
+    shortest
+}
+
 /// Returns the services whose requests differ in urgency.
 fn ranked_services(
     routes: &[RouteRecord],
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ServerPace, StepPace};
+use super::{PaceLimit, ServerPace, StepPace};
 use crate::units::Moment;
 
 /// Age from which a load report is ignored: several missed reports.
@@ -68,6 +68,9 @@
     /// Pace of the server's group, from the reports.
     #[serde(default)]
     pace: Option<StepPace>,
+    /// What the server bears with steps that keep streams on time.
+    #[serde(default)]
+    pace_limit: PaceLimit,
     /// Number of attempts begun since the latest report.
     begun: u32,
     /// End times of recent attempts, and whether they failed.
@@ -155,6 +158,20 @@
         self.outstanding = self.outstanding.saturating_sub(1);
     }
 
+    /// Compares the step time of the latest report with the longest pause that streams may have.
+    pub fn record_pace(&mut self, gap_objective: Duration, now: Moment) {
+        let step_micros = self.detail.map_or(0, |it| it.step_micros);
+        if step_micros > 0 {
+            let step_time = Duration::from_micros(u64::from(step_micros));
+            self.pace_limit.record(step_time, gap_objective, now);
+        }
+    }
+
+    /// Returns the part of the usual load that the server bears with steps that keep streams on time.
+    pub fn pace_part(&self) -> f64 {
+        self.pace_limit.part()
+    }
+
     /// Returns the estimated number of requests at the server. If its agent has fallen silent, each
     /// of the `gateway_count` gateways is assumed to send as many as this one. For a server without
     /// an agent only this gateway's requests count; such a server refuses the excess itself.
--- a/src/routing/pace.rs
+++ b/src/routing/pace.rs
@@ -17,6 +17,68 @@
 /// Part of the longest pause allowed from which the pace of a server counts against it.
 const PACE_HEADROOM: f64 = 0.75;
 
+/// Part of the longest pause allowed that steps may take. Steps above the mean that agents report are
+/// longer.
+const MAX_STEP_FRACTION: f64 = 0.85;
+/// Factor on the load that a server may bear after steps that were too long.
+const LOAD_CUT: f64 = 0.92;
+/// Time between two cuts: what is in progress has to end before a cut shows.
+const CUT_INTERVAL: Duration = Duration::from_millis(700);
+/// Part of the usual load by which the limit rises again in a second.
+const LOAD_RECOVERY: f64 = 0.012;
+/// Least part of the usual load: nothing is refused while half of the slots are free.
+const MIN_LOAD_PART: f64 = 0.68;
+
+/// Part of the usual load that a server bears with steps that keep streams on time.
+///
+/// Steps grow with the number of streams in progress, and all of them are late once a step exceeds the
+/// longest pause allowed. So fewer are admitted where steps come near it, for example where the
+/// popularity of experts shifts again and again. A step has a large constant part, so the server
+/// makes nearly as many tokens with fewer streams.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct PaceLimit {
+    part: f64,
+    updated_at: Moment,
+    next_cut: Moment,
+}
+
+impl Default for PaceLimit {
+    fn default() -> Self {
+        Self { part: 1.0, updated_at: Moment(0), next_cut: Moment(0) }
+    }
+}
+
+impl PaceLimit {
+    /// Records the time that steps have taken lately.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use alderbay::{routing::PaceLimit, units::Moment};
+    /// let mut limit = PaceLimit::default();
+    /// let objective = Duration::from_millis(120);
+    /// limit.record(Duration::from_millis(70), objective, Moment(0));
+    /// assert_eq!(limit.part(), 1.0);
+    /// limit.record(Duration::from_millis(130), objective, Moment(1_000));
+    /// assert!(limit.part() < 1.0);
+    /// ```
+    pub fn record(&mut self, step_time: Duration, objective: Duration, now: Moment) {
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        self.updated_at = now;
+        if step_time <= objective.mul_f64(MAX_STEP_FRACTION) {
+            self.part = (self.part + LOAD_RECOVERY * elapsed).min(1.0);
+        } else if now >= self.next_cut {
+            self.part = (self.part * LOAD_CUT).max(MIN_LOAD_PART);
+            self.next_cut = now.after(CUT_INTERVAL);
+        }
+    }
+
+    /// Returns the part of the usual load, from above a half to 1.
+    pub fn part(&self) -> f64 {
+        self.part
+    }
+}
+
 /// Smoothed step time of a server's group.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -92,7 +92,7 @@
             let pace_factor = load_factor(load, request, now);
             let candidate = Candidate {
                 id: &it.record.id,
-                load: load.map_or(0.0, |load| load.estimate(gateway_count, now)),
+                load: load.map_or(0.0, |load| load.estimate(gateway_count, now) / load.pace_part()),
                 slots: it.record.slots,
                 pace_factor,
             };
--- a/src/routing/state/loads.rs
+++ b/src/routing/state/loads.rs
@@ -18,7 +18,10 @@
     gateway_count: u32,
     now: Moment,
 ) -> Vec<RoutingEffect> {
-    state.loads.entry(address).or_default().record_report(report, detail, now);
+    let gap_objective = gap_objective(state, address);
+    let load = state.loads.entry(address).or_default();
+    load.record_report(report, detail, now);
+    gap_objective.into_iter().for_each(|it| load.record_pace(it, now));
     draw_share(state, address, now);
     let is_expired =
         state.reported_gateways.is_none_or(|(_, at)| now.since(at) > GATEWAY_COUNT_WINDOW);
@@ -30,3 +33,9 @@
         None => Vec::new(),
     }
 }
+
+/// Returns the longest pause that streams of the server at this address may have.
+fn gap_objective(state: &RoutingState, address: SocketAddr) -> Option<Duration> {
+    let server = state.servers.servers().find(|it| it.record.address == address)?;
+    state.catalog.as_ref()?.gap_objective(&server.record.service)
+}
--- a/src/routing/state/waiting.rs
+++ b/src/routing/state/waiting.rs
@@ -178,7 +178,8 @@
 
 fn pressure(state: &RoutingState, (address, slots): (SocketAddr, u32), now: Moment) -> f64 {
     let gateway_count = state.gateway_count();
-    let load = state.loads.get(&address).map_or(0.0, |it| it.estimate(gateway_count, now));
+    let load = state.loads.get(&address);
+    let load = load.map_or(0.0, |it| it.estimate(gateway_count, now) / it.pace_part());
     load / f64::from(slots.max(1))
 }
 
--- a/tests/server_pace.rs
+++ b/tests/server_pace.rs
@@ -223,3 +223,26 @@
     let usual = first_event(USUAL).unwrap();
     expect_that!(usual, le(Duration::from_millis(u64::from(USUAL_MS) * 3)));
 }
+
+/// With fewer streams in progress steps are shorter, so that a crowd is refused in part rather than
+/// late as a whole.
+#[gtest]
+fn long_steps_lower_the_limit_of_load() {
+    let at_load =
+        |step_ms, running| GroupReports { step_ms: [step_ms; 2], running: [running; 2], ..USUAL };
+    let mut site = Site::new(5);
+    site.first_share(USUAL, 5);
+    site.report(at_load(USUAL_MS, 9));
+    expect_that!(site.send(None), some(anything()));
+    for _ in 0..60 {
+        site.report(at_load(130, 9));
+    }
+    expect_that!(site.send(None), none(), "three quarters of the slots are too many");
+    site.report(at_load(130, 6));
+    expect_that!(site.send(None), some(anything()), "half of the slots are free");
+    // Steps are short again for half a minute.
+    for _ in 0..300 {
+        site.report(at_load(USUAL_MS, 9));
+    }
+    expect_that!(site.send(None), some(anything()));
+}
