Send the list of gateways to a tenth of the subscribers at a time

Cause: each agent sent the list, with the demands of accounts, to all gateways at once, each second: 58 times 2.4 kB keep a link of 8 Mbit/s busy for 0.14 s, and orders and statuses of a rollout wait behind them. Change: gateways get the list in turns, a tenth of them with each report; demands are sent only where crowds are divided among accounts. Result: not measured yet.

--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -97,6 +97,7 @@
         hold_requests: Vec::new(),
         relayed_rollouts: Vec::new(),
         due: DueTimes::default(),
+        load_round: 0,
         steps: StepTimer::default(),
         is_engine_reachable: true,
     };
@@ -117,8 +118,6 @@
     status: Moment,
     loaded_experts: Moment,
     load: Moment,
-    /// Next load report that includes the list of gateways.
-    gateways: Moment,
 }
 
 struct RankAgent {
@@ -155,6 +154,8 @@
     /// Rollout messages to forward to other ranks.
     relayed_rollouts: Vec<MapRollout>,
     due: DueTimes,
+    /// Number of load reports so far.
+    load_round: usize,
     /// Times of the group's recent steps.
     steps: StepTimer,
     is_engine_reachable: bool,
--- a/src/rank_agent/load_reports.rs
+++ b/src/rank_agent/load_reports.rs
@@ -12,8 +12,9 @@
 
 /// Interval between load reports to gateways.
 const LOAD_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between load reports that include the list of gateways.
-const GATEWAY_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Number of load reports to a gateway of which one includes the list of gateways. Gateways get it in
+/// turns, since all lists at once would delay what else uses the link.
+const GATEWAY_LIST_ROUNDS: usize = 10;
 /// Time after which the subscription of a gateway expires unless renewed.
 const SUBSCRIPTION_TTL: Duration = Duration::from_secs(3);
 
@@ -24,13 +25,10 @@
             return;
         }
         self.due.load = now.after(LOAD_INTERVAL);
-        let sends_gateways = now >= self.due.gateways;
-        if sends_gateways {
-            self.due.gateways = now.after(GATEWAY_LIST_INTERVAL);
-        }
         let is_stalled = self.steps.is_stalled(now);
         self.gateways.retain(|_, (_, at)| now.since(*at) < SUBSCRIPTION_TTL);
-        let message = Datagram::Load {
+        self.load_round += 1;
+        let mut message = Datagram::Load {
             server: self.engine.address(),
             report: LoadReport {
                 running: report.running,
@@ -38,16 +36,31 @@
                 is_open: !is_stalled && report.group.as_ref().is_none_or(|it| it.is_open),
             },
             subscribers: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX),
-            gateways: if sends_gateways { self.gateway_locations() } else { Vec::new() },
+            gateways: Vec::new(),
         };
         let load = Some(load_detail(report, &self.steps, now));
         let mut extension = DatagramExtension { load, ..DatagramExtension::default() };
-        if sends_gateways {
-            self.demands.drop_expired(now);
-            extension.demand = self.demands.sum(now).unwrap_or_default();
+        let (with_list, without_list) = self.split_subscribers();
+        self.send_extended(&message, &extension, &without_list).await;
+        if with_list.is_empty() {
+            return;
+        }
+        if let Datagram::Load { gateways, .. } = &mut message {
+            *gateways = self.gateway_locations();
         }
-        let to: Vec<SocketAddr> = self.gateways.keys().copied().collect();
-        self.send_extended(&message, &extension, &to).await;
+        self.demands.drop_expired(now);
+        extension.demand = self.demands.sum(now).unwrap_or_default();
+        self.send_extended(&message, &extension, &with_list).await;
+    }
+
+    /// Returns the subscribers whose turn it is to get the list of gateways, and the others.
+    fn split_subscribers(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let turn = self.load_round % GATEWAY_LIST_ROUNDS;
+        let numbered = self.gateways.keys().copied().enumerate();
+        let (with_list, without_list): (Vec<_>, Vec<_>) =
+            numbered.partition(|(n, _)| n % GATEWAY_LIST_ROUNDS == turn);
+        let addresses = |it: Vec<(usize, SocketAddr)>| it.into_iter().map(|it| it.1).collect();
+        (addresses(with_list), addresses(without_list))
     }
 
     fn gateway_locations(&self) -> Vec<GatewayLocation> {
--- a/src/routing/state/shares.rs
+++ b/src/routing/state/shares.rs
@@ -15,6 +15,9 @@
     /// Returns what accounts ask of this gateway for a service, for the agents of its servers; empty
     /// without accounts.
     pub fn demand_news(&self, service: &ServiceName, now: Moment) -> DemandNews {
+        if !divides_accounts(self, service) {
+            return DemandNews::default();
+        }
         self.shares.news(service, now)
     }
 
@@ -71,10 +74,7 @@
 /// Returns the factor on the limit of load for a request: 1 within its account's share and where the
 /// service is not crowded, less beyond the share.
 pub(super) fn share_factor(state: &RoutingState, request: &RequestState, now: Moment) -> f64 {
-    let is_in_scope = match state.settings.admission.account_shares {
-        ShareScope::Ranked => request.rank.is_some(),
-        ShareScope::All => true,
-    };
+    let is_in_scope = divides_accounts(state, &request.service);
     let has_accounts = is_in_scope && state.catalog.as_ref().is_some_and(|it| it.has_accounts());
     let account = request.account.as_ref().filter(|_| has_accounts);
     let standing = account.and_then(|it| state.shares.standing(&request.service, it, now));
@@ -86,6 +86,14 @@
     standing.limit_factor(draw, state.settings.admission.max_pressure)
 }
 
+/// Whether a crowd at the service is divided among client accounts.
+fn divides_accounts(state: &RoutingState, service: &ServiceName) -> bool {
+    match state.settings.admission.account_shares {
+        ShareScope::Ranked => state.catalog.as_ref().is_some_and(|it| it.has_ranks(service)),
+        ShareScope::All => true,
+    }
+}
+
 /// Whether requests to a service were refused a moment ago, or none of its servers that report has
 /// room.
 fn is_crowded(state: &RoutingState, service: &ServiceName, now: Moment) -> bool {
