--- a/src/experts/rollout/messages.rs
+++ b/src/experts/rollout/messages.rs
@@ -1,12 +1,69 @@
 //! Messages between agents, engines and coordinators, and the effects and events of a rollout.
 
+use std::{fmt, str::FromStr};
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
     experts::{GroupMap, MapVersion, StepNumber},
     routing::GroupMembership,
+    units::QuantityError,
 };
 
+/// Time that a rank's work takes relative to its usual time, in thousandths; never below 1,000.
+///
+/// ```
+/// use alderbay::experts::RankPace;
+/// let pace: RankPace = "2500".parse()?;
+/// assert_eq!(pace.factor(), 2.5);
+/// assert_eq!(pace.to_string(), "2500");
+/// assert_eq!(RankPace::from_factor(0.5), RankPace::default());
+/// # Ok::<(), alderbay::units::QuantityError>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RankPace(u32);
+
+/// The usual pace in thousandths.
+const USUAL_PACE: u32 = 1_000;
+/// Slowest pace that is told apart, as a factor. A rank that reports more is stuck.
+const MAX_PACE_FACTOR: f64 = 1_000.0;
+
+impl RankPace {
+    /// Creates a pace from the factor by which work takes longer than usual. A factor below one, or
+    /// one that is not a number, counts as one.
+    pub fn from_factor(factor: f64) -> Self {
+        let factor = if factor.is_nan() { 1.0 } else { factor.clamp(1.0, MAX_PACE_FACTOR) };
+        Self((factor * f64::from(USUAL_PACE)).round() as u32)
+    }
+
+    /// Returns the factor by which work takes longer than usual.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0.max(USUAL_PACE)) / f64::from(USUAL_PACE)
+    }
+}
+
+impl Default for RankPace {
+    fn default() -> Self {
+        Self(USUAL_PACE)
+    }
+}
+
+impl fmt::Display for RankPace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for RankPace {
+    type Err = QuantityError;
+
+    fn from_str(text: &str) -> Result<Self, QuantityError> {
+        Ok(Self(text.parse()?))
+    }
+}
+
 /// State of a rank as reported by its engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RankReport {
@@ -28,6 +85,12 @@
     pub group: Option<GroupMembership>,
     /// Number of ranks in the group; 0 if unknown.
     pub group_size: u16,
+    /// Time that the rank's work takes relative to its usual time.
+    pub pace: RankPace,
+    /// Tokens that requests hold in the rank's memory and cannot give up.
+    pub used_tokens: u32,
+    /// Tokens that the rank's memory holds; 0 if unknown.
+    pub max_tokens: u32,
 }
 
 /// How often the requests of a rank chose each expert since the engine started.
@@ -87,6 +150,9 @@
     pub experts: Vec<Vec<u16>>,
     /// Choices of each expert since the previous sample; `None` if there is no new sample.
     pub counts: Option<UsageSample>,
+    /// Pace of the rank. It travels outside the status, which agents of earlier releases decode.
+    #[serde(skip)]
+    pub pace: RankPace,
 }
 
 /// Number of choices of each expert during an interval, in a compact lossy encoding.
@@ -257,6 +323,11 @@
     Activated(MapVersion),
     /// A rollout was abandoned before any rank was armed.
     Abandoned(MapVersion),
+    /// A rollout was abandoned before a hold was requested, because popularity shifted.
+    Superseded(MapVersion),
+    /// A late order held a step without a map to switch to, so the map in use is rolled out under
+    /// this version.
+    Renewed(MapVersion),
     /// A substitute is finishing the switch of a silent coordinator.
     Takeover(MapVersion, StepNumber),
     /// The group formed, with this epoch.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,11 +4,14 @@
 //! Its data comes from the platform's store, from other gateways while the store cannot be read,
 //! and from the agents beside the servers. It has no persistent state.
 
+mod attempts;
 mod callers;
 mod event_stream;
 mod exchange;
+mod held_memory;
 mod peers;
 mod probes;
+mod relay;
 mod reports;
 mod requests;
 mod shell;
@@ -65,6 +68,7 @@
     tokio::spawn(reports::exchange_datagrams(shell.clone(), settings.datagrams).await?);
     tokio::spawn(exchange::exchange_records(shell.clone()));
     tokio::spawn(probes::probe_servers(shell.clone(), probes));
+    tokio::spawn(shell.memory.clone().report());
     tokio::spawn(reload_on_sighup(arguments));
     wait_for_stop_signal().await?;
     stop(&shell, &settings, &phase, served).await;
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -2,27 +2,36 @@
 //! and returns the effects for the tasks to carry out.
 
 use std::{
+    collections::HashMap,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, Semaphore, mpsc};
 
 use crate::{
+    core::{Refusal, RefusalCode},
     daemon::ProcessClock,
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
-        CatalogVersion, GatewayLocation, PeerTable, ReaderMark, RequestNumber, RouteCatalog,
-        RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce,
+        AdmissionNote, AdmissionOutcome, AdmissionSettings, CatalogVersion, GatewayLocation,
+        PeerTable, ReaderMark, RequestNumber, RetryReason, RouteCatalog, RoutingChange,
+        RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce, retry_after,
     },
     telemetry::MetricSink,
     units::Moment,
 };
 
-use super::{probes::ServerProbe, sources::PlatformView};
+use super::{
+    attempts::AttemptTable,
+    held_memory::{HeldMemory, held_bound},
+    probes::ServerProbe,
+    sources::PlatformView,
+};
 
 /// Timeout of requests whose callers state none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -48,12 +57,20 @@
     gateways_told_at: Mutex<Option<Moment>>,
     /// Probes for the task that makes them.
     probes: mpsc::Sender<ServerProbe>,
+    /// Attempts in progress.
+    pub(super) attempts: AttemptTable,
+    /// Ends the waits of requests, by their numbers.
+    wakes: Mutex<HashMap<RequestNumber, Arc<Notify>>>,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     /// Limits on HTTP messages and connections.
     pub(super) limits: HttpLimits,
     /// Kilobytes that large answers may take together while they are collected.
     pub(super) answer_memory: Semaphore,
+    /// Memory that requests hold.
+    pub(super) memory: Arc<HeldMemory>,
+    /// Settings of the retry delays.
+    admission: AdmissionSettings,
     /// Time within which a draining server must stop getting new work; sets the read intervals of
     /// the directory.
     pub(super) leave_time: Duration,
@@ -93,10 +110,14 @@
             records_changed: Notify::new(),
             gateways_told_at: Mutex::new(None),
             probes,
+            attempts: AttemptTable::default(),
+            wakes: Mutex::default(),
             next_request: AtomicU64::new(0),
             was_ready: AtomicBool::new(false),
             limits: settings.http,
             answer_memory: Semaphore::new(MAX_ANSWER_MEMORY_KB),
+            memory: Arc::new(HeldMemory::new(held_bound(gateway.memory_mb), metrics.clone())),
+            admission: gateway.admission,
             leave_time: Duration::from_millis(gateway.leave_ms),
             apply_time: Duration::from_millis(gateway.apply_ms),
             clock: ProcessClock::start(),
@@ -116,6 +137,16 @@
                 RoutingEffect::ProbeServer { server, address } => {
                     self.request_probe(ServerProbe { server, address });
                 }
+                RoutingEffect::EndAttempt { number, attempt } => {
+                    self.metrics.count("attempts.ended_early");
+                    self.attempts.end((number, attempt));
+                }
+                RoutingEffect::Resume(number) => {
+                    if let Some(wake) = lock(&self.wakes).get(&number) {
+                        wake.notify_one();
+                    }
+                }
+                RoutingEffect::AdmissionNoted(note) => self.log_admission(&note),
                 other => request_effect = Some(other),
             }
         }
@@ -128,8 +159,45 @@
         }
     }
 
+    /// Registers a request, so that its wait can be ended. The returned value is notified then.
+    pub(super) fn register_wake(&self, number: RequestNumber) -> Arc<Notify> {
+        lock(&self.wakes).entry(number).or_default().clone()
+    }
+
+    /// Forgets a request that has ended.
+    pub(super) fn remove_wake(&self, number: RequestNumber) {
+        lock(&self.wakes).remove(&number);
+    }
+
+    fn log_admission(&self, note: &AdmissionNote) {
+        let AdmissionNote { rank, outcome, .. } = note;
+        self.metrics.gauge("admission.queue", note.queue_length as u64);
+        match outcome {
+            AdmissionOutcome::Queued => {}
+            AdmissionOutcome::Began | AdmissionOutcome::Abandoned => {
+                self.metrics.time("admission.wait", note.waited);
+            }
+            AdmissionOutcome::Refused => {
+                self.metrics.time("admission.wait", note.waited);
+                self.metrics.count(&format!("admission.refused.rank_{rank}"));
+            }
+        }
+        if note.is_logged {
+            log::info!(
+                request:% = note.request_id, rank:% = rank, limit = note.limit,
+                best_load = note.best_load, news_age_ms = note.news_age.map(millis),
+                position = note.position, queue_length = note.queue_length,
+                waited_ms = millis(note.waited), outcome:% = outcome;
+                "admission decided"
+            );
+        }
+    }
+
     fn log_change(&self, change: &RoutingChange) {
         self.metrics.count("beliefs.changed");
+        if let RoutingChange::AccountShare { is_beyond: true, .. } = change {
+            self.metrics.count("shares.beyond");
+        }
         let age_ms = self.directory_age_ms();
         log::info!(change:% = change, directory_age_ms = age_ms; "routing state changed");
     }
@@ -166,6 +234,14 @@
         self.read(|it| it.catalog().map(RouteCatalog::version).unwrap_or_default())
     }
 
+    /// Returns the refusal of a request for whose body there is no memory.
+    pub(super) fn memory_refusal(&self, time_left: Option<Duration>) -> Refusal {
+        let time_left = time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let delay = retry_after(time_left, RetryReason::Full, &self.admission, &mut rng);
+        Refusal::not_run(RefusalCode::OutOfMemory).retry_after(delay)
+    }
+
     /// Allocates the number of the next request.
     pub(super) fn next_number(&self) -> RequestNumber {
         RequestNumber(self.next_request.fetch_add(1, Ordering::Relaxed))
@@ -228,6 +304,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Locks a mutex and ignores poisoning: each update is one assignment or one reduction, so a panic
 /// leaves no partially updated value behind.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -5,6 +5,8 @@
 //! responds to polls from its own VM without delaying its group. The agent learns the state of
 //! gateways and other ranks from datagrams only; it does not read the platform's store.
 
+mod load_reports;
+
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
@@ -21,26 +23,24 @@
     daemon::{DaemonError, ProcessClock, reload_on_sighup, wait_for_stop_signal},
     experts::{
         COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapVersion, MemberStatus, RankOrder,
-        RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction, SampleSchedule,
-        StepNumber, UsageSample,
+        RankPace, RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction,
+        SampleSchedule, StepNumber, StepTimer, UsageSample,
     },
     http::ListenerError,
     options::{DaemonArguments, DirectRole, DirectSettings},
     platform::{EngineClient, OrderOutcome, PlatformError},
-    routing::{GatewayLocation, LoadReport},
+    routing::{GatewayLocation, NewsTable},
     telemetry::{MetricSink, init_logging, serve_metrics},
     units::Moment,
-    wire::{Datagram, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription},
+    wire::{
+        Datagram, DatagramExtension, GroupMember, HoldRequest, MAX_DATAGRAM_BYTES, Subscription,
+    },
 };
 
 /// Interval between polls of the engine during a rollout.
 const ROLLOUT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval between polls of the engine outside of rollouts.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval between load reports to gateways.
-const LOAD_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between load reports that include the list of gateways.
-const GATEWAY_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval between samples of expert usage: about one step, to detect a shift quickly.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of consecutive polls, each because an order of the previous one was accepted.
@@ -56,11 +56,6 @@
 /// Number of requests to another group's agent to hold a step, before this agent sends the order
 /// itself.
 const MAX_HOLD_REQUESTS: u32 = 4;
-/// Time without a new step, despite running requests, after which the group counts as stalled: a
-/// multiple of the usual step duration.
-const STALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after which the subscription of a gateway expires unless renewed.
-const SUBSCRIPTION_TTL: Duration = Duration::from_secs(3);
 
 /// Runs a rank agent until it receives a stop signal.
 ///
@@ -88,6 +83,7 @@
         clock: ProcessClock::start(),
         metrics,
         gateways: BTreeMap::new(),
+        demands: NewsTable::default(),
         group: Vec::new(),
         helper: None,
         hold_attempts: 0,
@@ -101,7 +97,8 @@
         hold_requests: Vec::new(),
         relayed_rollouts: Vec::new(),
         due: DueTimes::default(),
-        last_progress: (StepNumber(0), Moment(0)),
+        load_round: 0,
+        steps: StepTimer::default(),
         is_engine_reachable: true,
     };
     tokio::spawn(reload_on_sighup(arguments));
@@ -121,8 +118,6 @@
     status: Moment,
     loaded_experts: Moment,
     load: Moment,
-    /// Next load report that includes the list of gateways.
-    gateways: Moment,
 }
 
 struct RankAgent {
@@ -134,6 +129,8 @@
     metrics: MetricSink,
     /// Subscribed gateways with the time of their last subscription, by datagram address.
     gateways: BTreeMap<SocketAddr, (GatewayLocation, Moment)>,
+    /// What client accounts ask of the subscribed gateways.
+    demands: NewsTable,
     /// Members of this agent's group, from the latest subscription.
     group: Vec<GroupMember>,
     /// VM of another group's agent, which sends hold orders to this agent's engine on request.
@@ -157,8 +154,10 @@
     /// Rollout messages to forward to other ranks.
     relayed_rollouts: Vec<MapRollout>,
     due: DueTimes,
-    /// Last step seen, and when it was first seen or no request was running.
-    last_progress: (StepNumber, Moment),
+    /// Number of load reports so far.
+    load_round: usize,
+    /// Times of the group's recent steps.
+    steps: StepTimer,
     is_engine_reachable: bool,
 }
 
@@ -199,9 +198,14 @@
     /// Handles a datagram. Returns `true` if the engine should be polled at once.
     fn handle_datagram(&mut self, bytes: &[u8], from: SocketAddr) -> bool {
         let now = self.clock.now();
-        match Datagram::decode(bytes) {
-            Some(Datagram::Subscribe(Subscription { gateway, group, helper, layout })) => {
+        let Some((datagram, extension)) = Datagram::decode_extended(bytes) else {
+            log::debug!(from:% = from; "cannot decode datagram");
+            return false;
+        };
+        match datagram {
+            Datagram::Subscribe(Subscription { gateway, group, helper, layout }) => {
                 self.gateways.insert(from, (gateway, now));
+                self.demands.record(from, extension.demand, now);
                 if !group.is_empty() {
                     self.group = group;
                 }
@@ -211,23 +215,24 @@
                 }
                 false
             }
-            Some(Datagram::Status(status)) => {
+            Datagram::Status(mut status) => {
+                status.pace = extension.pace.unwrap_or_default();
                 let is_armed = status.armed.is_some();
                 self.rollout.handle_status(status, now);
                 is_armed && self.rollout.are_others_armed()
             }
-            Some(Datagram::Rollout(rollout)) => self.handle_rollout(rollout, now),
-            Some(Datagram::RelayedRollout(rollout)) => {
+            Datagram::Rollout(rollout) => self.handle_rollout(rollout, now),
+            Datagram::RelayedRollout(rollout) => {
                 self.relayed_rollouts.push(rollout.clone());
                 self.handle_rollout(rollout, now)
             }
-            Some(Datagram::HoldRequest(request)) => {
+            Datagram::HoldRequest(request) => {
                 self.hold_requests.push((request, from));
                 false
             }
-            Some(Datagram::HoldGiven) => true,
-            Some(Datagram::Load { .. }) | None => {
-                log::debug!(from:% = from; "cannot decode datagram, or unexpected datagram type");
+            Datagram::HoldGiven => true,
+            Datagram::Load { .. } => {
+                log::debug!(from:% = from; "unexpected datagram type");
                 false
             }
         }
@@ -278,21 +283,17 @@
         let effects = self.rollout.handle_report(report.clone());
         let mut has_changed = self.apply_effects(effects).await;
         let now = self.clock.now();
-        if report.step != self.last_progress.0 || report.running == 0 {
-            self.last_progress = (report.step, now);
-        }
-        if now >= self.due.load {
-            self.due.load = now.after(LOAD_INTERVAL);
-            self.report_load(&report, now).await;
-        }
+        let epoch = report.group.as_ref().map_or(0, |it| it.epoch);
+        self.steps.record(report.step, epoch, report.running > 0, now);
+        self.report_load(&report, now).await;
         self.poll_loaded_experts(&report, now).await;
         if now >= self.due.sample {
             self.due.sample = now.after(SAMPLE_INTERVAL);
             self.sample_usage(&report).await;
             let effects = self.rollout.close_interval();
-            has_changed |= self.apply_effects(effects.into_iter().collect()).await;
+            has_changed |= self.apply_effects(effects).await;
         }
-        if is_new_state || now >= self.due.status {
+        if is_new_state || self.unsent_counts.is_some() || now >= self.due.status {
             let is_rolling_out = self.rollout.is_rolling_out();
             self.due.status =
                 now.after(if is_rolling_out { ROLLOUT_STATUS_INTERVAL } else { STATUS_INTERVAL });
@@ -302,31 +303,6 @@
         has_changed | self.apply_effects(effects).await
     }
 
-    async fn report_load(&mut self, report: &RankReport, now: Moment) {
-        let sends_gateways = now >= self.due.gateways;
-        if sends_gateways {
-            self.due.gateways = now.after(GATEWAY_LIST_INTERVAL);
-        }
-        let is_stalled = now.since(self.last_progress.1) >= STALL_TIMEOUT;
-        self.gateways.retain(|_, (_, at)| now.since(*at) < SUBSCRIPTION_TTL);
-        let message = Datagram::Load {
-            server: self.engine.address(),
-            report: LoadReport {
-                running: report.running,
-                waiting: report.waiting,
-                is_open: !is_stalled && report.group.as_ref().is_none_or(|it| it.is_open),
-            },
-            subscribers: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX),
-            gateways: if sends_gateways { self.gateway_locations() } else { Vec::new() },
-        };
-        let to: Vec<SocketAddr> = self.gateways.keys().copied().collect();
-        self.send(&message, &to).await;
-    }
-
-    fn gateway_locations(&self) -> Vec<GatewayLocation> {
-        self.gateways.values().map(|it| it.0.clone()).collect()
-    }
-
     async fn poll_loaded_experts(&mut self, report: &RankReport, now: Moment) {
         let is_current = self.loaded_experts.as_ref().is_some_and(|it| it.0 == report.map);
         if report.group.is_none() || is_current && now < self.due.loaded_experts {
@@ -377,8 +353,10 @@
             others.filter(|it| ranks.contains(&it.rank)).map(|it| self.agent_address(it)).collect()
         };
         let (coordinator, substitutes) = (candidates(0..1), candidates(1..COORDINATOR_CANDIDATES));
-        self.send(&Datagram::Status(full_status.clone()), &coordinator).await;
-        self.send(&Datagram::Status(status), &substitutes).await;
+        let pace = Some(report.pace).filter(|it| *it != RankPace::default());
+        let extension = DatagramExtension { pace, ..DatagramExtension::default() };
+        self.send_extended(&Datagram::Status(full_status.clone()), &extension, &coordinator).await;
+        self.send_extended(&Datagram::Status(status), &extension, &substitutes).await;
         if own_rank < COORDINATOR_CANDIDATES {
             self.rollout.handle_status(full_status, now);
         }
@@ -402,7 +380,16 @@
     }
 
     async fn send(&self, message: &Datagram, to: &[SocketAddr]) {
-        let bytes = match message.encode() {
+        self.send_extended(message, &DatagramExtension::default(), to).await;
+    }
+
+    async fn send_extended(
+        &self,
+        message: &Datagram,
+        extension: &DatagramExtension,
+        to: &[SocketAddr],
+    ) {
+        let bytes = match message.encode_extended(extension) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(error:% = error; "cannot encode datagram");
@@ -593,6 +580,18 @@
                     "expert map rollout abandoned before any rank was armed"
                 );
             }
+            RolloutEvent::Superseded(version) => {
+                log::info!(
+                    map = version.0;
+                    "expert map rollout abandoned: popularity shifted before a hold was requested"
+                );
+            }
+            RolloutEvent::Renewed(version) => {
+                log::warn!(
+                    map = version.0;
+                    "step held without a map to switch to: rolling out the map in use"
+                );
+            }
             RolloutEvent::Takeover(version, step) => {
                 log::warn!(
                     map = version.0, step = step.0;
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -6,14 +6,14 @@
 use smol_str::SmolStr;
 
 use super::{
-    BlockedInput, CrashReport, GatewayLocation, LimitReport, LimitSource, LoadReport, RouteCatalog,
-    RouteKind, ServerRecord, SuspectInput,
+    BlockedInput, CrashReport, DemandNews, GatewayLocation, LimitReport, LimitSource, LoadDetail,
+    LoadReport, RouteCatalog, RouteKind, ServerRecord, SuspectInput,
 };
 use crate::{
     core::Refusal,
     units::{
         ClientAccount, ContentHash, FailureDomain, InputDigest, Moment, RequestId, RequestRate,
-        RouteName, ServerId, ServiceName,
+        RouteName, ServerId, ServiceName, TokenCount, UrgencyRank,
     },
 };
 
@@ -42,6 +42,16 @@
     }
 }
 
+/// Size of a request to a model, as its caller states it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestSize {
+    /// Tokens of the prompt.
+    pub prompt: TokenCount,
+    /// Expected tokens of the response.
+    pub output: TokenCount,
+}
+
 /// The parts of a caller's request that routing depends on.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -69,6 +79,9 @@
     /// Hash of the target and the body.
     #[serde(default)]
     pub content: ContentHash,
+    /// Size in tokens; `None` if the caller states none.
+    #[serde(default)]
+    pub size: Option<RequestSize>,
 }
 
 /// What a response says about the number of requests that its server takes.
@@ -234,6 +247,17 @@
         report: LoadReport,
         /// Number of gateways subscribed to the agent.
         gateway_count: u32,
+        /// What else the agent knows of its server; `None` from agents of earlier releases.
+        detail: Option<LoadDetail>,
+    },
+    /// An agent sent what accounts ask of the gateways that subscribe to it.
+    DemandReported {
+        /// Address of the agent's server.
+        address: SocketAddr,
+        /// Sums over those gateways.
+        news: DemandNews,
+        /// Number of those gateways.
+        subscribers: u32,
     },
     /// A caller's request was received completely.
     RequestArrived(RoutingRequest),
@@ -255,6 +279,8 @@
         /// What the server said.
         notice: ServerNotice,
     },
+    /// The first event of the stream of an attempt has arrived.
+    AnswerBegan(RequestNumber),
     /// The stream of a request has reached [`SETTLED_EVENTS`] events.
     AnswerSettled(RequestNumber),
     /// Another gateway sent its records of servers that ended.
@@ -302,19 +328,83 @@
     pub attempt: u32,
     /// Estimated number of requests at the server when it was chosen.
     pub load: f64,
+    /// Expected time to the first event of a stream; `None` if the server's pace is unknown.
+    pub first_event: Option<Duration>,
+    /// Urgency of the request in the server's queue; `None` where all requests are equally urgent.
+    pub rank: Option<UrgencyRank>,
     /// Digests of the parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<InputDigest>,
     /// Digest of the whole request, which is the same when the caller sends it again.
     pub content: InputDigest,
 }
 
+/// What became of a request that was admitted out of the queue, waits or is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionOutcome {
+    /// It waits for a server.
+    Queued,
+    /// It began after a wait.
+    Began,
+    /// It was refused.
+    Refused,
+    /// Its caller left while it waited.
+    Abandoned,
+}
+
+impl fmt::Display for AdmissionOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Queued => "queued",
+            Self::Began => "began",
+            Self::Refused => "refused",
+            Self::Abandoned => "abandoned",
+        })
+    }
+}
+
+/// A decision on the admission of a request, for the log and the metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionNote {
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// Its rank in the order of urgency.
+    pub rank: UrgencyRank,
+    /// Load, in requests per slot, from which a server gets no more requests like it.
+    pub limit: f64,
+    /// Lowest load of the servers that this gateway uses; `None` if it uses none.
+    pub best_load: Option<f64>,
+    /// Age of the load report of that server; `None` if there is none.
+    pub news_age: Option<Duration>,
+    /// Number of requests ahead of it in the queue; `None` if it does not wait.
+    pub position: Option<usize>,
+    /// Number of waiting requests.
+    pub queue_length: usize,
+    /// Time that it has waited.
+    pub waited: Duration,
+    /// What became of it.
+    pub outcome: AdmissionOutcome,
+    /// Whether the decision is logged; the metrics count all.
+    pub is_logged: bool,
+}
+
 /// An output of the reducer, carried out by the gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RoutingEffect {
     /// Send the request to a server.
     Attempt(RequestNumber, Box<AttemptSpec>),
+    /// End an attempt in progress as [`AttemptResult::Stalled`]: its server makes no progress.
+    EndAttempt {
+        /// Request that the attempt belongs to.
+        number: RequestNumber,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// Wait this long, then dispatch [`RoutingEvent::WaitEnded`].
     Wait(RequestNumber, Duration),
+    /// End the wait of a request: dispatch [`RoutingEvent::WaitEnded`] at once.
+    Resume(RequestNumber),
+    /// Log and count a decision on admission.
+    AdmissionNoted(Box<AdmissionNote>),
     /// Refuse the request and end it.
     Refuse(RequestNumber, Refusal),
     /// End the request: no further attempt follows.
@@ -406,6 +496,21 @@
     },
     /// A part of prompts, or a whole request, is no longer blocked.
     InputUnblocked(InputDigest),
+    /// An account asks for more than its share in a crowded service, or no longer does.
+    AccountShare {
+        /// The service.
+        service: ServiceName,
+        /// The account.
+        account: ClientAccount,
+        /// Whether it asks for more.
+        is_beyond: bool,
+        /// What it asks for per second.
+        demand: TokenCount,
+        /// Its share per second.
+        share: TokenCount,
+        /// Age of the newest sums of demand; `None` if this gateway knows only its own.
+        sums_age: Option<Duration>,
+    },
     /// The platform's store cannot be read.
     StoreUnavailable,
     /// The platform's store can be read again.
@@ -475,6 +580,18 @@
                 if others.is_empty() { Ok(()) } else { write!(f, ", with {}", join_parts(&others)) }
             }
             Self::InputUnblocked(input) => write!(f, "input {input} is no longer blocked"),
+            Self::AccountShare { service, account, is_beyond, demand, share, sums_age } => {
+                let position = if *is_beyond { "beyond" } else { "within" };
+                write!(
+                    f,
+                    "account {account} is {position} its share of service {service}: asks for "
+                )?;
+                write!(f, "{demand} tokens a second, share {share}, ")?;
+                match sums_age {
+                    Some(age) => write!(f, "sums {} ms old", age.as_millis()),
+                    None => f.write_str("own demand only"),
+                }
+            }
             Self::StoreUnavailable => f.write_str("platform store is unavailable"),
             Self::StoreRecovered => f.write_str("platform store is available again"),
             Self::StoreRewound => f.write_str("platform store came back from an older copy"),
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{PaceLimit, ServerPace, StepPace};
 use crate::units::Moment;
 
 /// Age from which a load report is ignored: several missed reports.
@@ -38,6 +39,22 @@
     pub is_open: bool,
 }
 
+/// What an agent knows of its server beside the numbers of requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct LoadDetail {
+    /// Time that a step of the server's group has taken lately, in microseconds; 0 if unknown.
+    pub step_micros: u32,
+    /// Time for which the server has run requests without a new step, in microseconds.
+    pub silent_micros: u32,
+    /// Whether the server states that its group is broken.
+    pub is_broken: bool,
+    /// Tokens that requests hold in the server's memory and cannot give up.
+    pub used_tokens: u32,
+    /// Tokens that the server's memory holds; 0 if unknown.
+    pub max_tokens: u32,
+}
+
 /// Load and health of one server, as seen by this gateway.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -45,6 +62,15 @@
     /// Number of this gateway's attempts in progress at the server.
     pub outstanding: u32,
     report: Option<(LoadReport, Moment)>,
+    /// What the latest report says beside the numbers of requests.
+    #[serde(default)]
+    detail: Option<LoadDetail>,
+    /// Pace of the server's group, from the reports.
+    #[serde(default)]
+    pace: Option<StepPace>,
+    /// What the server bears with steps that keep streams on time.
+    #[serde(default)]
+    pace_limit: PaceLimit,
     /// Number of attempts begun since the latest report.
     begun: u32,
     /// End times of recent attempts, and whether they failed.
@@ -57,8 +83,14 @@
 
 impl ServerLoad {
     /// Replaces the load report.
-    pub fn record_report(&mut self, report: LoadReport, now: Moment) {
+    pub fn record_report(&mut self, report: LoadReport, detail: Option<LoadDetail>, now: Moment) {
         self.report = Some((report, now));
+        self.detail = detail;
+        let step_micros = detail.map_or(0, |it| it.step_micros);
+        if step_micros > 0 {
+            let step_time = Duration::from_micros(u64::from(step_micros));
+            self.pace = Some(StepPace::updated(self.pace, step_time, now));
+        }
         self.begun = 0;
     }
 
@@ -67,6 +99,44 @@
         self.report.filter(|(_, at)| now.since(*at) < REPORT_TTL).map(|it| it.0)
     }
 
+    /// Returns the detail of the latest report, or `None` if there is none or it is too old.
+    pub fn detail(&self, now: Moment) -> Option<LoadDetail> {
+        self.detail.filter(|_| self.report(now).is_some())
+    }
+
+    /// Returns the smoothed step time of the server's group, or `None` if it is unknown.
+    pub fn smoothed_step(&self, now: Moment) -> Option<Duration> {
+        self.pace.and_then(|it| it.step_time(now))
+    }
+
+    /// Returns the load and pace of the server with this many slots, or `None` if its agent reports no
+    /// step time.
+    pub fn pace(&self, slots: u32, now: Moment) -> Option<ServerPace> {
+        let report = self.report(now)?;
+        let step_time = self.smoothed_step(now)?;
+        Some(ServerPace {
+            slots,
+            running: f64::from(report.running),
+            waiting: f64::from(report.waiting + self.begun),
+            step_time,
+        })
+    }
+
+    /// Returns the latest report and its detail, if both are there and no older than `max_age`.
+    pub fn detailed_report(
+        &self,
+        max_age: Duration,
+        now: Moment,
+    ) -> Option<(LoadReport, LoadDetail)> {
+        let (report, _) = self.report.filter(|(_, at)| now.since(*at) <= max_age)?;
+        Some((report, self.detail?))
+    }
+
+    /// Returns the age of the latest report, or `None` if there is none.
+    pub fn report_age(&self, now: Moment) -> Option<Duration> {
+        self.report.map(|(_, at)| now.since(at))
+    }
+
     /// Whether the agent has reported before but is silent now.
     pub fn is_silent(&self, now: Moment) -> bool {
         self.report.is_some_and(|(_, at)| now.since(at) >= SILENCE_TIMEOUT)
@@ -88,6 +158,20 @@
         self.outstanding = self.outstanding.saturating_sub(1);
     }
 
+    /// Compares the step time of the latest report with the longest pause that streams may have.
+    pub fn record_pace(&mut self, gap_objective: Duration, now: Moment) {
+        let step_micros = self.detail.map_or(0, |it| it.step_micros);
+        if step_micros > 0 {
+            let step_time = Duration::from_micros(u64::from(step_micros));
+            self.pace_limit.record(step_time, gap_objective, now);
+        }
+    }
+
+    /// Returns the part of the usual load that the server bears with steps that keep streams on time.
+    pub fn pace_part(&self) -> f64 {
+        self.pace_limit.part()
+    }
+
     /// Returns the estimated number of requests at the server. If its agent has fallen silent, each
     /// of the `gateway_count` gateways is assumed to send as many as this one. For a server without
     /// an agent only this gateway's requests count; such a server refuses the excess itself.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -3,7 +3,13 @@
 
 mod attempts;
 mod eligibility;
+mod loads;
+mod pace;
+mod room_shares;
+mod shares;
+mod stalls;
 mod suspects;
+mod waiting;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -15,45 +21,44 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec, BudgetSettings, CatalogSource,
-    ColdLimiter, GatewayLocation, Incarnation, KnownServer, LimitReport, LimitTable, LoadReport,
-    PlacementChoice, QuarantineTable, RequestNumber, RetryReason, RouteCatalog, RouteRecord,
-    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet,
-    ServerLoad, ServerTable, choose_subset, retry_after,
+    AdmissionOutcome, AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec,
+    BudgetSettings, CatalogSource, ColdLimiter, GatewayLocation, Incarnation, KnownServer,
+    LimitReport, LimitTable, PlacementChoice, QuarantineTable, RankTraffic, RequestNumber,
+    RequestSize, RetryReason, RouteCatalog, RouteRecord, RoutingChange, RoutingEffect,
+    RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet, ServerLoad, ServerTable, ShareTable,
+    StartModel, choose_subset, retry_after,
 };
 use crate::{
     core::{Refusal, RefusalCode, RunOutcome},
     units::{
         ClientAccount, FailureDomain, GroupName, InputDigest, Moment, RequestId, ServerId,
-        ServiceName,
+        ServiceName, TokenCount, UrgencyRank,
     },
 };
 use attempts::{attempt_ended, fail_over, server_noticed};
-use eligibility::{choose_server, has_usable, is_isolated, is_recovering};
+use eligibility::{choose_server, has_usable, is_isolated};
+use loads::load_reported;
+use pace::{answer_began, expect_first_event};
+use room_shares::{RoomShares, use_share};
+use stalls::StallTable;
 use suspects::{
     EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
     server_probed, update_effects,
 };
+use waiting::{
+    WaitingQueue, backlog_wait, has_expired, leave, note, record_arrival, room_scope,
+    start_in_order, wait_limit, wait_or_refuse, wait_or_refuse_full, wake,
+};
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
 const DEFAULT_GATEWAY_COUNT: u32 = 12;
-/// Time for which the largest reported number of gateways stays in use.
-const GATEWAY_COUNT_WINDOW: Duration = Duration::from_secs(10);
 /// Fraction of the route's timeout that the caller's timeout must reach for the request to count as
 /// the caller's first try.
 const FIRST_TRY_MIN_FRACTION: f64 = 0.9;
 /// Interval at which a waiting request looks for a server again.
 const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Fraction of its remaining time for which a retried request may wait for a server. Callers seldom
-/// try a third time, so waiting beats another refusal.
-const MAX_WAIT_FRACTION: f64 = 0.45;
-/// Longest wait of a stream for a server. Callers give up after two seconds without an event, and
-/// the first event takes a while.
-const MAX_STREAM_WAIT: Duration = Duration::from_millis(1_400);
 /// Longest wait of a request for the first catalog of a process that has just started.
 const MAX_CATALOG_WAIT: Duration = Duration::from_millis(1_500);
-/// Maximum number of requests that wait for a server at the same time.
-const MAX_WAITING: usize = 200;
 /// Settings of the reducer.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -80,11 +85,17 @@
     route: RouteRecord,
     service: ServiceName,
     account: Option<ClientAccount>,
+    /// Rank in the order of urgency; `None` where all requests to the service are equally urgent.
+    rank: Option<UrgencyRank>,
     /// Digests of the parts of the prompt that other requests may share, in order.
     shared_parts: Vec<InputDigest>,
     /// Digest of the whole request.
     content: InputDigest,
     deadline: Moment,
+    /// Size in tokens; `None` if the caller states none.
+    size: Option<RequestSize>,
+    /// Work that counts as its account's demand.
+    work: TokenCount,
     /// Servers already attempted, unreachable ones included.
     tried_servers: Vec<ServerId>,
     /// Groups in which an attempt was lost, stalled or not run.
@@ -101,16 +112,40 @@
     /// The request may wait for a server until this time.
     wait_deadline: Moment,
     is_waiting: bool,
+    /// When the gateway received the request.
+    received_at: Moment,
+    /// Whether the caller was refused before.
+    is_returned: bool,
+    /// The request may begin until this time where ranks are in force.
+    latest_start: Moment,
     /// Server of the attempt in progress.
     current_attempt: Option<CurrentAttempt>,
 }
 
-/// The server of an attempt in progress, and when the attempt began.
+/// The server of an attempt in progress, and how far the attempt has come.
 #[derive(Clone, Debug)]
 struct CurrentAttempt {
     incarnation: Incarnation,
     address: SocketAddr,
+    /// Number of the attempt, starting at 1.
+    attempt: u32,
     began_at: Moment,
+    /// Whether the first event of a stream has arrived.
+    has_begun: bool,
+    /// What the estimates learn from; `None` if the server's pace is unknown.
+    timing: Option<AttemptTiming>,
+    /// Whether [`RoutingEffect::EndAttempt`] was returned.
+    is_ending: bool,
+}
+
+/// Pace of the server of an attempt, and how the attempt went.
+#[derive(Clone, Copy, Debug)]
+struct AttemptTiming {
+    /// Step time of the server's group when the attempt began.
+    step_time: Duration,
+    /// Whether the server was expected to begin at once.
+    has_free_slot: bool,
+    first_event_at: Option<Moment>,
 }
 
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
@@ -130,9 +165,21 @@
     /// Largest number of gateways reported lately, and the time of that report.
     reported_gateways: Option<(u32, Moment)>,
     requests: BTreeMap<RequestNumber, RequestState>,
+    /// Requests that wait because all servers are full.
+    waiting: WaitingQueue,
+    /// Parts of the room at servers that this gateway may still use.
+    room_shares: RoomShares,
+    /// Recent traffic of services with ranks.
+    traffic: BTreeMap<ServiceName, RankTraffic>,
     /// Servers that may have ended, until they are probed.
     ending_servers: BTreeMap<ServerId, EndingServer>,
     quarantine: QuarantineTable,
+    /// Groups that make no steps.
+    stalls: StallTable,
+    /// What was learned of the requests to each service.
+    models: BTreeMap<ServiceName, StartModel>,
+    /// Demands and shares of client accounts.
+    shares: ShareTable,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
     is_stopping: bool,
@@ -152,8 +199,14 @@
             budgets: BTreeMap::new(),
             reported_gateways: None,
             requests: BTreeMap::new(),
+            waiting: WaitingQueue::default(),
+            room_shares: RoomShares::new(),
+            traffic: BTreeMap::new(),
             ending_servers: BTreeMap::new(),
             quarantine: QuarantineTable::default(),
+            stalls: StallTable::default(),
+            models: BTreeMap::new(),
+            shares: ShareTable::default(),
             first_directory_at: None,
             is_stopping: false,
             rng: SmallRng::seed_from_u64(settings.seed),
@@ -204,6 +257,11 @@
         self.requests.len()
     }
 
+    /// Returns the number of requests that wait because all servers are full.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Returns the number of gateways, as agents report it or as assumed before any report.
     pub fn gateway_count(&self) -> u32 {
         self.reported_gateways.map_or(DEFAULT_GATEWAY_COUNT, |it| it.0.max(1))
@@ -214,7 +272,12 @@
 pub fn reduce(state: &mut RoutingState, now: Moment, event: RoutingEvent) -> Vec<RoutingEffect> {
     // Expired entries are dropped on every event, since the directory may not be read for a while.
     let mut effects = change_effects(state.servers.expire(now));
-    effects.extend(reduce_event(state, now, event));
+    effects.extend(change_effects(state.shares.take_changes()));
+    let scope = room_scope(state, &event);
+    let own_effects = reduce_event(state, now, event);
+    effects.extend(state.waiting.take_effects());
+    effects.extend(wake(state, scope, now));
+    effects.extend(own_effects);
     effects
 }
 
@@ -249,8 +312,15 @@
             state.servers.mark_store_rewound(now);
             change_effects(vec![RoutingChange::StoreRewound])
         }
-        RoutingEvent::LoadReported { address, report, gateway_count } => {
-            load_reported(state, address, report, gateway_count, now);
+        RoutingEvent::LoadReported { address, report, gateway_count, detail } => {
+            load_reported(state, address, (report, detail), gateway_count, now)
+        }
+        RoutingEvent::AnswerBegan(number) => {
+            answer_began(state, number, now);
+            Vec::new()
+        }
+        RoutingEvent::DemandReported { address, news, subscribers } => {
+            shares::demand_reported(state, address, news, subscribers, now);
             Vec::new()
         }
         RoutingEvent::RequestArrived(caller_request) => {
@@ -276,7 +346,7 @@
             Vec::new()
         }
         RoutingEvent::InputLifted(input) => update_effects(state.quarantine.lift(input)),
-        RoutingEvent::RequestEnded(number) => request_ended(state, number),
+        RoutingEvent::RequestEnded(number) => request_ended(state, number, now),
         RoutingEvent::StopRequested => {
             state.is_stopping = true;
             change_effects(vec![RoutingChange::Stopping])
@@ -307,6 +377,7 @@
     state.cold_limiters.retain(|id, _| servers.server(id).is_some());
     let listed: Vec<SocketAddr> = servers.servers().map(|it| it.record.address).collect();
     state.loads.retain(|address, load| load.outstanding > 0 || listed.contains(address));
+    state.room_shares.retain(|address, _| listed.contains(address));
 }
 
 fn update_subset(state: &mut RoutingState) {
@@ -323,21 +394,6 @@
     state.subset = services.into_iter().flat_map(subset_of).collect();
 }
 
-fn load_reported(
-    state: &mut RoutingState,
-    address: SocketAddr,
-    report: LoadReport,
-    gateway_count: u32,
-    now: Moment,
-) {
-    state.loads.entry(address).or_default().record_report(report, now);
-    let is_expired =
-        state.reported_gateways.is_none_or(|(_, at)| now.since(at) > GATEWAY_COUNT_WINDOW);
-    if is_expired || state.reported_gateways.is_some_and(|(max, _)| gateway_count >= max) {
-        state.reported_gateways = Some((gateway_count, now));
-    }
-}
-
 /// Merges what another gateway heard of servers' limits.
 fn limits_read(
     state: &mut RoutingState,
@@ -403,7 +459,12 @@
     let shared_parts =
         caller_request.shared_parts.iter().map(|it| InputDigest::of_part(&service, it)).collect();
     let content = InputDigest::of_request(&service, account.as_ref(), caller_request.content);
-    let request = RequestState {
+    let rank = catalog.rank_of(route, account.as_ref()).filter(|_| catalog.has_ranks(&service));
+    let wait_deadline =
+        if is_first_try { now } else { now.after(wait_limit(route, caller_timeout)) };
+    let mut request = RequestState {
+        work: TokenCount(0),
+        rank,
         request_id: caller_request.request_id,
         deadline: now.after(caller_timeout.min(route.timeout)),
         route: route.clone(),
@@ -411,6 +472,7 @@
         account,
         shared_parts,
         content,
+        size: caller_request.size,
         tried_servers: Vec::new(),
         failed_groups: Vec::new(),
         attempts_sent: 0,
@@ -418,18 +480,20 @@
         may_have_run: false,
         suspicion: Suspicion::None,
         was_lost: false,
-        wait_deadline: if is_first_try {
-            now
-        } else {
-            now.after(wait_limit(route, caller_timeout))
-        },
+        wait_deadline,
         is_waiting: false,
+        received_at: Moment(now.0.saturating_sub(micros(caller_request.waited))),
+        is_returned: !is_first_try,
+        latest_start: wait_deadline,
         current_attempt: None,
     };
+    state.models.entry(request.service.clone()).or_default().record_rank(request.rank);
+    request.work = shares::record_arrival(state, &request, caller_request.size, now);
     let gateway_count = state.gateway_count();
     let budget = budget_of(state, &request.service);
     budget.0.deposit(&budget.1, gateway_count);
     state.requests.insert(number, request);
+    record_arrival(state, number, now);
     place_request(state, number, now)
 }
 
@@ -470,32 +534,6 @@
     }
 }
 
-/// Returns how long a request that is not its caller's first try may wait for a server.
-fn wait_limit(route: &RouteRecord, caller_timeout: Duration) -> Duration {
-    let limit = caller_timeout.mul_f64(MAX_WAIT_FRACTION);
-    if route.kind.is_stream() { limit.min(MAX_STREAM_WAIT) } else { limit }
-}
-
-/// Handles a request for which no server is usable: makes it wait if it may, else refuses it.
-fn wait_or_refuse(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    code: RefusalCode,
-    now: Moment,
-) -> RoutingEffect {
-    let waiting_count = state.requests.values().filter(|it| it.is_waiting).count();
-    let service = state.requests.get(&number).map(|it| it.service.clone());
-    let is_recovering = service.is_some_and(|it| is_recovering(state, &it, now));
-    let eligible = state.requests.get_mut(&number).filter(|it| now < it.wait_deadline);
-    match eligible.filter(|_| is_recovering) {
-        Some(request) if request.is_waiting || waiting_count < MAX_WAITING => {
-            request.is_waiting = true;
-            RoutingEffect::Wait(number, WAIT_POLL_INTERVAL)
-        }
-        Some(_) | None => refuse(state, number, code, now),
-    }
-}
-
 fn budget_of<'a>(
     state: &'a mut RoutingState,
     service: &ServiceName,
@@ -520,11 +558,14 @@
     if state.quarantine.blocked_request(request.content).is_some() {
         return refuse(state, number, RefusalCode::HarmfulRequest, now);
     }
+    if has_expired(state, number, now) {
+        return refuse(state, number, RefusalCode::Overloaded, now);
+    }
     let choice = choose_server(state, request, now);
     match choice {
         (PlacementChoice::Server(id), rng) => {
             state.rng = rng;
-            start_attempt(state, number, &id, now)
+            start_in_order(state, number, &id, now)
         }
         (PlacementChoice::Resting(delay), rng) => {
             state.rng = rng;
@@ -532,10 +573,11 @@
         }
         (PlacementChoice::Full, rng) => {
             state.rng = rng;
-            refuse(state, number, RefusalCode::Overloaded, now)
+            wait_or_refuse_full(state, number, now)
         }
         (PlacementChoice::NoCandidate, rng) => {
             state.rng = rng;
+            state.waiting.remove(number);
             wait_or_refuse(state, number, RefusalCode::NoServer, now)
         }
     }
@@ -571,19 +613,34 @@
     let Some(record) = state.servers.server(id).map(|it| it.record.clone()) else {
         return refuse(state, number, RefusalCode::NoServer, now);
     };
+    let expected = state.requests.get(&number).and_then(|request| {
+        let load = state.loads.get(&record.address)?;
+        expect_first_event(state, request, (load, record.slots), now)
+    });
     let load = state.loads.entry(record.address).or_default();
     let estimate = load.estimate(gateway_count, now);
     load.begin_attempt();
+    use_share(state, record.address);
     state.cold_limiters.entry(id.clone()).or_default().record(now);
     let incarnation = (id.clone(), record.started_ms);
     state.limits.record_send(&incarnation, now);
     let Some(request) = state.requests.get_mut(&number) else {
         return RoutingEffect::Finished(number);
     };
+    shares::record_start(&mut state.shares, request, now);
     request.is_waiting = false;
     request.tried_servers.push(id.clone());
     let address = record.address;
-    request.current_attempt = Some(CurrentAttempt { incarnation, address, began_at: now });
+    let attempt = request.attempts_sent + request.connect_failures + 1;
+    request.current_attempt = Some(CurrentAttempt {
+        incarnation,
+        address,
+        attempt,
+        began_at: now,
+        has_begun: false,
+        timing: expected.map(|it| it.1),
+        is_ending: false,
+    });
     let spec = AttemptSpec {
         server: id.clone(),
         address: record.address,
@@ -593,8 +650,10 @@
         kind: request.route.kind,
         deadline: request.deadline,
         latency_objective: request.route.latency_objective,
-        attempt: request.attempts_sent + request.connect_failures + 1,
+        attempt,
         load: estimate,
+        first_event: expected.map(|it| it.0),
+        rank: request.rank,
         shared_parts: request.shared_parts.clone(),
         content: request.content,
     };
@@ -625,13 +684,35 @@
     // A caller that must not repeat its request, or whose request ends servers, gets no retry delay.
     let may_retry = !is_suspect && (!request.may_have_run || request.route.kind.is_idempotent());
     let is_full = code == RefusalCode::Overloaded;
+    if is_full {
+        state.shares.record_refusal(&request.service, now);
+    }
     let reason = if is_full { RetryReason::Full } else { RetryReason::Outage };
-    let (time_left, settings) = (request.deadline.since(now), state.settings.admission);
+    let (time_left, mut settings) = (request.deadline.since(now), state.settings.admission);
+    let mut backlog = Duration::ZERO;
+    let traffic = state.traffic.get(&request.service).filter(|_| is_full);
+    if let Some((rank, traffic)) = request.rank.zip(traffic) {
+        settings = settings.for_part(traffic.retry_fraction(rank, now));
+        backlog = backlog_wait(state, request, now).min(time_left.mul_f64(settings.max_wait));
+    }
     let delay = may_retry.then(|| retry_after(time_left, reason, &settings, &mut state.rng));
+    let delay = delay.map(|it| it.max(backlog));
+    note(state, number, AdmissionOutcome::Refused, now);
+    state.waiting.remove(number);
     RoutingEffect::Refuse(number, Refusal { retry_after: delay, ..refusal })
 }
 
-fn request_ended(state: &mut RoutingState, number: RequestNumber) -> Vec<RoutingEffect> {
+/// Returns a time in microseconds.
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn request_ended(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    leave(state, number, AdmissionOutcome::Abandoned, now);
     let Some(request) = state.requests.remove(&number) else { return Vec::new() };
     // The caller left while an attempt was in progress.
     if let Some(attempt) = request.current_attempt
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -5,7 +5,9 @@
 use rand::Rng;
 
 use super::{
-    CurrentAttempt, RequestState, RoutingState, budget_of, change_effects, place_request, refuse,
+    CurrentAttempt, RequestState, RoutingState, budget_of, change_effects,
+    pace::stream_ended,
+    place_request, refuse,
     suspects::{
         PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning, is_suspect,
         record_suspect,
@@ -27,7 +29,7 @@
 /// [`super::MAX_STREAM_WAIT`] because detecting the failure took time already.
 const FAILOVER_WAIT: Duration = Duration::from_millis(800);
 /// Remaining time below which another attempt cannot complete.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
+pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Longest wait for the probe of a server that may have ended.
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(400);
 /// Time over which gateways spread their return to a server that wanted no requests.
@@ -41,7 +43,11 @@
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
     let Some(attempt) = request.current_attempt.take() else { return Vec::new() };
-    let CurrentAttempt { incarnation: (id, _), address, .. } = attempt;
+    let CurrentAttempt { incarnation: (id, _), address, began_at, timing, .. } = attempt;
+    if result == AttemptResult::Answered && request.rank.is_some() {
+        let traffic = state.traffic.entry(request.service.clone()).or_default();
+        traffic.record_hold(now.since(began_at));
+    }
     request.may_have_run |= result.may_have_run();
     let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
     match result {
@@ -61,6 +67,10 @@
         .collect();
     effects.extend(record_suspect(state, number, (&id, address), (result, progress), now));
     if result == AttemptResult::Answered {
+        let service = state.requests.get(&number).map(|it| it.service.clone());
+        if let (Some(service), Some(timing)) = (service, timing) {
+            stream_ended(state, &service, timing, now);
+        }
         effects.extend(answer_progressed(state, number, progress, now));
     }
     effects.push(next_effect(state, number, (result, progress), now));
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -4,7 +4,13 @@
 
 use rand::rngs::SmallRng;
 
-use super::{RequestState, RoutingState};
+use super::{
+    RequestState, RoutingState,
+    pace::{fits_memory, load_factor},
+    room_shares::{has_share, needs_share},
+    stalls::GroupProgress,
+    waiting::request_admission,
+};
 use crate::{
     routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
     units::{FailureDomain, GroupName, Moment, ServiceName},
@@ -12,6 +18,9 @@
 
 /// Time after the first directory read in which some agents may not have reported yet.
 const REPORTS_WARM_UP: Duration = Duration::from_millis(1_500);
+/// Pace factor from which a server gets requests only if no other has room: its steps are as long as
+/// the longest pause allowed.
+const MAX_PACE_FACTOR: f64 = 4.0 / 3.0;
 
 /// Chooses a server for an attempt of the request. Returns the random number generator to keep.
 pub(super) fn choose_server(
@@ -45,6 +54,7 @@
     let in_other_group = |it: &&&KnownServer| {
         it.record.group.as_ref().is_none_or(|it| !request.failed_groups.contains(&it.name))
     };
+    let is_moving = |it: &&&KnownServer| group_progress(state, it, now) == GroupProgress::Moving;
     // Preferences, not requirements: each filter applies only if it leaves at least one server.
     let mut chosen: Vec<&KnownServer> = usable.iter().filter(unpaused).copied().collect();
     if chosen.is_empty() {
@@ -54,6 +64,10 @@
     if !reachable_servers.is_empty() {
         chosen = reachable_servers;
     }
+    let moving: Vec<&KnownServer> = chosen.iter().filter(is_moving).copied().collect();
+    if !moving.is_empty() {
+        chosen = moving;
+    }
     let other_groups: Vec<&KnownServer> = chosen.iter().filter(in_other_group).copied().collect();
     if !other_groups.is_empty() {
         chosen = other_groups;
@@ -64,19 +78,44 @@
     if !slotted.is_empty() {
         chosen = slotted;
     }
-    let candidates: Vec<Candidate<'_>> = chosen
+    if needs_share(state, request, now) {
+        let is_any = !chosen.is_empty();
+        chosen.retain(|it| has_share(state, it, now));
+        if is_any && chosen.is_empty() {
+            return (PlacementChoice::Full, state.rng.clone());
+        }
+    }
+    let candidates: Vec<(Candidate<'_>, bool)> = chosen
         .iter()
-        .map(|it| Candidate {
-            id: &it.record.id,
-            load: state
-                .loads
-                .get(&it.record.address)
-                .map_or(0.0, |load| load.estimate(gateway_count, now)),
-            slots: it.record.slots,
+        .map(|it| {
+            let load = state.loads.get(&it.record.address);
+            let pace_factor = load_factor(load, request, now);
+            let candidate = Candidate {
+                id: &it.record.id,
+                load: load.map_or(0.0, |load| load.estimate(gateway_count, now) / load.pace_part()),
+                slots: it.record.slots,
+                pace_factor,
+            };
+            (candidate, pace_factor < MAX_PACE_FACTOR && fits_memory(load, request, now))
         })
         .collect();
     let mut rng = state.rng.clone();
-    let choice = choose_candidate(&candidates, &state.settings.admission, &mut rng);
+    let admission = request_admission(state, request, now);
+    // What a slow server, or one without memory, can take is better than a refusal.
+    let suitable: Vec<Candidate<'_>> =
+        candidates.iter().filter(|it| it.1).map(|it| it.0.clone()).collect();
+    let choice = match choose_candidate(&suitable, &admission, &mut rng) {
+        PlacementChoice::Full | PlacementChoice::NoCandidate
+            if suitable.len() < candidates.len() =>
+        {
+            let all: Vec<Candidate<'_>> = candidates.into_iter().map(|it| it.0).collect();
+            choose_candidate(&all, &admission, &mut rng)
+        }
+        choice @ (PlacementChoice::Server(_)
+        | PlacementChoice::Full
+        | PlacementChoice::Resting(_)
+        | PlacementChoice::NoCandidate) => choice,
+    };
     (choice, rng)
 }
 
@@ -130,9 +169,15 @@
     reporting == 0 && silent > 1 || unreachable > 1 && unreachable * 2 >= total
 }
 
+/// Returns what agents report of the steps of the server's group.
+fn group_progress(state: &RoutingState, server: &KnownServer, now: Moment) -> GroupProgress {
+    let group = server.record.group.as_ref();
+    group.map_or(GroupProgress::Moving, |it| state.stalls.progress(&it.name, now))
+}
+
 /// Whether the server's group is open and, if the server is cold, its rate limit allows one more
 /// request.
-fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
+pub(super) fn can_accept(state: &RoutingState, server: &KnownServer, now: Moment) -> bool {
     let record = &server.record;
     let report = state.loads.get(&record.address).and_then(|it| it.report(now));
     let is_listed_open = record.group.as_ref().is_none_or(|it| it.is_open);
@@ -140,6 +185,10 @@
     if !report.map_or(is_listed_open, |it| it.is_open) {
         return false;
     }
+    match group_progress(state, server, now) {
+        GroupProgress::Stuck { .. } => return false,
+        GroupProgress::Moving | GroupProgress::Paused => {}
+    }
     if now >= server.cold_until {
         return true;
     }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -5,6 +5,8 @@
 
 mod support;
 
+mod account_shares;
+mod admission_order;
 mod bad_input;
 mod cold_server;
 mod config_race;
@@ -20,6 +22,7 @@
 mod gateway_path;
 mod gateway_routing;
 mod graceful_stop;
+mod held_memory;
 mod limit_exploration;
 mod map_rollout;
 mod map_switch;
@@ -34,7 +37,12 @@
 mod run_once;
 mod server_limits;
 mod server_notices;
+mod shift_rollout;
+mod server_pace;
 mod slow_caller;
+mod stalled_groups;
+mod start_estimate;
+mod step_timer;
 mod store_rewind;
 mod whole_answer;
 mod whole_path;
