--- a/src/rank_agent/load_reports.rs
+++ b/src/rank_agent/load_reports.rs
@@ -55,10 +55,9 @@
 
     /// Returns the subscribers whose turn it is to get the list of gateways, and the others.
     fn split_subscribers(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let turn = self.load_round % GATEWAY_LIST_ROUNDS;
         let numbered = self.gateways.keys().copied().enumerate();
         let (with_list, without_list): (Vec<_>, Vec<_>) =
-            numbered.partition(|(n, _)| n % GATEWAY_LIST_ROUNDS == turn);
+            numbered.partition(|(n, _)| gets_list(*n, self.load_round));
         let addresses = |it: Vec<(usize, SocketAddr)>| it.into_iter().map(|it| it.1).collect();
         (addresses(with_list), addresses(without_list))
     }
@@ -68,6 +67,11 @@
     }
 }
 
+/// Whether the subscriber with this number gets the list of gateways with this report.
+fn gets_list(subscriber: usize, round: usize) -> bool {
+    subscriber % GATEWAY_LIST_ROUNDS == round % GATEWAY_LIST_ROUNDS
+}
+
 /// Returns what an agent reports of its engine beside the numbers of requests.
 fn load_detail(report: &RankReport, steps: &StepTimer, now: Moment) -> LoadDetail {
     let micros = |it: Duration| u32::try_from(it.as_micros()).unwrap_or(u32::MAX);
@@ -79,3 +83,26 @@
         max_tokens: report.max_tokens,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    /// All lists at once kept the agent's link busy for longer than a step, and the orders of a map
+    /// rollout waited behind them.
+    #[gtest]
+    fn lists_do_not_fill_the_link_at_once() {
+        for subscribers in [1, 9, 58, 99] {
+            let mut lists = vec![0; subscribers];
+            for round in 0..GATEWAY_LIST_ROUNDS {
+                let getters: Vec<usize> =
+                    (0..subscribers).filter(|it| gets_list(*it, round)).collect();
+                expect_that!(getters.len(), le(subscribers.div_ceil(GATEWAY_LIST_ROUNDS)));
+                getters.into_iter().for_each(|it| lists[it] += 1);
+            }
+            expect_that!(lists, each(eq(&1)));
+        }
+    }
+}
