--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -2,9 +2,12 @@
 //! waits or refuses.
 
 mod attempts;
+mod directory;
 mod eligibility;
+mod limits;
 mod loads;
 mod pace;
+mod refusals;
 mod room_shares;
 mod shares;
 mod stalls;
@@ -22,32 +25,34 @@
 
 use super::{
     AdmissionOutcome, AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec,
-    BudgetSettings, CatalogSource, ColdLimiter, GatewayLocation, Incarnation, KnownServer,
-    LimitReport, LimitTable, PlacementChoice, QuarantineTable, RankTraffic, RequestNumber,
-    RequestSize, RetryReason, RouteCatalog, RouteRecord, RoutingChange, RoutingEffect,
-    RoutingEvent, RoutingRequest, SETTLED_EVENTS, SenderSet, ServerLoad, ServerTable, ShareTable,
-    StartModel, choose_subset, retry_after,
+    BudgetSettings, CatalogSource, ColdLimiter, Incarnation, KnownServer, LimitTable,
+    PlacementChoice, QuarantineTable, RankTraffic, RequestNumber, RequestSize, RouteCatalog,
+    RouteRecord, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
+    ServerLoad, ServerTable, ShareTable, StartModel,
 };
 use crate::{
-    core::{Refusal, RefusalCode, RunOutcome},
+    core::{Refusal, RefusalCode},
     units::{
         ClientAccount, FailureDomain, GroupName, InputDigest, Moment, RequestId, ServerId,
         ServiceName, TokenCount, UrgencyRank,
     },
 };
-use attempts::{attempt_ended, fail_over, server_noticed};
+use attempts::{attempt_ended, server_noticed};
+use directory::{prune_servers, update_subset};
 use eligibility::{choose_server, has_usable, is_isolated};
+use limits::{limits_read, share_limits};
 use loads::load_reported;
 use pace::{answer_began, expect_first_event};
+use refusals::{refuse, refuse_until_rested};
 use room_shares::{RoomShares, use_share};
 use stalls::StallTable;
 use suspects::{
-    EndingServer, PROBE_POLL_INTERVAL, Suspicion, answer_progressed, quarantine_read,
-    server_probed, update_effects,
+    EndingServer, Suspicion, answer_progressed, quarantine_read, resolve_suspicion, server_probed,
+    update_effects,
 };
 use waiting::{
-    WaitingQueue, backlog_wait, has_expired, leave, note, record_arrival, room_scope,
-    start_in_order, wait_limit, wait_or_refuse, wait_or_refuse_full, wake,
+    WaitingQueue, has_expired, leave, record_arrival, room_scope, start_in_order, wait_limit,
+    wait_or_refuse, wait_or_refuse_full, wake,
 };
 
 /// Number of gateways assumed until an agent reports how many subscribe to it.
@@ -368,61 +373,6 @@
     vec![RoutingEffect::StateChanged(RoutingChange::Catalog { version, source })]
 }
 
-fn prune_servers(state: &mut RoutingState, now: Moment) {
-    let servers = &state.servers;
-    let is_listed = |(id, started_ms): &Incarnation| {
-        servers.server(id).is_some_and(|it| it.record.started_ms == *started_ms)
-    };
-    state.limits.prune(is_listed, now);
-    state.cold_limiters.retain(|id, _| servers.server(id).is_some());
-    let listed: Vec<SocketAddr> = servers.servers().map(|it| it.record.address).collect();
-    state.loads.retain(|address, load| load.outstanding > 0 || listed.contains(address));
-    state.room_shares.retain(|address, _| listed.contains(address));
-}
-
-fn update_subset(state: &mut RoutingState) {
-    let RoutingSettings { address, failure_domain, .. } = &state.settings;
-    let services: BTreeSet<&ServiceName> =
-        state.servers.servers().map(|it| &it.record.service).collect();
-    let subset_of = |service: &ServiceName| {
-        let usable: Vec<&KnownServer> = state.servers.usable(service).collect();
-        let ids: BTreeSet<&ServerId> = usable.iter().map(|it| &it.record.id).collect();
-        let listed = state.servers.servers().filter(|it| it.record.service == *service);
-        let unusable = listed.filter(|it| !ids.contains(&it.record.id)).collect();
-        choose_subset(usable, unusable, *address, failure_domain)
-    };
-    state.subset = services.into_iter().flat_map(subset_of).collect();
-}
-
-/// Merges what another gateway heard of servers' limits.
-fn limits_read(
-    state: &mut RoutingState,
-    reports: Vec<LimitReport>,
-    now: Moment,
-) -> Vec<RoutingEffect> {
-    let mut effects = Vec::new();
-    let mut has_news = false;
-    for report in reports {
-        let domain = state.servers.server(&report.server).map(|it| &it.record.failure_domain);
-        let update = state.limits.merge(report, domain, now, &mut state.rng);
-        has_news |= update.has_news;
-        effects.extend(change_effects(update.changes));
-    }
-    effects.extend(has_news.then_some(RoutingEffect::ShareRecords));
-    effects
-}
-
-/// Shares servers' limits between these gateways.
-fn share_limits(state: &mut RoutingState, gateways: Vec<GatewayLocation>, now: Moment) {
-    let own = gateways.iter().find(|it| it.address == state.settings.address).cloned();
-    // Until an agent has reported, nobody knows how many others there are.
-    let own = own.filter(|_| state.reported_gateways.is_some());
-    let senders = SenderSet { gateways, own, count: state.gateway_count() };
-    let servers = &state.servers;
-    let domain_of = |it: &Incarnation| servers.server(&it.0).map(|it| &it.record.failure_domain);
-    state.limits.set_senders(senders, domain_of, now);
-}
-
 fn request_arrived(
     state: &mut RoutingState,
     caller_request: RoutingRequest,
@@ -509,31 +459,6 @@
     resolve_suspicion(state, number, now)
 }
 
-/// Goes on with a request that waited, for a server or for the probe of its last server.
-fn resolve_suspicion(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    now: Moment,
-) -> RoutingEffect {
-    let Some(request) = state.requests.get_mut(&number) else {
-        return RoutingEffect::Finished(number);
-    };
-    match request.suspicion {
-        Suspicion::None => place_request(state, number, now),
-        Suspicion::Probing { until } if now < until => {
-            RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
-        }
-        // Without a response nobody knows whether the server has ended.
-        Suspicion::Probing { .. } | Suspicion::ServerEnded => {
-            refuse(state, number, RefusalCode::ServerEnded, now)
-        }
-        Suspicion::ServerRuns => {
-            request.suspicion = Suspicion::None;
-            fail_over(state, number, now)
-        }
-    }
-}
-
 fn budget_of<'a>(
     state: &'a mut RoutingState,
     service: &ServiceName,
@@ -583,26 +508,6 @@
     }
 }
 
-/// Refuses a request because all servers want no requests. The caller is told when the first of
-/// them takes requests again, if it waits that long.
-fn refuse_until_rested(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    delay: Duration,
-    now: Moment,
-) -> RoutingEffect {
-    let deadline = state.requests.get(&number).map(|it| it.deadline);
-    let max_wait = state.settings.admission.max_wait;
-    match refuse(state, number, RefusalCode::Overloaded, now) {
-        RoutingEffect::Refuse(number, Refusal { code, outcome, retry_after: Some(drawn) }) => {
-            let longest = deadline.map_or(drawn, |it| it.since(now).mul_f64(max_wait));
-            let retry_after = Some(drawn.max(delay).min(longest));
-            RoutingEffect::Refuse(number, Refusal { code, outcome, retry_after })
-        }
-        effect => effect,
-    }
-}
-
 fn start_attempt(
     state: &mut RoutingState,
     number: RequestNumber,
@@ -660,48 +565,6 @@
     RoutingEffect::Attempt(number, Box::new(spec))
 }
 
-fn refuse(
-    state: &mut RoutingState,
-    number: RequestNumber,
-    code: RefusalCode,
-    now: Moment,
-) -> RoutingEffect {
-    let Some(request) = state.requests.get(&number) else {
-        return RoutingEffect::Finished(number);
-    };
-    let suspect_codes =
-        [RefusalCode::ServerEnded, RefusalCode::HarmfulPrompt, RefusalCode::HarmfulRequest];
-    let is_suspect = suspect_codes.contains(&code);
-    let refusal = match request.may_have_run {
-        // The request may have run, so the refusal must not promise that it has not.
-        true if code == RefusalCode::DeadlinePassed => {
-            Refusal::unknown(RefusalCode::DeadlineDuringRun)
-        }
-        true if is_suspect => Refusal { outcome: RunOutcome::Ran, ..Refusal::unknown(code) },
-        true => Refusal::unknown(RefusalCode::OutcomeUnknown),
-        false => Refusal::not_run(code),
-    };
-    // A caller that must not repeat its request, or whose request ends servers, gets no retry delay.
-    let may_retry = !is_suspect && (!request.may_have_run || request.route.kind.is_idempotent());
-    let is_full = code == RefusalCode::Overloaded;
-    if is_full {
-        state.shares.record_refusal(&request.service, now);
-    }
-    let reason = if is_full { RetryReason::Full } else { RetryReason::Outage };
-    let (time_left, mut settings) = (request.deadline.since(now), state.settings.admission);
-    let mut backlog = Duration::ZERO;
-    let traffic = state.traffic.get(&request.service).filter(|_| is_full);
-    if let Some((rank, traffic)) = request.rank.zip(traffic) {
-        settings = settings.for_part(traffic.retry_fraction(rank, now));
-        backlog = backlog_wait(state, request, now).min(time_left.mul_f64(settings.max_wait));
-    }
-    let delay = may_retry.then(|| retry_after(time_left, reason, &settings, &mut state.rng));
-    let delay = delay.map(|it| it.max(backlog));
-    note(state, number, AdmissionOutcome::Refused, now);
-    state.waiting.remove(number);
-    RoutingEffect::Refuse(number, Refusal { retry_after: delay, ..refusal })
-}
-
 /// Returns a time in microseconds.
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -6,8 +6,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{RequestState, RoutingState};
+use super::{RequestState, RoutingState, attempts::fail_over, place_request, refuse};
 use crate::{
+    core::RefusalCode,
     routing::{
         AnswerProgress, AttemptResult, CrashReport, QuarantineUpdate, RequestNumber, RoutingChange,
         RoutingEffect, SETTLED_EVENTS, SuspectInput,
@@ -184,3 +185,28 @@
     let changes = update.changes.into_iter().map(RoutingEffect::StateChanged);
     changes.chain(share).collect()
 }
+
+/// Goes on with a request that waited, for a server or for the probe of its last server.
+pub(super) fn resolve_suspicion(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    now: Moment,
+) -> RoutingEffect {
+    let Some(request) = state.requests.get_mut(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    match request.suspicion {
+        Suspicion::None => place_request(state, number, now),
+        Suspicion::Probing { until } if now < until => {
+            RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
+        }
+        // Without a response nobody knows whether the server has ended.
+        Suspicion::Probing { .. } | Suspicion::ServerEnded => {
+            refuse(state, number, RefusalCode::ServerEnded, now)
+        }
+        Suspicion::ServerRuns => {
+            request.suspicion = Suspicion::None;
+            fail_over(state, number, now)
+        }
+    }
+}
