Leave out relief rounds where one copy takes longer than they do

Cause: with 0.148 s a copy, relief rounds copy one expert a rank each; maps take longer and more is copied in all. Change: there the first round after a shift has the usual budget.

--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -365,7 +365,10 @@
         }
         self.next_round_at = now.after(ROUND_INTERVAL);
         let Some(map) = self.group_map() else { return Vec::new() };
-        let budget = if self.is_relief_due { RELIEF_COPY_BUDGET } else { COPY_BUDGET };
+        // Where a single copy takes longer, more rounds would only delay the map.
+        let fits_relief = layout.copy_seconds <= RELIEF_COPY_BUDGET.as_secs_f64();
+        let has_relief = self.is_relief_due && fits_relief;
+        let budget = if has_relief { RELIEF_COPY_BUDGET } else { COPY_BUDGET };
         let settings = RoundSettings {
             rank_slots: layout.rank_slots,
             max_new: layout.max_new.min(MAX_NEW_PER_LAYER),
@@ -383,7 +386,7 @@
             return Vec::new();
         };
         let version = self.start_rollout(report, place, map, round.map, now);
-        let is_relief = std::mem::take(&mut self.is_relief_due);
+        let is_relief = std::mem::take(&mut self.is_relief_due) && has_relief;
         self.active.iter_mut().for_each(|it| it.is_relief = is_relief);
         let event = RolloutEvent::RoundPlanned {
             version,
--- a/tests/popularity_shift.rs
+++ b/tests/popularity_shift.rs
@@ -263,3 +263,29 @@
         expect_that!(effects, contains(eq(&RolloutEffect::RequestHold(StepNumber(held)))));
     }
 }
+
+/// Where a copy takes longer than a relief round, the first round copies as much as the usual ones.
+#[gtest]
+fn slow_copies_bring_no_relief_round() {
+    let copies_with = |copy_seconds| {
+        let mut coordinator = Coordinator::new();
+        coordinator.layers = 2;
+        coordinator.state.set_layout(ExpertLayout {
+            layers: 2,
+            experts: EXPERTS,
+            rank_slots: 6,
+            max_new: 2,
+            copy_seconds,
+        });
+        coordinator.run_interval(&[1_000; 2 * EXPERTS]);
+        let layer = (0..EXPERTS).map(|it| if [0, 4].contains(&it) { 9_000 } else { 100 });
+        let favoured: Vec<u64> = layer.clone().chain(layer).collect();
+        let effects = [&favoured; 3].map(|it| coordinator.run_interval(it)).concat();
+        effects.iter().find_map(|it| match it {
+            RolloutEffect::Log(RolloutEvent::RoundPlanned { copies, .. }) => Some(*copies),
+            _ => None,
+        })
+    };
+    expect_that!(copies_with(0.14), some(gt(usize::from(RANKS))));
+    expect_that!(copies_with(0.1), some(le(usize::from(RANKS))));
+}
