Answer shifts as before where copies of experts are slow

Cause: with 0.148 s a copy, a round abandoned at a shift has cost its copies already, and the next one costs them again. Change: rounds are abandoned, and relief rounds planned, only where a copy takes at most 0.1 s.

--- a/src/experts/rollout.rs
+++ b/src/experts/rollout.rs
@@ -74,6 +74,8 @@
 /// Number of further intervals to wait for after a shift before a map is planned. The interval in
 /// which the shift occurs mixes old and new popularity.
 const SETTLING_INTERVALS: u32 = 1;
+/// Time that a rank may spend on the copies of the first round after a shift of popularity.
+const RELIEF_COPY_BUDGET: Duration = Duration::from_millis(100);
 
 /// The rollout in progress, as one agent knows it.
 #[derive(Clone, Debug)]
@@ -347,8 +349,10 @@
         let Some(distance) = self.blend_interval() else { return Vec::new() };
         let distance = to_milli(distance);
         let shifted = RolloutEffect::Log(RolloutEvent::PopularityShifted { distance });
-        let superseded =
-            self.active.take_if(|it| it.requested_step.is_none() && it.is_replaceable());
+        let has_quick_copies = self.has_quick_copies();
+        let superseded = self
+            .active
+            .take_if(|it| has_quick_copies && it.requested_step.is_none() && it.is_replaceable());
         self.superseded = superseded.as_ref().map(|it| it.version).or(self.superseded);
         let superseded = superseded.map(|it| RolloutEvent::Superseded(it.version));
         [shifted].into_iter().chain(superseded.map(RolloutEffect::Log)).collect()
@@ -386,10 +390,16 @@
             return None;
         }
         self.settling_intervals = SETTLING_INTERVALS;
-        self.is_relief_due = true;
+        self.is_relief_due = self.has_quick_copies();
         Some(distance)
     }
 
+    /// Whether copies are quick enough for small rounds. Otherwise a round in progress is finished after
+    /// a shift: its copies took long, and a new one costs them again.
+    fn has_quick_copies(&self) -> bool {
+        self.layout.is_some_and(|it| it.copy_seconds <= RELIEF_COPY_BUDGET.as_secs_f64())
+    }
+
     /// Returns the skew of the map in use under the smoothed popularity, or `None` if statuses are
     /// missing.
     pub fn skew(&self) -> Option<f64> {
--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -6,8 +6,8 @@
 
 use super::{
     AGENT_SILENCE_TIMEOUT, MapRollout, MapUpdate, MemberStatus, OrderKind, PREPARE_TIMEOUT,
-    RankOrder, RankReport, RolloutEffect, RolloutEvent, RolloutProgress, RolloutState, STATUS_TTL,
-    relay_children, to_milli,
+    RELIEF_COPY_BUDGET, RankOrder, RankReport, RolloutEffect, RolloutEvent, RolloutProgress,
+    RolloutState, STATUS_TTL, relay_children, to_milli,
 };
 use crate::{
     experts::{GroupMap, MapVersion, RoundPlan, RoundSettings, StepNumber, plan_paced_round},
@@ -39,8 +39,6 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 /// Time that a rank may spend on the sequential copies of one round.
 const COPY_BUDGET: Duration = Duration::from_millis(300);
-/// Time that a rank may spend on the copies of the first round after a shift of popularity.
-const RELIEF_COPY_BUDGET: Duration = Duration::from_millis(100);
 /// Maximum number of copies to a rank in one round, however fast they are.
 const MAX_COPIES_PER_RANK: usize = 16;
 /// Maximum number of copies per layer to a rank in one round.
@@ -365,10 +363,7 @@
         }
         self.next_round_at = now.after(ROUND_INTERVAL);
         let Some(map) = self.group_map() else { return Vec::new() };
-        // Where a single copy takes longer, more rounds would only delay the map.
-        let fits_relief = layout.copy_seconds <= RELIEF_COPY_BUDGET.as_secs_f64();
-        let has_relief = self.is_relief_due && fits_relief;
-        let budget = if has_relief { RELIEF_COPY_BUDGET } else { COPY_BUDGET };
+        let budget = if self.is_relief_due { RELIEF_COPY_BUDGET } else { COPY_BUDGET };
         let settings = RoundSettings {
             rank_slots: layout.rank_slots,
             max_new: layout.max_new.min(MAX_NEW_PER_LAYER),
@@ -386,7 +381,7 @@
             return Vec::new();
         };
         let version = self.start_rollout(report, place, map, round.map, now);
-        let is_relief = std::mem::take(&mut self.is_relief_due) && has_relief;
+        let is_relief = std::mem::take(&mut self.is_relief_due);
         self.active.iter_mut().for_each(|it| it.is_relief = is_relief);
         let event = RolloutEvent::RoundPlanned {
             version,
