--- a/src/experts/rollout/coordinator.rs
+++ b/src/experts/rollout/coordinator.rs
@@ -6,8 +6,8 @@
 
 use super::{
     AGENT_SILENCE_TIMEOUT, MapRollout, MapUpdate, MemberStatus, OrderKind, PREPARE_TIMEOUT,
-    RankOrder, RankReport, RolloutEffect, RolloutEvent, RolloutProgress, RolloutState, STATUS_TTL,
-    relay_children, to_milli,
+    RELIEF_COPY_BUDGET, RankOrder, RankReport, RolloutEffect, RolloutEvent, RolloutProgress,
+    RolloutState, STATUS_TTL, relay_children, to_milli,
 };
 use crate::{
     experts::{GroupMap, MapVersion, RoundPlan, RoundSettings, StepNumber, plan_paced_round},
@@ -39,8 +39,6 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 /// Time that a rank may spend on the sequential copies of one round.
 const COPY_BUDGET: Duration = Duration::from_millis(300);
-/// Time that a rank may spend on the copies of the first round after a shift of popularity.
-const RELIEF_COPY_BUDGET: Duration = Duration::from_millis(100);
 /// Maximum number of copies to a rank in one round, however fast they are.
 const MAX_COPIES_PER_RANK: usize = 16;
 /// Maximum number of copies per layer to a rank in one round.
