Let requests that can still be on time go before returned ones of their rank

Cause: after an outage, and while one of two groups is left, callers that had been refused waited at the front of their rank. Change: within a rank, first tries go before returned requests, also past the queue, and only first tries gain ranks by waiting. The expected order of waiting_requests_begin_in_order is the new one; it fixes the whole order as before.

--- a/src/routing/state/waiting.rs
+++ b/src/routing/state/waiting.rs
@@ -50,12 +50,16 @@
 type WaitingOrder = (u8, bool, Moment, RequestNumber);
 
 impl WaitingEntry {
+    /// Requests that can still be on time go before those of their rank that cannot. Aging serves the
+    /// former only: it would take slots from requests that need them now.
     fn order(&self, now: Moment) -> WaitingOrder {
+        if self.is_returned {
+            return (self.rank.0, true, self.latest_start, self.number);
+        }
         let aging_part = self.latest_start.since(self.since) / AGING_PARTS;
         let waited = now.since(self.since).as_micros();
         let gained = u8::try_from(waited / aging_part.as_micros().max(1)).unwrap_or(u8::MAX);
-        let rank = self.rank.0.saturating_sub(gained);
-        (rank, !self.is_returned, self.latest_start, self.number)
+        (self.rank.0.saturating_sub(gained), false, self.latest_start, self.number)
     }
 }
 
@@ -245,8 +249,10 @@
     let Some(rank) = request.rank else { return start_attempt(state, number, id, now) };
     let entries = &state.waiting.entries;
     let is_queued = entries.iter().any(|it| it.number == number);
-    let goes_ahead =
-        |it: &WaitingEntry| it.service == request.service && it.rank <= rank && !is_queued;
+    let own_order = (rank, request.is_returned);
+    let goes_ahead = |it: &WaitingEntry| {
+        it.service == request.service && (it.rank, it.is_returned) <= own_order && !is_queued
+    };
     if now < request.latest_start
         && request.attempts_sent == 0
         && entries.len() < MAX_WAITING
