--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -75,7 +75,7 @@
             let sent_at = started.elapsed().as_millis();
             let mut longest_gap = Duration::ZERO;
             let mut read = || -> std::io::Result<(u16, u64, bool)> {
-                client.send_stream_request(&id)?;
+                client.send_stream_request(&id, harness::PARTS)?;
                 let status = client.read_head()?.status;
                 let (mut events, mut last) = (0, Instant::now());
                 loop {
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -73,7 +73,8 @@
             thread::sleep(Duration::from_millis(SENT_MS[n]).saturating_sub(started.elapsed()));
             let id = format!("stream-{n}");
             let sent_at = started.elapsed().as_millis();
-            let answer = client.send_stream_request(&id).and_then(|()| client.read());
+            let answer =
+                client.send_stream_request(&id, harness::PARTS).and_then(|()| client.read());
             let ended_at = started.elapsed().as_millis();
             let was_passed_on = passed_on.lock().unwrap().contains(&id);
             let (seen, is_whole) = match answer {
--- a/review/standins/fragile.rs
+++ b/review/standins/fragile.rs
@@ -155,7 +155,7 @@
     let record = record.clone();
     thread::spawn(move || {
         let answer = Client::connect(listen).and_then(|mut it| {
-            it.send_stream_request_with(&id, &parts)?;
+            it.send_stream_request(&id, &parts)?;
             it.read()
         });
         let (status, is_whole) = answer.map_or((0, false), |it| (it.status, it.is_whole));
--- a/review/standins/harness.rs
+++ b/review/standins/harness.rs
@@ -6,7 +6,7 @@
     collections::BTreeMap,
     fs,
     io::{self, Read, Write},
-    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Condvar, Mutex},
@@ -263,15 +263,14 @@
     TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
 }
 
-/// Returns a UDP port that is free on all loopback addresses.
+/// Returns a free UDP port.
 pub fn free_udp_port() -> u16 {
-    UdpSocket::bind("0.0.0.0:0").unwrap().local_addr().unwrap().port()
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
 }
 
 /// One process of the project, started with the command of the deploy file.
 pub struct Daemon {
     child: Child,
-    folder: PathBuf,
     pub listen: SocketAddr,
     pub ready: SocketAddr,
 }
@@ -314,17 +313,6 @@
         Self::start("deploy/gateway.json.tmpl", machine, &values, temporary, (listen, ready))
     }
 
-    /// Starts the rank agent beside a model server.
-    pub fn rank_agent(
-        machine: &Machine<'_>,
-        app: SocketAddr,
-        service: &str,
-        temporary: &PathBuf,
-    ) -> Self {
-        let values = [("{{app}}", app.to_string()), ("{{service}}", service.to_owned())];
-        Self::start("deploy/rank-agent.json.tmpl", machine, &values, temporary, (app, app))
-    }
-
     fn start(
         template: &str,
         machine: &Machine<'_>,
@@ -358,7 +346,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("target/release/alderbayd, built as the deploy file says");
-        Self { child, folder, listen, ready }
+        Self { child, listen, ready }
     }
 
     pub fn signal(&self, name: &str) {
@@ -380,14 +368,6 @@
         }
         false
     }
-
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|it| it.is_some())
-    }
 }
 
 /// An answer as a client sees it.
@@ -491,10 +471,6 @@
         self.send(method, path, headers, body)?;
         self.read()
     }
-
-    pub fn close(&self) {
-        let _ = self.stream.shutdown(Shutdown::Both);
-    }
 }
 
 /// A temporary folder, removed at the end.
@@ -514,6 +490,9 @@
     }
 }
 
+/// Parts of the prompt of a request without a session.
+pub const PARTS: &str = "5c1e07a2:40,e4402b7d:600";
+
 /// Key of the tenant in the manifests of the cases.
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
@@ -568,9 +547,19 @@
 }
 
 impl Client {
-    /// Sends a request to the streaming route.
-    pub fn send_stream_request(&mut self, id: &str) -> io::Result<()> {
-        self.send_stream_request_with(id, "5c1e07a2:40,e4402b7d:600")
+    /// Sends a request to the streaming route with these parts of its prompt.
+    pub fn send_stream_request(&mut self, id: &str, parts: &str) -> io::Result<()> {
+        let authorization = format!("Token {KEY}");
+        let headers = [
+            ("Host", "ficu95.example"),
+            ("Request-Id", id),
+            ("Model", "m"),
+            ("Token-Counts", "640,360"),
+            ("Prompt-Prefix", parts),
+            ("Time-Budget-Ms", "8000"),
+            ("Authorization", authorization.as_str()),
+        ];
+        self.send("POST", "/lohu930/2f", &headers, id.as_bytes())
     }
 
     /// Opens a channel and uses it once: a path without a route gets 404.
@@ -614,73 +603,3 @@
         self.call(method, "/puxa403/2f", &headers, body)
     }
 }
-
-/// A proxy between a machine and the store, whose open channels can go silent for good.
-#[derive(Clone)]
-pub struct Link {
-    pub address: SocketAddr,
-    /// Number of times that the open channels went silent. A channel belongs to the round in which
-    /// it was opened, and passes nothing on after that.
-    round: Arc<Mutex<u64>>,
-}
-
-impl Link {
-    pub fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("proxy address");
-        let address = listener.local_addr().unwrap();
-        let round = Arc::new(Mutex::new(0));
-        let current = round.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming() {
-                let Ok(near) = stream else { continue };
-                let Ok(far) = TcpStream::connect(target) else { continue };
-                let opened = *current.lock().unwrap();
-                for (from, to) in [(&near, &far), (&far, &near)] {
-                    let _ = to.set_nodelay(true);
-                    let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
-                    let current = current.clone();
-                    thread::spawn(move || pass_on(from, to, || *current.lock().unwrap() == opened));
-                }
-            }
-        });
-        Self { address, round }
-    }
-
-    pub fn silence_open_channels(&self) {
-        *self.round.lock().unwrap() += 1;
-    }
-}
-
-fn pass_on(mut from: TcpStream, mut to: TcpStream, is_open: impl Fn() -> bool) {
-    let mut buffer = vec![0; 64 << 10];
-    loop {
-        let length = from.read(&mut buffer).unwrap_or(0);
-        if !is_open() {
-            if length == 0 {
-                return;
-            }
-            continue;
-        }
-        if length == 0 || to.write_all(&buffer[..length]).is_err() {
-            let _ = to.shutdown(Shutdown::Both);
-            return;
-        }
-    }
-}
-
-impl Client {
-    /// Sends a request to the streaming route with these parts of its prompt.
-    pub fn send_stream_request_with(&mut self, id: &str, parts: &str) -> io::Result<()> {
-        let authorization = format!("Token {KEY}");
-        let headers = [
-            ("Host", "ficu95.example"),
-            ("Request-Id", id),
-            ("Model", "m"),
-            ("Token-Counts", "640,360"),
-            ("Prompt-Prefix", parts),
-            ("Time-Budget-Ms", "8000"),
-            ("Authorization", authorization.as_str()),
-        ];
-        self.send("POST", "/lohu930/2f", &headers, id.as_bytes())
-    }
-}
