Count a head that breaks off as the beginning of an answer

Cause: the HTTP library reports a head that breaks off as no answer at all, and a loss with nothing received kept no parts of the prompt as evidence and went on to another server at once. Evidence: 'attempt ended' had progress 'nothing', and 'server ended' named no parts. Change: the connection of a call records whether any byte arrived. Losses with nothing received keep the parts as unconfirmed, of which two ends weigh as one, since the bytes may be lost with the server.

--- a/src/agent/backend.rs
+++ b/src/agent/backend.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use crate::{
-    http::{ConnectionGuard, OpenCall, REQUEST_ID, RESUME_AFTER, connect, start_call},
+    http::{CallFailure, ConnectionGuard, OpenCall, REQUEST_ID, RESUME_AFTER, connect, start_call},
     wire::{HeaderPair, WorkRequest},
 };
 
@@ -32,7 +32,7 @@
     InvalidRequest(#[from] http::Error),
     /// The connection broke after the request may have been sent; it may have run.
     #[error("cannot complete the call to the backend server: {0}")]
-    Lost(#[from] hyper::Error),
+    Lost(#[from] CallFailure),
     /// The response carries the id of another request.
     #[error("the backend server answered another request: {theirs}")]
     RequestIdMismatch {
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -260,7 +260,10 @@
     async fn exchange(&mut self, spec: &AttemptSpec) -> AttemptResult {
         let call = match self.send_request(spec).await {
             Ok(call) => call,
-            Err(result) => return result,
+            Err((result, progress)) => {
+                self.progress = progress;
+                return result;
+            }
         };
         let OpenCall { head, body, guard } = call;
         self.progress = AnswerProgress::Head;
@@ -296,18 +299,24 @@
     }
 
     /// Connects, sends the request and waits for the head of the response.
-    async fn send_request(&self, spec: &AttemptSpec) -> Result<OpenCall, AttemptResult> {
+    async fn send_request(
+        &self,
+        spec: &AttemptSpec,
+    ) -> Result<OpenCall, (AttemptResult, AnswerProgress)> {
+        let failed = |result| (result, AnswerProgress::Nothing);
         let stream = connect(spec.address, CONNECT_TIMEOUT).await.map_err(|error| {
             log::info!(server:% = spec.server, error:% = error; "cannot connect to server");
-            AttemptResult::NeverSent
+            failed(AttemptResult::NeverSent)
         })?;
         let request = self.build_request(spec).map_err(|error| {
             log::error!(error:% = error; "cannot build request to server");
-            AttemptResult::NeverSent
+            failed(AttemptResult::NeverSent)
         })?;
         let answer = start_call(stream, request);
         let answer = match stall_timeout(spec) {
-            Some(limit) => timeout(limit, answer).await.map_err(|_| AttemptResult::Stalled)?,
+            Some(limit) => {
+                timeout(limit, answer).await.map_err(|_| failed(AttemptResult::Stalled))?
+            }
             None => answer.await,
         };
         answer.map_err(|error| {
@@ -315,7 +324,9 @@
                 request:% = self.request.request_id, server:% = spec.server, error:% = error;
                 "cannot get response from server"
             );
-            AttemptResult::Lost
+            let progress =
+                if error.has_begun { AnswerProgress::Begun } else { AnswerProgress::Nothing };
+            (AttemptResult::Lost, progress)
         })
     }
 
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -5,14 +5,30 @@
 //! proves. A new connection also keeps the surplus output of a faulty server from being read as
 //! the response to a later request.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::response::Parts;
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use thiserror::Error;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    task::AbortHandle,
+    time::timeout,
+};
 
 /// Maximum size of the head of a response. A server may send one without end.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -28,6 +44,17 @@
     pub guard: ConnectionGuard,
 }
 
+/// A call ended without the head of a response. The request may have reached the server.
+#[derive(Debug)]
+#[derive(Error)]
+#[error("{source}")]
+pub struct CallFailure {
+    source: hyper::Error,
+    /// Whether the server had begun to respond: it had sent a part of a head, or a whole interim
+    /// response.
+    pub has_begun: bool,
+}
+
 /// Closes the connection of a call when dropped.
 #[derive(Debug)]
 pub struct ConnectionGuard(AbortHandle);
@@ -58,6 +85,18 @@
 pub async fn start_call(
     stream: TcpStream,
     request: http::Request<Full<Bytes>>,
+) -> Result<OpenCall, CallFailure> {
+    let has_received = Arc::new(AtomicBool::new(false));
+    let stream = ObservedStream { stream, has_received: has_received.clone() };
+    send_request(stream, request).await.map_err(|source| {
+        let has_begun = has_received.load(Ordering::Relaxed);
+        CallFailure { source, has_begun }
+    })
+}
+
+async fn send_request(
+    stream: ObservedStream,
+    request: http::Request<Full<Bytes>>,
 ) -> hyper::Result<OpenCall> {
     // An HTTP/1 handshake sends nothing; only `send_request` does.
     let mut client = http1::Builder::new();
@@ -67,3 +106,56 @@
     let (head, body) = sender.send_request(request).await?.into_parts();
     Ok(OpenCall { head, body, guard })
 }
+
+/// A connection that records whether anything was received. The HTTP library does not tell a head
+/// that breaks off from none at all.
+#[derive(Debug)]
+struct ObservedStream {
+    stream: TcpStream,
+    has_received: Arc<AtomicBool>,
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > filled {
+            self.has_received.store(true, Ordering::Relaxed);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -155,6 +155,8 @@
     /// Nothing was received.
     #[default]
     Nothing,
+    /// A part of the head of a response, or an interim response.
+    Begun,
     /// The head of a response.
     Head,
     /// The head and this many events of a stream.
@@ -173,7 +175,7 @@
     #[must_use]
     pub fn with_event(self) -> Self {
         match self {
-            Self::Nothing | Self::Head => Self::Events(1),
+            Self::Nothing | Self::Begun | Self::Head => Self::Events(1),
             Self::Events(count) => Self::Events(count.saturating_add(1)),
             Self::Whole => Self::Whole,
         }
@@ -184,6 +186,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Nothing => f.write_str("nothing"),
+            Self::Begun => f.write_str("begun"),
             Self::Head => f.write_str("head"),
             Self::Events(count) => write!(f, "{count} events"),
             Self::Whole => f.write_str("whole"),
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -5,8 +5,8 @@
 //! unchanged. Such requests must be refused before they reach a server, by all gateways, since
 //! callers send them to any. The evidence:
 //!
-//! - a [`CrashRecord`] says that a server ended as it ran this request, or as it began to answer one
-//!   with these parts;
+//! - a [`CrashRecord`] says that a server ended as it ran this request, and whether it had begun to
+//!   answer it;
 //! - an answer that goes on shows that neither the request nor any of its parts does this, so they
 //!   are excused from all records about that time.
 //!
@@ -15,7 +15,10 @@
 //! next attempt excuses them.
 //!
 //! A part is blocked once [`MIN_ENDS`] ends at different times have it in common and nothing excuses
-//! it. Parts that always came together with it and are not excused either are blocked only together
+//! it. Parts end servers as they begin to answer. Where nothing of an answer arrived, it may have been
+//! lost with the server, or the request may only have waited there, so two such ends count as one.
+//!
+//! Parts that always came together with it and are not excused either are blocked only together
 //! with it: requests with one of them go on, and their answers excuse it.
 //!
 //! Gateways exchange their records. Merging is idempotent, commutative and only adds, so any order
@@ -81,9 +84,10 @@
 /// What a request holds that may end servers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SuspectInput {
-    /// Digests of the shared parts of the prompt, in order; empty if the server had not begun to
-    /// answer, since parts end servers only then.
+    /// Digests of the shared parts of the prompt, in order.
     pub parts: Vec<InputDigest>,
+    /// Whether the server had begun to answer. Parts end servers only then.
+    pub is_confirmed: bool,
     /// Digest of the whole request; gateways of earlier releases do not send it.
     pub content: Option<InputDigest>,
 }
@@ -94,6 +98,8 @@
     at: EvidenceTime,
     /// Digests of the shared parts of the prompt, in order.
     parts: Vec<InputDigest>,
+    /// Whether the server is known to have begun to answer.
+    is_confirmed: bool,
     /// Digest of the whole request.
     content: Option<InputDigest>,
     /// Inputs that later or slightly earlier answers have shown to be harmless.
@@ -126,8 +132,13 @@
     pub server: ServerId,
     /// The request that it ran.
     pub request: RequestId,
-    /// Digests of the shared parts of the prompt, in order.
+    /// Digests of the shared parts of the prompt, in order; empty if the server is not known to have
+    /// begun to answer.
     pub parts: Vec<InputDigest>,
+    /// The same of a request whose server is not known to have begun to answer. Apart from the others,
+    /// which gateways of earlier releases take for confirmed.
+    #[serde(default)]
+    pub unconfirmed_parts: Vec<InputDigest>,
     /// Digest of the whole request; gateways of earlier releases do not send it.
     #[serde(default)]
     pub content: Option<InputDigest>,
@@ -144,7 +155,7 @@
     /// All parts that a request must have to be refused: this one, and those that came with it in
     /// all records and that nothing excuses. Empty for a whole request.
     pub combination: BTreeSet<InputDigest>,
-    /// Number of server ends at different times that the input explains.
+    /// Number of server ends that the input explains; ends at the same time count once.
     pub end_count: usize,
 }
 
@@ -191,6 +202,11 @@
         self.records.values().any(|it| it.suspect_content() == Some(content))
     }
 
+    /// Whether a server has ended as it ran a request with one of these parts, and nothing excuses it.
+    pub fn has_ended_server_with(&self, parts: &[InputDigest]) -> bool {
+        self.records.values().any(|record| parts.iter().any(|it| record.is_suspect(*it)))
+    }
+
     /// Whether nothing is recorded.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -217,11 +233,13 @@
         &mut self,
         server: ServerId,
         request: RequestId,
-        SuspectInput { parts, content }: SuspectInput,
+        SuspectInput { parts, is_confirmed, content }: SuspectInput,
         now: Moment,
     ) -> QuarantineUpdate {
+        let (parts, unconfirmed_parts) = split_parts(parts, is_confirmed);
         let excused = BTreeSet::new();
-        let report = CrashReport { server, request, parts, content, excused, age_ms: 0 };
+        let report =
+            CrashReport { server, request, parts, unconfirmed_parts, content, excused, age_ms: 0 };
         self.merge(vec![report], now)
     }
 
@@ -279,7 +297,10 @@
 
     /// Merges one report. Returns whether it added anything.
     fn merge_report(&mut self, report: CrashReport, now: Moment) -> bool {
-        let CrashReport { server, request, mut parts, content, excused, age_ms } = report;
+        let CrashReport { server, request, parts, unconfirmed_parts, content, excused, age_ms } =
+            report;
+        let is_confirmed = !parts.is_empty();
+        let mut parts = if is_confirmed { parts } else { unconfirmed_parts };
         parts.truncate(MAX_RECORD_PARTS);
         let at = EvidenceTime::at(now, Duration::from_millis(age_ms));
         let (harmless_parts, harmless_requests) = (&self.harmless_parts, &self.harmless_requests);
@@ -289,7 +310,8 @@
             is_new = true;
             let known_parts = parts.iter().copied().filter(|it| harmless_parts.excuses(*it, at));
             let known_content = content.filter(|it| harmless_requests.excuses(*it, at));
-            CrashRecord { at, excused: known_parts.chain(known_content).collect(), parts, content }
+            let excused = known_parts.chain(known_content).collect();
+            CrashRecord { at, excused, parts, is_confirmed, content }
         });
         // Transfer takes time, so the earliest time is the most precise.
         record.at = record.at.min(at);
@@ -304,10 +326,12 @@
     pub fn reports(&self, now: Moment) -> Vec<CrashReport> {
         let report = |((server, request), record): (&(ServerId, RequestId), &CrashRecord)| {
             let age = record.at.age(now).as_millis();
+            let (parts, unconfirmed_parts) = split_parts(record.parts.clone(), record.is_confirmed);
             CrashReport {
                 server: server.clone(),
                 request: request.clone(),
-                parts: record.parts.clone(),
+                parts,
+                unconfirmed_parts,
                 content: record.content,
                 excused: record.excused.clone(),
                 age_ms: u64::try_from(age).unwrap_or(u64::MAX),
@@ -393,41 +417,69 @@
             by_content.entry(content).or_default().push((key, record));
         }
     }
-    let judged = by_content.into_iter().map(|(content, records)| (content, count_ends(&records)));
+    let judged = by_content.into_iter().map(|(content, records)| (content, find_ends(&records)));
+    // A popular request may be in progress at many servers that end at once for another reason.
     judged
-        .filter(|(_, end_count)| *end_count >= MIN_ENDS)
-        .map(|(content, end_count)| {
-            (content, BlockedInput { combination: BTreeSet::new(), end_count })
+        .filter(|(_, ends)| ends.len() >= MIN_ENDS)
+        .map(|(content, ends)| {
+            (content, BlockedInput { combination: BTreeSet::new(), end_count: ends.len() })
         })
         .collect()
 }
 
 /// Decides whether the records, which have a part in common, block it.
 fn judge(records: &[(&(ServerId, RequestId), &CrashRecord)]) -> Option<BlockedInput> {
-    let end_count = count_ends(records);
-    if end_count < MIN_ENDS {
+    let ends = find_ends(records);
+    let weight: usize = ends.iter().map(|it| if it.is_confirmed { 2 } else { 1 }).sum();
+    if weight < 2 * MIN_ENDS {
         return None;
     }
+    let end_count = ends.len();
     let mut sets = records.iter().map(|it| it.1.suspects().collect::<BTreeSet<_>>());
     let first = sets.next()?;
     let combination = sets.fold(first, |common, it| &common & &it);
     Some(BlockedInput { combination, end_count })
 }
 
-/// Counts the ends of servers at different times.
-fn count_ends(records: &[(&(ServerId, RequestId), &CrashRecord)]) -> usize {
-    let mut sorted: Vec<(EvidenceTime, &ServerId)> =
-        records.iter().map(|(key, it)| (it.at, &key.0)).collect();
+/// Ends of servers that may share a cause.
+struct EndGroup<'a> {
+    at: EvidenceTime,
+    servers: BTreeSet<&'a ServerId>,
+    /// Whether one of the servers is known to have begun to answer.
+    is_confirmed: bool,
+}
+
+/// Groups the ends of servers by time.
+fn find_ends<'a>(records: &[(&'a (ServerId, RequestId), &'a CrashRecord)]) -> Vec<EndGroup<'a>> {
+    let mut sorted: Vec<(EvidenceTime, &ServerId, bool)> =
+        records.iter().map(|(key, it)| (it.at, &key.0, it.is_confirmed)).collect();
     sorted.sort_unstable();
-    let mut ends: Vec<(EvidenceTime, &ServerId)> = Vec::new();
-    for (at, server) in sorted {
-        let is_known = ends.iter().any(|it| it.1 == server && it.0.is_within(SAME_END_WINDOW, at));
-        let is_simultaneous = ends.last().is_some_and(|it| it.0.is_within(COMMON_CAUSE_WINDOW, at));
-        if !is_known && !is_simultaneous {
-            ends.push((at, server));
+    let mut groups: Vec<EndGroup<'_>> = Vec::new();
+    for (at, server, is_confirmed) in sorted {
+        let same_end = groups
+            .iter()
+            .rposition(|it| it.servers.contains(server) && it.at.is_within(SAME_END_WINDOW, at));
+        let simultaneous = groups
+            .len()
+            .checked_sub(1)
+            .filter(|it| groups[*it].at.is_within(COMMON_CAUSE_WINDOW, at));
+        match same_end.or(simultaneous) {
+            Some(index) => {
+                groups[index].servers.insert(server);
+                groups[index].is_confirmed |= is_confirmed;
+            }
+            None => groups.push(EndGroup { at, servers: BTreeSet::from([server]), is_confirmed }),
         }
     }
-    ends.len()
+    groups
+}
+
+/// Returns the parts of a report: those that are confirmed, and those that are not.
+fn split_parts(
+    parts: Vec<InputDigest>,
+    is_confirmed: bool,
+) -> (Vec<InputDigest>, Vec<InputDigest>) {
+    if is_confirmed { (parts, Vec::new()) } else { (Vec::new(), parts) }
 }
 
 /// Inputs of requests whose answers went on, with the latest time. Two generations bound the memory.
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -192,8 +192,8 @@
 
 /// Whether a request whose attempt was lost goes on only if its server still runs.
 ///
-/// A prompt with parts that no answer has shown to be harmless may end the next server too. A whole
-/// request is sent on once, since servers mostly end for other reasons and take down whatever is in
+/// A prompt with parts that no answer has shown to be harmless may end the next server too, if the
+/// server had begun to respond or has ended before under one of them. A whole request is sent on once, since servers mostly end for other reasons and take down whatever is in
 /// progress; only if that has happened to it before, here or at another gateway, it waits.
 fn must_await_probe(
     state: &RoutingState,
@@ -202,7 +202,11 @@
     now: Moment,
 ) -> bool {
     let lost = AttemptResult::Lost;
-    let has_suspect_part = is_lost_at_beginning(lost, progress)
+    let has_begun = is_lost_at_beginning(lost, progress);
+    let is_under_suspicion =
+        has_begun || state.quarantine.has_ended_server_with(&request.shared_parts);
+    let has_suspect_part = is_suspect(lost, progress)
+        && is_under_suspicion
         && !state.quarantine.are_harmless(&request.shared_parts, now);
     let was_lost = request.was_lost || state.quarantine.has_ended_server(request.content);
     let is_suspect_request = is_suspect(lost, progress)
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -75,7 +75,7 @@
 /// Whether the attempt was lost while the server began to write its response.
 pub(super) fn is_lost_at_beginning(result: AttemptResult, progress: AnswerProgress) -> bool {
     let has_just_begun = match progress {
-        AnswerProgress::Head => true,
+        AnswerProgress::Begun | AnswerProgress::Head => true,
         AnswerProgress::Events(count) => count <= MAX_BEGINNING_EVENTS,
         AnswerProgress::Nothing | AnswerProgress::Whole => false,
     };
@@ -95,14 +95,17 @@
         return None;
     }
     let request = state.requests.get(&number)?;
-    // Parts of prompts end servers as they begin to write.
-    let has_begun = is_lost_at_beginning(result, progress);
-    let parts = if has_begun { request.shared_parts.clone() } else { Vec::new() };
+    // Parts of prompts end servers as they begin to write, which may be lost with the server.
+    let is_confirmed = is_lost_at_beginning(result, progress);
     let suspect = SuspectRequest {
         number,
         attempts_sent: request.attempts_sent,
         request_id: request.request_id.clone(),
-        input: SuspectInput { parts, content: Some(request.content) },
+        input: SuspectInput {
+            parts: request.shared_parts.clone(),
+            is_confirmed,
+            content: Some(request.content),
+        },
     };
     let is_pending = |it: &&mut EndingServer| now.since(it.since) < PROBE_TTL;
     if let Some(ending) = state.ending_servers.get_mut(server).filter(is_pending) {
@@ -161,13 +164,14 @@
     let is_settled = match progress {
         AnswerProgress::Whole => true,
         AnswerProgress::Events(count) => count >= SETTLED_EVENTS,
-        AnswerProgress::Nothing | AnswerProgress::Head => false,
+        AnswerProgress::Nothing | AnswerProgress::Begun | AnswerProgress::Head => false,
     };
     let Some(request) = state.requests.get(&number).filter(|_| is_settled) else {
         return Vec::new();
     };
     let (parts, content) = (request.shared_parts.clone(), Some(request.content));
-    update_effects(state.quarantine.record_harmless(&SuspectInput { parts, content }, now))
+    let input = SuspectInput { parts, is_confirmed: true, content };
+    update_effects(state.quarantine.record_harmless(&input, now))
 }
 
 /// Merges the records of another gateway.
--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -1,8 +1,9 @@
 //! Tests of requests that end the servers that answer them.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -12,7 +13,7 @@
 use crate::{
     launcher,
     support::{
-        fragile_servers::FragileServers,
+        fragile_servers::{CrashPoint, FragileServers},
         gateway::{GatewayProcess, connect, read},
         platform_store::FakeStore,
         ports::free_address,
@@ -39,7 +40,7 @@
 }
 
 /// The status, whether a retry is suggested, and the body of an answer; `None` if it broke off.
-async fn send(gateway: std::net::SocketAddr, request: Request<Full<Bytes>>) -> Option<DraftAnswer> {
+async fn send(gateway: SocketAddr, request: Request<Full<Bytes>>) -> Option<DraftAnswer> {
     let answer = connect(gateway).await?.send_request(request).await.ok()?;
     let invites_retry = answer.headers().contains_key("retry-after");
     let (status, text) = read(answer).await?;
@@ -65,16 +66,51 @@
     store
 }
 
-#[gtest]
-#[tokio::test]
-async fn harmful_prompt_ends_few_servers() {
+/// Starts two gateways and the servers, which end at this point of their answers.
+async fn start_fleet(crash_point: CrashPoint) -> (FragileServers, [GatewayProcess; 2]) {
     let store = start_store().await;
     let addresses = [(); SERVER_COUNT].map(|()| free_address());
-    let servers = FragileServers::start(&store, &addresses, &[HARMFUL_PART]).await;
+    let harmful = [HARMFUL_PART];
+    let servers = FragileServers::start_with(&store, &addresses, &harmful, crash_point).await;
     let first = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
     first.wait_ready().await;
     let second = GatewayProcess::start(&launcher(), store.fake_server.address, &[first.peer]);
     second.wait_ready().await;
+    (servers, [first, second])
+}
+
+/// Returns the number of servers that ended, and of harmful requests that reached one later than
+/// gateways must know.
+fn later_sends(servers: &FragileServers) -> (usize, usize) {
+    servers.log(|log| {
+        let fifth = log.ends.get(4).map(|it| *it + CONTACT_TIME);
+        let is_later = |it: &&Instant| fifth.is_some_and(|fifth| **it > fifth);
+        (log.ends.len(), log.harmful_sends.iter().filter(is_later).count())
+    })
+}
+
+#[gtest]
+#[tokio::test]
+async fn harmful_prompt_ends_few_servers() {
+    send_harmful_prompts(CrashPoint::Head).await;
+}
+
+/// Guards against prompts that are never blocked since their servers end before a whole head is out.
+#[gtest]
+#[tokio::test]
+async fn answer_that_breaks_off_is_evidence() {
+    let points = [
+        CrashPoint::Nothing,
+        CrashPoint::InterimResponse,
+        CrashPoint::PartOfStatusLine,
+        CrashPoint::PartOfHead,
+        CrashPoint::PartOfEvent,
+    ];
+    join_all(points.map(send_harmful_prompts)).await;
+}
+
+async fn send_harmful_prompts(crash_point: CrashPoint) {
+    let (servers, [first, second]) = start_fleet(crash_point).await;
     let started = Instant::now();
     let (mut sound, mut harmful) = (Vec::new(), Vec::new());
     for n in 0_u32.. {
@@ -91,21 +127,19 @@
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let (end_count, later_sends) = servers.log(|log| {
-        let fifth = log.ends.get(4).map(|it| *it + CONTACT_TIME);
-        let is_later = |it: &&Instant| fifth.is_some_and(|fifth| **it > fifth);
-        (log.ends.len(), log.harmful_sends.iter().filter(is_later).count())
-    });
-    println!("{end_count} servers ended, {later_sends} harmful requests sent later");
-    expect_that!(later_sends, le(MAX_LATER_SENDS), "{end_count} servers ended");
+    let (end_count, later_sends) = later_sends(&servers);
+    println!(
+        "{crash_point:?}: {end_count} servers ended, {later_sends} harmful requests sent later"
+    );
+    expect_that!(later_sends, le(MAX_LATER_SENDS), "{crash_point:?}: {end_count} servers ended");
     let mut complete = 0;
     let sound_count = sound.len();
     for answer in sound {
         let answer = answer.await.unwrap();
         complete += usize::from(answer.is_some_and(|it| it.text.contains("id: 10\n")));
     }
-    println!("{complete} of {sound_count} sound requests answered");
-    expect_that!(complete * 2, ge(sound_count));
+    println!("{crash_point:?}: {complete} of {sound_count} sound requests answered");
+    expect_that!(complete * 2, ge(sound_count), "{crash_point:?}");
     for answer in harmful {
         let Some(answer) = answer.await.unwrap() else { continue };
         expect_that!(answer.status, not(eq(StatusCode::OK)), "{answer:?}");
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -29,7 +29,7 @@
 
 /// What is known of a request's prompt.
 fn prompt(texts: &[&str]) -> SuspectInput {
-    SuspectInput { parts: parts(texts), content: None }
+    SuspectInput { parts: parts(texts), is_confirmed: true, content: None }
 }
 
 /// One gateway's table with a simulated clock.
@@ -49,6 +49,14 @@
         self.table.record_end(server, request, prompt(texts), Moment(self.now)).changes
     }
 
+    /// A server ends as it runs a request with these parts, and nothing of its answer has arrived.
+    fn end_silently(&mut self, server: &str, texts: &[&str]) {
+        self.next_request += 1;
+        let request: RequestId = format!("q-{}", self.next_request).parse().unwrap();
+        let input = SuspectInput { is_confirmed: false, ..prompt(texts) };
+        self.table.record_end(server.parse().unwrap(), request, input, Moment(self.now));
+    }
+
     fn harmless(&mut self, texts: &[&str]) {
         self.table.record_harmless(&prompt(texts), Moment(self.now));
     }
@@ -102,6 +110,47 @@
     expect_that!(table.is_blocked(&["a", "b"]), eq(false));
 }
 
+/// Nothing of the answer arrived: it may have been lost, or the request only waited there.
+#[gtest]
+fn four_ends_without_an_answer_block_a_part() {
+    let mut table = TestTable::default();
+    table.harmless(&["a"]);
+    for n in 0..4 {
+        expect_that!(table.is_blocked(&["a", "bad"]), eq(false), "{n} ends");
+        table.end_silently(&format!("i-{n}"), &["a", "bad"]);
+        table.pass(SECOND);
+    }
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(true));
+    // Another gateway learns the same from its records.
+    let mut other = QuarantineTable::default();
+    other.merge(table.table.reports(Moment(table.now)), Moment(table.now));
+    expect_that!(other.blocked(), eq(table.table.blocked()));
+}
+
+#[gtest]
+fn end_without_an_answer_counts_half() {
+    let mut table = TestTable::default();
+    table.harmless(&["a"]);
+    table.end("i-1", &["a", "bad"]);
+    table.pass(SECOND);
+    table.end_silently("i-2", &["a", "bad"]);
+    table.pass(SECOND);
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(false));
+    table.end_silently("i-3", &["a", "bad"]);
+    expect_that!(table.is_blocked(&["a", "bad"]), eq(true));
+}
+
+/// Many requests wait at servers that end at once for another reason.
+#[gtest]
+fn silent_ends_at_once_block_nothing() {
+    let mut table = TestTable::default();
+    for n in 0..8 {
+        table.end_silently(&format!("i-{n}"), &["a", "b"]);
+        table.pass(10 * MILLISECOND);
+    }
+    expect_that!(table.is_blocked(&["a", "b"]), eq(false));
+}
+
 #[gtest]
 fn one_end_counts_once() {
     let mut table = TestTable::default();
--- a/tests/request_quarantine.rs
+++ b/tests/request_quarantine.rs
@@ -28,7 +28,7 @@
 }
 
 fn input(body: &str) -> SuspectInput {
-    SuspectInput { parts: Vec::new(), content: Some(digest(body)) }
+    SuspectInput { content: Some(digest(body)), ..SuspectInput::default() }
 }
 
 #[derive(Default)]
--- a/tests/support/fragile_servers.rs
+++ b/tests/support/fragile_servers.rs
@@ -33,6 +33,30 @@
 /// Number of events of an answer.
 const EVENT_COUNT: u32 = 10;
 
+/// How much of its answer to a prompt a server has written when it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    Nothing,
+    InterimResponse,
+    PartOfStatusLine,
+    PartOfHead,
+    Head,
+    PartOfEvent,
+}
+
+impl CrashPoint {
+    fn written(self, head: &str) -> String {
+        match self {
+            Self::Nothing => String::new(),
+            Self::InterimResponse => "HTTP/1.1 102 Processing\r\n\r\n".to_owned(),
+            Self::PartOfStatusLine => "HTTP/1.1 2".to_owned(),
+            Self::PartOfHead => head.chars().take(30).collect(),
+            Self::Head => head.to_owned(),
+            Self::PartOfEvent => format!("{head}5\r\nid: 1\r\n"),
+        }
+    }
+}
+
 /// What happened at the servers.
 #[derive(Default)]
 pub struct CrashLog {
@@ -49,14 +73,25 @@
 pub struct FragileServers {
     log: Arc<Mutex<CrashLog>>,
     harmful: Arc<BTreeSet<String>>,
+    crash_point: CrashPoint,
 }
 
 impl FragileServers {
     /// Starts a server at each address. Requests with one of the parts or bodies `harmful` end their
     /// server.
     pub async fn start(store: &Arc<FakeStore>, addresses: &[SocketAddr], harmful: &[&str]) -> Self {
+        Self::start_with(store, addresses, harmful, CrashPoint::Head).await
+    }
+
+    /// Starts servers that end at this point of their answer to a prompt.
+    pub async fn start_with(
+        store: &Arc<FakeStore>,
+        addresses: &[SocketAddr],
+        harmful: &[&str],
+        crash_point: CrashPoint,
+    ) -> Self {
         let harmful = harmful.iter().map(|it| (*it).to_owned()).collect();
-        let servers = Self { log: Arc::default(), harmful: Arc::new(harmful) };
+        let servers = Self { log: Arc::default(), harmful: Arc::new(harmful), crash_point };
         for address in addresses {
             let listener = TcpListener::bind(address).await.unwrap();
             tokio::spawn(servers.clone().run(store.clone(), *address, listener));
@@ -137,13 +172,15 @@
             "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
-        if stream.write_all(answer_head.as_bytes()).await.is_err() {
-            return;
-        }
         if is_harmful {
+            let written = self.crash_point.written(&answer_head);
+            let _ = stream.write_all(written.as_bytes()).await;
             self.crash(end).await;
             return;
         }
+        if stream.write_all(answer_head.as_bytes()).await.is_err() {
+            return;
+        }
         let resume_after: u32 = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         for event_id in resume_after + 1..=EVENT_COUNT {
             tokio::time::sleep(EVENT_PAUSE).await;
