Block a prompt part under which five servers end at once

Cause: ends within 100 ms count as one, as they may share another cause, and one end blocks nothing. But five ends are all that gateways may need to learn of a part. Change: five confirmed ends at once block a part that is not the first of its prompts. An answer with the part prevents or lifts the block, as before.

--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -18,6 +18,10 @@
 //! it. Parts end servers as they begin to answer. Where nothing of an answer arrived, it may have been
 //! lost with the server, or the request may only have waited there, so two such ends count as one.
 //!
+//! Ends at the same time may share another cause and count once. A part is blocked all the same if
+//! [`MIN_PART_BATCH`] servers ended at once as they began to answer: callers may send as many requests
+//! with it again.
+//!
 //! Parts that always came together with it and are not excused either are blocked only together
 //! with it: requests with one of them go on, and their answers excuse it.
 //!
@@ -40,6 +44,9 @@
 /// Ends of several servers within this time count once: they may share another cause, such as a
 /// failure domain that lost its power.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
+/// Number of servers whose ends within [`COMMON_CAUSE_WINDOW`] block a part that is not the first of
+/// the prompts. Five ends are all that gateways may need to learn of it.
+const MIN_PART_BATCH: usize = 5;
 /// Time in which records about one server are about the same end.
 const SAME_END_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which an answer that went on excuses what its request held from later records. Bounded
@@ -394,14 +401,15 @@
     }
     for part in &later {
         let with_part: Vec<_> = records.iter().filter(|it| it.1.is_suspect(*part)).collect();
-        blocked.extend(judge(&with_part).map(|it| (*part, it)));
+        blocked.extend(judge(&with_part, Some(MIN_PART_BATCH)).map(|it| (*part, it)));
     }
     let explained: BTreeSet<InputDigest> = blocked.keys().copied().collect();
     for part in first.difference(&later) {
         let is_unexplained = |it: &CrashRecord| !it.suspects().any(|it| explained.contains(&it));
         let with_part: Vec<_> =
             records.iter().filter(|it| it.1.is_suspect(*part) && is_unexplained(it.1)).collect();
-        blocked.extend(judge(&with_part).map(|it| (*part, it)));
+        // Most requests may share it: one bad moment must not refuse them all.
+        blocked.extend(judge(&with_part, None).map(|it| (*part, it)));
     }
     blocked.extend(find_blocked_requests(records));
     blocked
@@ -427,11 +435,17 @@
         .collect()
 }
 
-/// Decides whether the records, which have a part in common, block it.
-fn judge(records: &[(&(ServerId, RequestId), &CrashRecord)]) -> Option<BlockedInput> {
+/// Decides whether the records, which have a part in common, block it: by ends at different times, or
+/// by as many at once as `min_batch`.
+fn judge(
+    records: &[(&(ServerId, RequestId), &CrashRecord)],
+    min_batch: Option<usize>,
+) -> Option<BlockedInput> {
     let ends = find_ends(records);
     let weight: usize = ends.iter().map(|it| if it.is_confirmed { 2 } else { 1 }).sum();
-    if weight < 2 * MIN_ENDS {
+    let confirmed: Vec<_> = records.iter().filter(|it| it.1.is_confirmed).copied().collect();
+    let is_batch = min_batch.is_some_and(|it| has_batch(&find_ends(&confirmed), it));
+    if weight < 2 * MIN_ENDS && !is_batch {
         return None;
     }
     let end_count = ends.len();
@@ -474,6 +488,11 @@
     groups
 }
 
+/// Whether at least `min_size` servers ended at the same time.
+fn has_batch(groups: &[EndGroup<'_>], min_size: usize) -> bool {
+    groups.iter().any(|it| it.servers.len() >= min_size)
+}
+
 /// Returns the parts of a report: those that are confirmed, and those that are not.
 fn split_parts(
     parts: Vec<InputDigest>,
--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -27,6 +27,8 @@
 const MAX_LATER_SENDS: usize = 3;
 const RUN_TIME: Duration = Duration::from_secs(9);
 const HARMFUL_PART: &str = "bad0";
+/// Time between two batches of harmful prompts: more than [`CONTACT_TIME`].
+const BATCH_PAUSE: Duration = Duration::from_millis(3_600);
 
 fn draft(id: &str, parts: &str) -> Request<Full<Bytes>> {
     Request::post("/a/x")
@@ -109,6 +111,26 @@
     join_all(points.map(send_harmful_prompts)).await;
 }
 
+/// Guards against a second batch of harmful prompts that reaches as many servers as the first, whose
+/// servers ended at the same time.
+#[gtest]
+#[tokio::test]
+async fn second_batch_reaches_few_servers() {
+    let (servers, gateways) = start_fleet(CrashPoint::Head).await;
+    for batch in 0..2 {
+        let harmful = (0..SERVER_COUNT).map(|n| {
+            let parts = format!("5a:40,{HARMFUL_PART}:30,f{batch}{n:x}:600");
+            send(gateways[n % 2].listen, draft(&format!("b-{batch}-{n}"), &parts))
+        });
+        join_all(harmful).await;
+        tokio::time::sleep(BATCH_PAUSE).await;
+    }
+    let (end_count, later_sends) = later_sends(&servers);
+    println!("{end_count} servers ended, {later_sends} harmful requests sent later");
+    expect_that!(end_count, ge(5), "the first batch ends too few servers to show anything");
+    expect_that!(later_sends, le(MAX_LATER_SENDS));
+}
+
 async fn send_harmful_prompts(crash_point: CrashPoint) {
     let (servers, [first, second]) = start_fleet(crash_point).await;
     let started = Instant::now();
