Refuse requests that a stopping gateway may not complete

Cause: a gateway takes requests on open connections until 3.5 s after the signal, and nothing compared the time that was left with the time that a request may take; the reducer did not know when the process ends. Change: the reducer knows the schedule of the stop. A request that has not run is placed only if its answer can end in time: by the usual time of its route while the balancer may still send connections here, by its deadline afterwards. Others get 503, not run, Retry-After 0, before a byte reaches a server; waits are ended at the signal and kept short after it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,7 +28,7 @@
     http::{HttpListener, ListenerPhase},
     options::{DaemonArguments, DirectRole, DirectSettings, GatewaySettings},
     platform::StoreClient,
-    routing::RoutingEvent,
+    routing::{RoutingEvent, StopSchedule},
     telemetry::{MetricSink, init_logging, serve_metrics},
 };
 use probes::MAX_QUEUED_PROBES;
@@ -102,8 +102,12 @@
     phase: &watch::Sender<ListenerPhase>,
     served: tokio::task::JoinHandle<()>,
 ) {
-    let end = tokio::time::Instant::now() + settings.grace().saturating_sub(GRACE_MARGIN);
-    shell.dispatch(RoutingEvent::StopRequested);
+    let time = settings.grace().saturating_sub(GRACE_MARGIN);
+    let (end, now) = (tokio::time::Instant::now() + time, shell.clock.now());
+    shell.dispatch(RoutingEvent::StopRequested(StopSchedule {
+        callers_moved_at: now.after(READINESS_PROBE_DELAY),
+        ends_at: now.after(time),
+    }));
     tokio::time::sleep(READINESS_PROBE_DELAY).await;
     phase.send_replace(ListenerPhase::Draining);
     tokio::time::sleep(CONNECTION_CLOSE_TIME).await;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -3,7 +3,7 @@
 //! As in [`crate::core`], every input is an event and every output an effect: [`reduce`] reads no
 //! clock and does no I/O. Each submodule owns one part of the state and its decisions: route lookup
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), the pace of servers
-//! (`pace`, `start`), server choice (`placement`), overload refusals (`admission`), limits of load by
+//! (`pace`, `start`), the times of requests (`run_times`), server choice (`placement`), overload refusals (`admission`), limits of load by
 //! rank (`urgency`), retry and cold-server budgets (`budget`), inputs that end servers (`quarantine`),
 //! limits that servers name (`limits`), the memory that requests hold (`memory`), the other gateways
 //! (`peers`), the servers that one gateway uses (`subset`), and the demands and shares of client accounts
@@ -22,6 +22,7 @@
 mod placement;
 mod quarantine;
 mod reader_mark;
+mod run_times;
 mod servers;
 mod shares;
 mod start;
@@ -41,7 +42,7 @@
 pub use event::{
     AdmissionNote, AdmissionOutcome, AnswerProgress, AttemptResult, AttemptSpec, CatalogSource,
     LimitNotice, RequestNumber, RequestSize, RoutingChange, RoutingEffect, RoutingEvent,
-    RoutingRequest, SETTLED_EVENTS, ServerNotice,
+    RoutingRequest, SETTLED_EVENTS, ServerNotice, StopSchedule,
 };
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
@@ -51,6 +52,7 @@
 pub use placement::{Candidate, PlacementChoice, choose_candidate};
 pub use quarantine::{BlockedInput, CrashReport, QuarantineTable, QuarantineUpdate, SuspectInput};
 pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
+pub use run_times::RunTimes;
 pub use servers::{GroupMembership, Incarnation, KnownServer, ServerRecord, ServerTable};
 pub use shares::{AccountStanding, ShareTable, fair_level};
 pub use start::{ServerPace, StartModel, first_event_delay, start_delay};
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -309,6 +309,11 @@
         find_in_host(host).or_else(|| find_in_host(""))
     }
 
+    /// Whether a route has this name.
+    pub fn has_route(&self, name: &RouteName) -> bool {
+        self.routes.values().flatten().any(|it| it.name == *name)
+    }
+
     /// Returns the properties of a service, or `None` if the catalog lacks it.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceRecord> {
         self.services.get(name)
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -304,7 +304,17 @@
     /// The caller got its response or has disconnected.
     RequestEnded(RequestNumber),
     /// The process was asked to stop.
-    StopRequested,
+    StopRequested(StopSchedule),
+}
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StopSchedule {
+    /// From this time on, callers' new connections go to other gateways.
+    pub callers_moved_at: Moment,
+    /// The process ends at this time at the latest.
+    pub ends_at: Moment,
 }
 
 /// An attempt to make: its server and the parameters of the request.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -11,6 +11,7 @@
 mod room_shares;
 mod shares;
 mod stalls;
+mod stopping;
 mod suspects;
 mod waiting;
 
@@ -27,8 +28,8 @@
     AdmissionOutcome, AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec,
     BudgetSettings, CatalogSource, ColdLimiter, Incarnation, KnownServer, LimitTable,
     PlacementChoice, QuarantineTable, RankTraffic, RequestNumber, RequestSize, RouteCatalog,
-    RouteRecord, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, SETTLED_EVENTS,
-    ServerLoad, ServerTable, ShareTable, StartModel,
+    RouteRecord, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, RunTimes,
+    SETTLED_EVENTS, ServerLoad, ServerTable, ShareTable, StartModel, StopSchedule,
 };
 use crate::{
     core::{Refusal, RefusalCode},
@@ -46,6 +47,7 @@
 use refusals::{refuse, refuse_until_rested};
 use room_shares::{RoomShares, use_share};
 use stalls::StallTable;
+use stopping::{bound_wait, must_go_elsewhere, stop_requested};
 use suspects::{
     EndingServer, Suspicion, answer_progressed, quarantine_read, resolve_suspicion, server_probed,
     update_effects,
@@ -187,7 +189,10 @@
     shares: ShareTable,
     /// Time of the first directory read.
     first_directory_at: Option<Moment>,
-    is_stopping: bool,
+    /// Times of the stop in progress.
+    stop: Option<StopSchedule>,
+    /// How long requests take.
+    run_times: RunTimes,
     rng: SmallRng,
 }
 
@@ -213,7 +218,8 @@
             models: BTreeMap::new(),
             shares: ShareTable::default(),
             first_directory_at: None,
-            is_stopping: false,
+            stop: None,
+            run_times: RunTimes::default(),
             rng: SmallRng::seed_from_u64(settings.seed),
             settings,
         }
@@ -241,7 +247,7 @@
     /// better.
     pub fn is_ready(&self, now: Moment) -> bool {
         let Some(catalog) = &self.catalog else { return false };
-        if self.servers.is_empty() || self.is_stopping {
+        if self.servers.is_empty() || self.stop.is_some() {
             return false;
         }
         !is_isolated(self, now) || catalog.services().all(|it| has_usable(self, it, now))
@@ -352,10 +358,7 @@
         }
         RoutingEvent::InputLifted(input) => update_effects(state.quarantine.lift(input)),
         RoutingEvent::RequestEnded(number) => request_ended(state, number, now),
-        RoutingEvent::StopRequested => {
-            state.is_stopping = true;
-            change_effects(vec![RoutingChange::Stopping])
-        }
+        RoutingEvent::StopRequested(schedule) => stop_requested(state, schedule),
     }
 }
 
@@ -369,6 +372,7 @@
     if state.catalog.as_ref().is_some_and(|it| it.version() >= version) {
         return Vec::new();
     }
+    state.run_times.retain(|name| catalog.has_route(name));
     state.catalog = Some(catalog);
     vec![RoutingEffect::StateChanged(RoutingChange::Catalog { version, source })]
 }
@@ -474,6 +478,14 @@
 /// Chooses a server for a request in progress and starts an attempt, or makes it wait or refuses
 /// it.
 fn place_request(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
+    if must_go_elsewhere(state, number, now) {
+        return refuse(state, number, RefusalCode::ShuttingDown, now);
+    }
+    let effect = find_server(state, number, now);
+    bound_wait(state, effect)
+}
+
+fn find_server(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
     let Some(request) = state.requests.get(&number) else {
         return RoutingEffect::Finished(number);
     };
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -44,6 +44,9 @@
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
     let Some(attempt) = request.current_attempt.take() else { return Vec::new() };
     let CurrentAttempt { incarnation: (id, _), address, began_at, timing, .. } = attempt;
+    if result == AttemptResult::Answered {
+        state.run_times.record(&request.route.name, now.since(request.received_at));
+    }
     if result == AttemptResult::Answered && request.rank.is_some() {
         let traffic = state.traffic.entry(request.service.clone()).or_default();
         traffic.record_hold(now.since(began_at));
--- a/src/routing/state/refusals.rs
+++ b/src/routing/state/refusals.rs
@@ -67,7 +67,12 @@
         settings = settings.for_part(traffic.retry_fraction(rank, now));
         backlog = backlog_wait(state, request, now).min(time_left.mul_f64(settings.max_wait));
     }
-    let delay = may_retry.then(|| retry_after(time_left, reason, &settings, &mut state.rng));
+    // Another gateway serves it at once.
+    let is_elsewhere = code == RefusalCode::ShuttingDown;
+    let delay = may_retry.then(|| match is_elsewhere {
+        true => Duration::ZERO,
+        false => retry_after(time_left, reason, &settings, &mut state.rng),
+    });
     let delay = delay.map(|it| it.max(backlog));
     note(state, number, AdmissionOutcome::Refused, now);
     state.waiting.remove(number);
--- /dev/null
+++ b/src/routing/state/stopping.rs
@@ -0,0 +1,55 @@
+//! A planned stop: which requests the process can still serve before it ends.
+
+use std::time::Duration;
+
+use super::{RequestState, RoutingState, WAIT_POLL_INTERVAL, change_effects};
+use crate::{
+    routing::{RequestNumber, RoutingChange, RoutingEffect, StopSchedule},
+    units::Moment,
+};
+
+/// Time in which the end of an answer reaches its caller.
+const DELIVERY_TIME: Duration = Duration::from_millis(100);
+
+/// Begins the stop. All requests that wait look for a server again, since they may wait too long.
+pub(super) fn stop_requested(
+    state: &mut RoutingState,
+    schedule: StopSchedule,
+) -> Vec<RoutingEffect> {
+    if state.stop.is_some() {
+        return Vec::new();
+    }
+    state.stop = Some(schedule);
+    let waiting = state.requests.iter().filter(|(_, it)| it.current_attempt.is_none());
+    let wakes = waiting.map(|(number, _)| RoutingEffect::Resume(*number));
+    wakes.chain(change_effects(vec![RoutingChange::Stopping])).collect()
+}
+
+/// Whether an answer that begins now is expected to end before the process does. Once callers'
+/// new connections go elsewhere, it must end in time however long it takes: its caller need only
+/// connect again.
+pub(super) fn can_finish(state: &RoutingState, request: &RequestState, now: Moment) -> bool {
+    let Some(schedule) = state.stop else { return true };
+    let left = schedule.ends_at.before(DELIVERY_TIME).since(now);
+    let longest = request.deadline.since(now);
+    let has_moved = now >= schedule.callers_moved_at;
+    let expected = state.run_times.bound(&request.route.name).filter(|_| !has_moved);
+    let is_untold = expected.is_none() && !has_moved;
+    is_untold && !left.is_zero() || expected.map_or(longest, |it| it.min(longest)) <= left
+}
+
+/// Shortens the wait of a request while the process stops, since it may have to be refused in time.
+pub(super) fn bound_wait(state: &RoutingState, effect: RoutingEffect) -> RoutingEffect {
+    match effect {
+        RoutingEffect::Wait(number, delay) if state.stop.is_some() => {
+            RoutingEffect::Wait(number, delay.min(WAIT_POLL_INTERVAL))
+        }
+        effect => effect,
+    }
+}
+
+/// Whether a request that has not run cannot be served any more by this process.
+pub(super) fn must_go_elsewhere(state: &RoutingState, number: RequestNumber, now: Moment) -> bool {
+    let request = state.requests.get(&number);
+    request.is_some_and(|it| !it.may_have_run && !can_finish(state, it, now))
+}
--- a/src/routing/state/waiting.rs
+++ b/src/routing/state/waiting.rs
@@ -114,7 +114,7 @@
         | RoutingEvent::GatewaysSeen(_)
         | RoutingEvent::InputLifted(_)
         | RoutingEvent::ServerProbed { .. }
-        | RoutingEvent::StopRequested => RoomScope::Nowhere,
+        | RoutingEvent::StopRequested(_) => RoomScope::Nowhere,
     }
 }
 
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -397,11 +397,11 @@
     expect_that!(max_per_second, gt(15));
 }
 
-fn idle_report(is_open: bool) -> LoadReport {
+pub(crate) fn idle_report(is_open: bool) -> LoadReport {
     LoadReport { running: 0, waiting: 0, is_open }
 }
 
-fn report_load(gateway: &mut TestGateway, n: u16, report: LoadReport) {
+pub(crate) fn report_load(gateway: &mut TestGateway, n: u16, report: LoadReport) {
     gateway.dispatch(RoutingEvent::LoadReported {
         address: address(n),
         report,
@@ -460,7 +460,7 @@
     }
 }
 
-fn only_rank() -> ServerRecord {
+pub(crate) fn only_rank() -> ServerRecord {
     let group = GroupMembership { name: "g".parse().unwrap(), epoch: 1, rank: 0, is_open: true };
     ServerRecord { group: Some(group), ..server(1, "a") }
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -29,6 +29,7 @@
 mod naive_router;
 mod operator_tool;
 mod plan_limits;
+mod planned_stop;
 mod popularity_shift;
 mod prompt_quarantine;
 mod reducer_replay;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -23,6 +23,8 @@
 pub mod load;
 #[path = "support/log_service.rs"]
 pub mod log_service;
+#[path = "support/paced_server.rs"]
+pub mod paced_server;
 #[path = "support/platform_store.rs"]
 pub mod platform_store;
 #[path = "support/ports.rs"]
--- /dev/null
+++ b/tests/support/paced_server.rs
@@ -0,0 +1,91 @@
+//! Fake backend servers that stream at a set pace, with a pause of choice.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use serde_json::json;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
+
+use super::{platform_store::FakeStore, ports::free_address, scripted_server::read_request};
+
+/// How a server answers each request.
+#[derive(Clone, Debug)]
+pub struct StreamPace {
+    pub events: u32,
+    pub gap: Duration,
+    /// After how many events of a run it pauses once, and for how long.
+    pub pause: Option<(u32, Duration)>,
+    /// What it answers to a request that resumes a stream, in place of the stream.
+    pub resume_answer: Option<String>,
+}
+
+impl StreamPace {
+    pub fn steady(events: u32, gap: Duration) -> Self {
+        Self { events, gap, pause: None, resume_answer: None }
+    }
+}
+
+/// Runs at all servers of a test: the server and the event after which it began.
+#[derive(Clone, Default)]
+pub struct PacedRuns(Arc<Mutex<Vec<(String, u32)>>>);
+
+impl PacedRuns {
+    pub fn all(&self) -> Vec<(String, u32)> {
+        self.0.lock().unwrap().clone()
+    }
+}
+
+/// Starts a server of service `s` and lists it in the store.
+pub async fn start(store: &FakeStore, id: &str, pace: StreamPace, runs: &PacedRuns) -> SocketAddr {
+    let address = free_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    let entry = json!({"service": "s", "address": address, "zone": "a", "version": "v1",
+        "slots": 12, "state": "ready", "warmup-left-ms": 0, "sequence": 1, "born": 1});
+    store.put("keyed.servers", id, Some(&entry));
+    let (id, runs) = (id.to_owned(), runs.clone());
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let (id, pace, runs) = (id.clone(), pace.clone(), runs.clone());
+            tokio::spawn(async move { answer(stream, &id, &pace, &runs).await });
+        }
+    });
+    address
+}
+
+/// Answers one request. `None` if the caller has closed the connection.
+async fn answer(
+    mut stream: TcpStream,
+    id: &str,
+    pace: &StreamPace,
+    runs: &PacedRuns,
+) -> Option<()> {
+    let received = read_request(&mut stream).await?;
+    let header = |name: &str| received.headers.get(name).cloned().unwrap_or_default();
+    let request = header("request-id");
+    let resume_after: u32 = header("last-event-id").parse().unwrap_or(0);
+    runs.0.lock().unwrap().push((id.to_owned(), resume_after));
+    if let Some(text) = pace.resume_answer.as_ref().filter(|_| resume_after > 0) {
+        stream.write_all(text.replace("{id}", &request).as_bytes()).await.ok()?;
+        return stream.shutdown().await.ok();
+    }
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.ok()?;
+    for n in resume_after + 1..=pace.events {
+        let pause = pace.pause.filter(|it| n == resume_after + it.0 + 1).map(|it| it.1);
+        tokio::time::sleep(pace.gap + pause.unwrap_or_default()).await;
+        let event = format!("id: {n}\ndata: piece {n}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await.ok()?;
+    }
+    stream.write_all(b"0\r\n\r\n").await.ok()
+}
