Tell from the manifest whether requests need an API key

Cause: the need for a key was told from the table of keys, which is empty then. Change: the catalog says whether its manifest lists accounts, also in the form that gateways send to each other. An empty list, null and accounts without keys mean that no key is valid. An empty key is none.

--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use smol_str::SmolStr;
 
 use super::PlatformError;
@@ -56,12 +56,23 @@
     routes: Vec<WireRoute>,
     #[serde(default)]
     services: Vec<WireService>,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
+    // Requests need a key if the manifest contains the field, whatever it holds.
+    #[serde(default, deserialize_with = "decode_present")]
+    tenants: Option<Vec<WireTenant>>,
     #[serde(default)]
     limits: WireLimits,
 }
 
+/// Decodes a list that is there; `null` counts as empty.
+fn decode_present<'de, D, T>(deserializer: D) -> Result<Option<Vec<T>>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    let list: Option<Vec<T>> = Deserialize::deserialize(deserializer)?;
+    Ok(Some(list.unwrap_or_default()))
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireRoute {
@@ -214,7 +225,7 @@
 /// The text is not JSON, or a required field is missing or has the wrong type.
 pub fn decode_catalog(text: &[u8]) -> Result<RouteCatalog, PlatformError> {
     let manifest: WireManifest = serde_json::from_slice(text)?;
-    let accounts = manifest.tenants.into_iter().map(decode_account).collect();
+    let accounts = manifest.tenants.map(|it| it.into_iter().map(decode_account).collect());
     let services: BTreeMap<ServiceName, ServiceRecord> =
         manifest.services.into_iter().map(|it| (it.name.clone(), decode_service(it))).collect();
     let routes = manifest.routes.into_iter().map(decode_route).collect();
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -198,6 +198,8 @@
     /// By lower-case host, the longest path prefix first.
     routes: HashMap<SmolStr, Vec<RouteRecord>>,
     services: BTreeMap<ServiceName, ServiceRecord>,
+    /// Whether requests need an API key. Not told from the keys: the last one may be revoked.
+    requires_key: bool,
     /// By API key.
     accounts: HashMap<SmolStr, ClientAccount>,
     /// Ranks that accounts set.
@@ -216,6 +218,9 @@
     version: CatalogVersion,
     routes: Vec<RouteRecord>,
     services: BTreeMap<ServiceName, ServiceRecord>,
+    /// Gateways of earlier releases do not send it.
+    #[serde(default)]
+    requires_key: Option<bool>,
     accounts: HashMap<SmolStr, ClientAccount>,
     #[serde(default)]
     account_ranks: BTreeMap<ClientAccount, UrgencyRank>,
@@ -224,7 +229,16 @@
 
 impl From<CatalogText> for RouteCatalog {
     fn from(text: CatalogText) -> Self {
-        let CatalogText { version, routes, services, accounts, account_ranks, limits } = text;
+        let CatalogText {
+            version,
+            routes,
+            services,
+            requires_key,
+            accounts,
+            account_ranks,
+            limits,
+        } = text;
+        let requires_key = requires_key.unwrap_or(!accounts.is_empty());
         let ranked_services = ranked_services(&routes, &account_ranks);
         let gap_objectives = gap_objectives(&routes);
         let routes = index_routes(routes);
@@ -232,6 +246,7 @@
             version,
             routes,
             services,
+            requires_key,
             accounts,
             account_ranks,
             ranked_services,
@@ -243,27 +258,40 @@
 
 impl From<RouteCatalog> for CatalogText {
     fn from(catalog: RouteCatalog) -> Self {
-        let RouteCatalog { version, routes, services, accounts, account_ranks, limits, .. } =
-            catalog;
+        let RouteCatalog {
+            version,
+            routes,
+            services,
+            requires_key,
+            accounts,
+            account_ranks,
+            limits,
+            ..
+        } = catalog;
+        let requires_key = Some(requires_key);
         let routes = routes.into_values().flatten().collect();
-        Self { version, routes, services, accounts, account_ranks, limits }
+        Self { version, routes, services, requires_key, accounts, account_ranks, limits }
     }
 }
 
 impl RouteCatalog {
-    /// Creates a catalog from the lists of a manifest.
+    /// Creates a catalog from the lists of a manifest. Without a list of accounts, requests need no API
+    /// keys; with an empty one, or accounts without keys, there is no valid key.
     pub fn new(
         version: CatalogVersion,
         routes: Vec<RouteRecord>,
         services: BTreeMap<ServiceName, ServiceRecord>,
-        accounts: Vec<AccountRecord>,
+        accounts: Option<Vec<AccountRecord>>,
         limits: CallerLimits,
     ) -> Self {
+        let requires_key = accounts.is_some();
+        let accounts = accounts.unwrap_or_default();
         let rank_of = |it: &AccountRecord| Some((it.account.clone(), it.rank?));
         let account_ranks: BTreeMap<_, _> = accounts.iter().filter_map(rank_of).collect();
         let by_key = |it: AccountRecord| {
             let account = it.account;
-            it.api_keys.into_iter().map(move |key| (key, account.clone()))
+            let keys = it.api_keys.into_iter().filter(|key| !key.is_empty());
+            keys.map(move |key| (key, account.clone()))
         };
         let accounts = accounts.into_iter().flat_map(by_key).collect();
         let ranked_services = ranked_services(&routes, &account_ranks);
@@ -273,6 +301,7 @@
             version,
             routes,
             services,
+            requires_key,
             accounts,
             account_ranks,
             ranked_services,
@@ -298,7 +327,7 @@
     /// use alderbay::routing::{CallerLimits, CatalogVersion, RouteCatalog};
     /// use alderbay::units::ByteCount;
     /// let limits = CallerLimits { max_body: ByteCount(1) };
-    /// let empty = RouteCatalog::new(CatalogVersion(1), vec![], [].into(), vec![], limits);
+    /// let empty = RouteCatalog::new(CatalogVersion(1), vec![], [].into(), None, limits);
     /// assert!(empty.route("h.example", "/a/").is_none());
     /// ```
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteRecord> {
@@ -351,9 +380,9 @@
         self.ranked_services.contains(service)
     }
 
-    /// Whether any account exists. Without accounts, requests need no API keys.
-    pub fn has_accounts(&self) -> bool {
-        !self.accounts.is_empty()
+    /// Whether requests on routes that are not public need an API key of an account.
+    pub fn requires_key(&self) -> bool {
+        self.requires_key
     }
 }
 
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -395,7 +395,7 @@
         return refuse_early(RefusalCode::UnknownPath);
     };
     let account = caller_request.api_key.as_ref().and_then(|key| catalog.account_of(key)).cloned();
-    if catalog.has_accounts() && !route.is_public && account.is_none() {
+    if catalog.requires_key() && !route.is_public && account.is_none() {
         return refuse_early(match caller_request.api_key {
             Some(_) => RefusalCode::UnknownAccount,
             None => RefusalCode::MissingKey,
--- a/src/routing/state/shares.rs
+++ b/src/routing/state/shares.rs
@@ -75,7 +75,7 @@
 /// service is not crowded, less beyond the share.
 pub(super) fn share_factor(state: &RoutingState, request: &RequestState, now: Moment) -> f64 {
     let is_in_scope = divides_accounts(state, &request.service);
-    let has_accounts = is_in_scope && state.catalog.as_ref().is_some_and(|it| it.has_accounts());
+    let has_accounts = is_in_scope && state.catalog.as_ref().is_some_and(|it| it.requires_key());
     let account = request.account.as_ref().filter(|_| has_accounts);
     let standing = account.and_then(|it| state.shares.standing(&request.service, it, now));
     let Some(standing) = standing.filter(|_| is_crowded(state, &request.service, now)) else {
--- a/tests/account_shares.rs
+++ b/tests/account_shares.rs
@@ -141,7 +141,7 @@
         CatalogVersion(1),
         vec![route],
         BTreeMap::from([(service(), ServiceRecord::default())]),
-        records,
+        Some(records),
         CallerLimits { max_body: ByteCount(1_000) },
     ))
 }
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -70,7 +70,7 @@
         CatalogVersion(1),
         (0..OBJECTIVES_MS.len()).map(route).collect(),
         BTreeMap::from([(service, ServiceRecord::default())]),
-        vec![account],
+        Some(vec![account]),
         CallerLimits { max_body: ByteCount(1_000) },
     ))
 }
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -47,7 +47,7 @@
         CatalogVersion(version),
         vec![route],
         BTreeMap::from([(service, record)]),
-        vec![account],
+        Some(vec![account]),
         CallerLimits { max_body: ByteCount(1_000) },
     ))
 }
--- a/tests/server_pace.rs
+++ b/tests/server_pace.rs
@@ -72,7 +72,7 @@
             CatalogVersion(2),
             vec![route],
             BTreeMap::from([("s".parse().unwrap(), record)]),
-            vec![account],
+            Some(vec![account]),
             CallerLimits { max_body: ByteCount(1_000) },
         ));
         gateway.dispatch(RoutingEvent::CatalogRead { source: CatalogSource::Store, catalog });
--- a/tests/store_rewind.rs
+++ b/tests/store_rewind.rs
@@ -111,7 +111,7 @@
 
 fn catalog(version: u64) -> Box<RouteCatalog> {
     let limits = CallerLimits { max_body: ByteCount(1) };
-    Box::new(RouteCatalog::new(CatalogVersion(version), vec![], BTreeMap::new(), vec![], limits))
+    Box::new(RouteCatalog::new(CatalogVersion(version), vec![], BTreeMap::new(), None, limits))
 }
 
 fn domain(name: &str) -> FailureDomain {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -35,6 +35,7 @@
 mod reducer_replay;
 mod request_quarantine;
 mod retry_budget;
+mod revoked_keys;
 mod run_once;
 mod server_limits;
 mod server_notices;
