--- a/tests/account_shares.rs
+++ b/tests/account_shares.rs
@@ -134,14 +134,14 @@
         rank: None,
     };
     let records = match accounts {
-        Accounts::Known => (0..=SMALL_COUNT).map(record).collect(),
-        Accounts::Unknown => Vec::new(),
+        Accounts::Known => Some((0..=SMALL_COUNT).map(record).collect()),
+        Accounts::Unknown => None,
     };
     Box::new(RouteCatalog::new(
         CatalogVersion(1),
         vec![route],
         BTreeMap::from([(service(), ServiceRecord::default())]),
-        Some(records),
+        records,
         CallerLimits { max_body: ByteCount(1_000) },
     ))
 }
