Keep the call of a silent server open until another one goes on

Cause: a silence ended the call first, and the reducer asked afterwards whether there was a retry, an attempt or a server left. Evidence: 'attempt ended' with stalled and 'request refused' with outcome_unknown in the same millisecond, no call in between. Change: the call is set aside and another server is asked as before; whichever sends an event first goes on. A request that would be refused waits for its silent calls up to its deadline, and asks again each 0.5 s, without spending retries while no server can be chosen. Callers that leave are noticed while a resumed stream has no head yet.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -2,6 +2,7 @@
 //! passes the response on.
 
 mod answers;
+mod call;
 
 use std::{pin::Pin, sync::Arc, time::Duration};
 
@@ -11,11 +12,12 @@
 use smol_str::SmolStr;
 use tokio::{
     sync::{Notify, oneshot},
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep_until, timeout_at},
 };
 use volo_http::response::Response;
 
 use super::{
+    attempts::OpenAttempt,
     callers::{CallerRequest, refusal_answer, routing_request},
     held_memory::{IDLE_TIME, watch_delivery},
     relay::StreamSender,
@@ -23,7 +25,7 @@
 };
 use crate::{
     core::{Refusal, RefusalCode},
-    http::{OpenCall, caller_disconnected, connect, start_call},
+    http::{caller_disconnected, connect, start_call},
     platform::{
         AttemptHeaders, ResponseKind, build_attempt_headers, classify_response,
         decode_server_notice,
@@ -34,6 +36,9 @@
     },
 };
 
+use answers::lost_after;
+use call::{AttemptCall, CallPiece, PendingCall, SilentCalls};
+
 /// Timeout of a connection attempt: many round-trip times.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without a first event after which another server is tried.
@@ -75,12 +80,18 @@
     last_event: Option<SmolStr>,
     /// A server's error response, sent to the caller if no further attempt succeeds.
     server_error: Option<Response>,
-    /// How far the response of the attempt in progress came.
-    progress: AnswerProgress,
-    /// What that response says about the number of requests that its server takes.
-    server_limit: LimitNotice,
-    /// When its first event arrived.
-    first_event_at: Option<Instant>,
+    /// Calls whose servers are silent.
+    silent: SilentCalls,
+}
+
+/// What happens next to a call in progress.
+enum CallStep {
+    /// The server sent a piece of its response.
+    Piece(CallPiece),
+    /// The attempt ended, or its server has been silent for too long.
+    Ended(AttemptResult),
+    /// Another call, which was set aside, goes on or has failed.
+    Silent(Box<AttemptCall>, CallPiece),
 }
 
 impl RequestTask {
@@ -91,19 +102,8 @@
     ) -> Self {
         let last_event = request.headers.resume_after.clone();
         let state = AnswerState::Waiting(answer_sender);
-        let (number, progress) = (request.number, AnswerProgress::default());
-        let server_limit = LimitNotice::default();
-        Self {
-            shell,
-            number,
-            request,
-            state,
-            last_event,
-            server_error: None,
-            progress,
-            server_limit,
-            first_event_at: None,
-        }
+        let (number, silent) = (request.number, SilentCalls::default());
+        Self { shell, number, request, state, last_event, server_error: None, silent }
     }
 
     /// Runs the request to its end. The sender of `answered_rx` sends once the head of the response
@@ -118,7 +118,7 @@
         loop {
             effect = match effect {
                 Some(RoutingEffect::Attempt(_, spec)) => {
-                    self.attempt(number, &spec, disconnected.as_mut()).await
+                    self.attempt(&spec, disconnected.as_mut()).await
                 }
                 Some(RoutingEffect::Wait(_, delay)) => {
                     if !std::mem::replace(&mut has_waited, true) {
@@ -163,19 +163,32 @@
     }
 
     /// Waits until the time has passed or the reducer ends the wait, then lets the reducer look for a
-    /// server again. Returns `None` if the caller
-    /// disconnects.
+    /// server again. A call that was set aside and goes on meanwhile ends the wait too. Returns `None`
+    /// if the caller disconnects.
     async fn wait_for_server(
-        &self,
+        &mut self,
         number: RequestNumber,
         (delay, wake): (Duration, &Notify),
-        disconnected: Pin<&mut impl Future<Output = ()>>,
+        mut disconnected: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<RoutingEffect> {
-        tokio::select! {
-            () = tokio::time::sleep(delay) => {}
-            () = wake.notified() => {}
-            () = disconnected => return None,
-            () = self.state.closed() => return None,
+        let wait_end = Instant::now() + delay;
+        loop {
+            let Self { state, silent, last_event, request, .. } = &mut *self;
+            let headers = &request.head.headers;
+            let (call, news) = tokio::select! {
+                () = sleep_until(wait_end) => break,
+                () = wake.notified() => break,
+                () = disconnected.as_mut() => return None,
+                () = state.closed() => return None,
+                news = silent.next_news(last_event.as_deref(), headers) => news,
+            };
+            if self.is_usable(&call, &news) {
+                self.revive(&call);
+                return self.follow(call, Some(news), disconnected).await;
+            }
+            if let Some(effect) = self.drop_silent(&call) {
+                return Some(effect);
+            }
         }
         let request = routing_request(number, &self.request);
         self.shell.dispatch(RoutingEvent::WaitEnded(request))
@@ -192,33 +205,170 @@
         );
     }
 
+    /// Makes an attempt: sends the request and passes the response on. Returns the reducer's next
+    /// effect.
     async fn attempt(
         &mut self,
-        number: RequestNumber,
         spec: &AttemptSpec,
         disconnected: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<RoutingEffect> {
         self.log_attempt(spec);
-        self.progress = AnswerProgress::default();
-        self.server_limit = LimitNotice::default();
-        self.first_event_at = None;
-        let started = Instant::now();
-        let deadline = self.shell.clock.instant(spec.deadline);
-        // A run that may happen only once is not cancelled, since its effects cannot be undone.
-        let may_cancel = spec.kind != RouteKind::Single;
+        let silent_after = stall_timeout(spec).map(|it| it.max(CONNECT_TIMEOUT));
+        let call = AttemptCall::new(spec.clone(), self.send_request(spec), silent_after);
+        self.follow(call, None, disconnected).await
+    }
+
+    /// Passes on the response of a call, whose next piece may be there already, until it ends or its
+    /// server falls silent. A call that was set aside and goes on first takes its place.
+    async fn follow(
+        &mut self,
+        mut call: AttemptCall,
+        mut piece: Option<CallPiece>,
+        mut disconnected: Pin<&mut impl Future<Output = ()>>,
+    ) -> Option<RoutingEffect> {
         let shell = self.shell.clone();
-        let mut open_attempt = shell.attempts.register((number, spec.attempt));
-        let result = tokio::select! {
-            result = timeout_at(deadline, self.exchange(spec)) => {
-                result.unwrap_or(AttemptResult::Abandoned)
+        let mut open_attempt = shell.attempts.register((self.number, call.spec.attempt));
+        loop {
+            let step = match piece.take() {
+                Some(piece) => CallStep::Piece(piece),
+                None => self.next_step(&mut call, &mut open_attempt, disconnected.as_mut()).await,
+            };
+            match step {
+                CallStep::Piece(piece) => {
+                    let deadline = shell.clock.instant(call.spec.deadline);
+                    let may_cancel = call.spec.kind != RouteKind::Single;
+                    let end = tokio::select! {
+                        end = timeout_at(deadline, self.pass_on(&mut call, piece)) => {
+                            end.unwrap_or(Some(AttemptResult::Abandoned))
+                        }
+                        () = disconnected.as_mut(), if may_cancel => Some(AttemptResult::Abandoned),
+                    };
+                    if let Some(result) = end {
+                        return self.end_attempt(call, result);
+                    }
+                }
+                CallStep::Ended(result) => return self.end_attempt(call, result),
+                CallStep::Silent(other, news) if self.is_usable(&other, &news) => {
+                    self.end_attempt(call, AttemptResult::Abandoned);
+                    self.revive(&other);
+                    (call, piece) = (*other, Some(news));
+                    open_attempt = shell.attempts.register((self.number, call.spec.attempt));
+                }
+                CallStep::Silent(other, _) => {
+                    self.drop_silent(&other);
+                }
+            }
+        }
+    }
+
+    /// Waits for what happens next to a call.
+    async fn next_step(
+        &mut self,
+        call: &mut AttemptCall,
+        open_attempt: &mut OpenAttempt<'_>,
+        disconnected: Pin<&mut impl Future<Output = ()>>,
+    ) -> CallStep {
+        let Self { shell, state, silent, last_event, request, .. } = self;
+        let headers = &request.head.headers;
+        let deadline = shell.clock.instant(call.spec.deadline);
+        // A run that may happen only once is not cancelled, since its effects cannot be undone.
+        let may_cancel = call.spec.kind != RouteKind::Single;
+        let silent_at = call.silent_at;
+        let silence = async {
+            match silent_at {
+                Some(silent_at) => sleep_until(silent_at).await,
+                None => std::future::pending().await,
             }
-            () = disconnected, if may_cancel => AttemptResult::Abandoned,
-            () = open_attempt.ended() => AttemptResult::Stalled,
         };
-        drop(open_attempt);
+        tokio::select! {
+            biased;
+            () = sleep_until(deadline) => CallStep::Ended(AttemptResult::Abandoned),
+            () = disconnected, if may_cancel => CallStep::Ended(AttemptResult::Abandoned),
+            () = state.closed(), if may_cancel => CallStep::Ended(AttemptResult::Abandoned),
+            () = open_attempt.ended() => CallStep::Ended(AttemptResult::Stalled),
+            piece = call.next_piece(last_event.as_deref()) => CallStep::Piece(piece),
+            (other, news) = silent.next_news(last_event.as_deref(), headers) => {
+                CallStep::Silent(Box::new(other), news)
+            }
+            () = silence => CallStep::Ended(AttemptResult::Stalled),
+        }
+    }
+
+    /// Passes on one piece of a response. Returns the result once the attempt has ended.
+    async fn pass_on(&mut self, call: &mut AttemptCall, piece: CallPiece) -> Option<AttemptResult> {
+        match piece {
+            CallPiece::Head => self.accept_head(call).await,
+            CallPiece::Event(event) => self.relay_event(call, event).await,
+            CallPiece::End => {
+                self.finish_stream(call);
+                Some(AttemptResult::Answered)
+            }
+            CallPiece::Failed(AttemptResult::Lost) => Some(lost_after(call.held_back)),
+            CallPiece::Failed(result) => Some(result),
+        }
+    }
+
+    /// Checks the head of a response, and passes on the whole response if it is no stream.
+    async fn accept_head(&mut self, call: &mut AttemptCall) -> Option<AttemptResult> {
+        let head = call.head()?;
+        let kind = classify_response(head.status, &head.headers, &self.request.head.headers);
+        let is_stream = call.spec.kind.is_stream() && head.status == StatusCode::OK;
+        match kind {
+            ResponseKind::NotRun | ResponseKind::Genuine => {
+                call.server_limit = self.record_notice(head);
+            }
+            // Another server's word, or nobody's, says nothing about this one.
+            ResponseKind::WrongServer | ResponseKind::Foreign => {}
+        }
+        match kind {
+            ResponseKind::NotRun => Some(AttemptResult::NotRun),
+            ResponseKind::WrongServer => Some(AttemptResult::WrongServer),
+            ResponseKind::Foreign => Some(AttemptResult::Lost),
+            ResponseKind::Genuine if is_stream => {
+                call.expect_news_within(FIRST_EVENT_TIMEOUT);
+                None
+            }
+            ResponseKind::Genuine => Some(self.collect_answer(call).await),
+        }
+    }
+
+    /// Whether what a call that was set aside has sent serves the caller.
+    fn is_usable(&self, call: &AttemptCall, news: &CallPiece) -> bool {
+        match news {
+            CallPiece::Head => call.has_usable_head(&self.request.head.headers),
+            CallPiece::Event(_) | CallPiece::End => true,
+            CallPiece::Failed(_) => false,
+        }
+    }
+
+    /// Goes back to a call that was set aside. All others are dropped.
+    fn revive(&mut self, call: &AttemptCall) {
+        self.silent.clear();
+        self.shell.metrics.count("attempts.revived");
+        log::info!(
+            request:% = self.request.request_id, server:% = call.spec.server,
+            attempt = call.spec.attempt, progress:% = call.progress,
+            elapsed_ms = millis(call.started.elapsed());
+            "silent server goes on"
+        );
+        let (number, attempt) = (self.number, call.spec.attempt);
+        self.shell.dispatch(RoutingEvent::AttemptRevived { number, attempt });
+    }
+
+    /// Forgets a call that was set aside and has failed. Returns the reducer's next effect if the
+    /// request relied on it.
+    fn drop_silent(&mut self, call: &AttemptCall) -> Option<RoutingEffect> {
+        let (number, attempt) = (self.number, call.spec.attempt);
+        self.shell.dispatch(RoutingEvent::SilentAttemptEnded { number, attempt })
+    }
+
+    /// Reports the end of an attempt. The call stays open if only its server is silent.
+    fn end_attempt(&mut self, call: AttemptCall, result: AttemptResult) -> Option<RoutingEffect> {
+        let AttemptCall { spec, started, progress, first_event_at, server_limit, .. } = &call;
+        let (number, progress) = (self.number, *progress);
         let elapsed = started.elapsed();
         self.shell.metrics.time(&format!("attempt.{result}"), elapsed);
-        let first_event = self.first_event_at.map(|it| it - started);
+        let first_event = first_event_at.map(|it| it - *started);
         let estimate_error = first_event.zip(spec.first_event).map(|(actual, expected)| {
             self.shell.metrics.time("estimate.error", actual.abs_diff(expected));
             actual.as_secs_f64() - expected.as_secs_f64()
@@ -229,14 +379,17 @@
         let content = is_failure.then(|| spec.content.to_string());
         log::info!(
             request:% = self.request.request_id, server:% = spec.server, result:% = result,
-            progress:% = self.progress, elapsed_ms = millis(elapsed),
+            progress:% = progress, elapsed_ms = millis(elapsed),
             last_event:% = self.last_event.as_deref().unwrap_or(""),
             parts:% = join_parts(suspect_parts), content = content.as_deref(),
-            server_limit:% = self.server_limit, first_event_ms = first_event.map(millis),
+            server_limit:% = server_limit, first_event_ms = first_event.map(millis),
             estimate_error_s = estimate_error;
             "attempt ended"
         );
-        let progress = self.progress;
+        let deadline = self.shell.clock.instant(spec.deadline);
+        if result == AttemptResult::Stalled {
+            self.silent.push(call);
+        }
         let effect = self.shell.dispatch(RoutingEvent::AttemptEnded { number, result, progress });
         if result == AttemptResult::Abandoned && Instant::now() >= deadline {
             let code = RefusalCode::DeadlineDuringRun;
@@ -255,78 +408,42 @@
         );
     }
 
-    /// Makes one attempt: sends the request, checks the head of the response and passes the
-    /// response on.
-    async fn exchange(&mut self, spec: &AttemptSpec) -> AttemptResult {
-        let call = match self.send_request(spec).await {
-            Ok(call) => call,
-            Err((result, progress)) => {
-                self.progress = progress;
-                return result;
-            }
-        };
-        let OpenCall { head, body, guard } = call;
-        self.progress = AnswerProgress::Head;
-        let kind = classify_response(head.status, &head.headers, &self.request.head.headers);
-        match kind {
-            ResponseKind::NotRun | ResponseKind::Genuine => self.record_notice(&head),
-            // Another server's word, or nobody's, says nothing about this one.
-            ResponseKind::WrongServer | ResponseKind::Foreign => {}
-        }
-        match kind {
-            ResponseKind::NotRun => return AttemptResult::NotRun,
-            ResponseKind::WrongServer => return AttemptResult::WrongServer,
-            ResponseKind::Foreign => return AttemptResult::Lost,
-            ResponseKind::Genuine => {}
-        }
-        let result = if spec.kind.is_stream() && head.status == StatusCode::OK {
-            self.relay_stream(head, body, spec.kind).await
-        } else {
-            self.collect_answer(head, body).await
-        };
-        drop(guard);
-        result
-    }
-
-    /// Passes on what the server says about itself in the head of its response.
-    fn record_notice(&mut self, head: &Parts) {
+    /// Passes on what the server says about itself in the head of its response. Returns what it says
+    /// about its limit.
+    fn record_notice(&self, head: &Parts) -> LimitNotice {
         let notice = decode_server_notice(head.status, &head.headers);
-        self.server_limit = notice.limit;
+        let limit = notice.limit;
         // An answer without a notice may end a limit.
         if notice != ServerNotice::default() || self.shell.read(|it| !it.limits().is_empty()) {
             self.shell.dispatch(RoutingEvent::ServerNoticed { number: self.number, notice });
         }
+        limit
     }
 
     /// Connects, sends the request and waits for the head of the response.
-    async fn send_request(
-        &self,
-        spec: &AttemptSpec,
-    ) -> Result<OpenCall, (AttemptResult, AnswerProgress)> {
+    fn send_request(&self, spec: &AttemptSpec) -> PendingCall {
         let failed = |result| (result, AnswerProgress::Nothing);
-        let stream = connect(spec.address, CONNECT_TIMEOUT).await.map_err(|error| {
-            log::info!(server:% = spec.server, error:% = error; "cannot connect to server");
-            failed(AttemptResult::NeverSent)
-        })?;
-        let request = self.build_request(spec).map_err(|error| {
-            log::error!(error:% = error; "cannot build request to server");
-            failed(AttemptResult::NeverSent)
-        })?;
-        let answer = start_call(stream, request);
-        let answer = match stall_timeout(spec) {
-            Some(limit) => {
-                timeout(limit, answer).await.map_err(|_| failed(AttemptResult::Stalled))?
-            }
-            None => answer.await,
-        };
-        answer.map_err(|error| {
-            log::info!(
-                request:% = self.request.request_id, server:% = spec.server, error:% = error;
-                "cannot get response from server"
-            );
-            let progress =
-                if error.has_begun { AnswerProgress::Begun } else { AnswerProgress::Nothing };
-            (AttemptResult::Lost, progress)
+        let request = self.build_request(spec);
+        let (server, address) = (spec.server.clone(), spec.address);
+        let request_id = self.request.request_id.clone();
+        Box::pin(async move {
+            let request = request.map_err(|error| {
+                log::error!(error:% = error; "cannot build request to server");
+                failed(AttemptResult::NeverSent)
+            })?;
+            let stream = connect(address, CONNECT_TIMEOUT).await.map_err(|error| {
+                log::info!(server:% = server, error:% = error; "cannot connect to server");
+                failed(AttemptResult::NeverSent)
+            })?;
+            start_call(stream, request).await.map_err(|error| {
+                log::info!(
+                    request:% = request_id, server:% = server, error:% = error;
+                    "cannot get response from server"
+                );
+                let progress =
+                    if error.has_begun { AnswerProgress::Begun } else { AnswerProgress::Nothing };
+                (AttemptResult::Lost, progress)
+            })
         })
     }
 
--- a/src/gateway/requests/answers.rs
+++ b/src/gateway/requests/answers.rs
@@ -2,134 +2,82 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use tokio::{
     sync::{Semaphore, SemaphorePermit},
-    time::{Instant, sleep_until},
+    time::Instant,
 };
 use volo_http::{body::Body, response::Response};
 
 use super::{
     super::{
-        event_stream::{SseSplitter, is_repeated},
+        event_stream::StreamEvent,
         held_memory::{IDLE_TIME, UNREAD_TIMEOUT, watch_delivery},
         relay::{AnswerBody, DeliveryError, MAX_PIECE_BYTES, stream_body},
     },
-    AnswerState, FIRST_EVENT_TIMEOUT, RequestTask,
+    AnswerState, RequestTask,
+    call::AttemptCall,
 };
 use crate::{
     platform::strip_hop_by_hop,
-    routing::{
-        AnswerProgress, AttemptResult, HoldKind, HoldStage, RouteKind, RoutingEvent, SETTLED_EVENTS,
-    },
+    routing::{AnswerProgress, AttemptResult, HoldKind, HoldStage, RoutingEvent, SETTLED_EVENTS},
 };
 
-/// Time without an event after which a stream is resumed at another server. Callers give up after
-/// two seconds at the earliest.
+/// Time without an event after which another server is asked to resume a stream. Callers give up
+/// after two seconds at the earliest.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Size up to which an answer takes nothing of the memory for large ones.
 const FREE_ANSWER_BYTES: usize = 64 << 10;
 
 impl RequestTask {
-    /// Relays a stream of events to the caller, only complete events, and skips those it has
-    /// already.
-    ///
-    /// A stream without a length or chunks is whole if its connection ends in order after an event.
-    pub(super) async fn relay_stream(
+    /// Passes an event of a stream on. Returns the result if the attempt ends with it.
+    pub(super) async fn relay_event(
         &mut self,
-        head: Parts,
-        mut body: Incoming,
-        kind: RouteKind,
-    ) -> AttemptResult {
-        let is_delimited = body.size_hint().exact().is_some() || is_chunked(&head);
-        let mut splitter = SseSplitter::default();
-        let mut head = Some(head);
-        // Bytes that complete no event do not postpone it.
-        let mut event_deadline = Instant::now() + FIRST_EVENT_TIMEOUT;
-        // Longest time for which the caller kept the server from being read.
-        let mut held_back = Duration::ZERO;
-        loop {
-            let frame = tokio::select! {
-                biased;
-                frame = self.next_frame(&mut body) => frame,
-                // Only a stream that another server can resume is given up for its silence.
-                () = sleep_until(event_deadline), if kind.is_idempotent() => return AttemptResult::Stalled,
-            };
-            let Some(frame) = frame else { return AttemptResult::Abandoned };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    splitter.push(&data);
-                }
-                Some(Err(_)) => return lost_after(held_back),
-                None if splitter.has_partial() => return lost_after(held_back),
-                None if !is_delimited && self.progress == AnswerProgress::Head => {
-                    return AttemptResult::Lost;
-                }
-                None => {
-                    self.begin_stream(&mut head);
-                    if let AnswerState::Streaming(sender) =
-                        std::mem::replace(&mut self.state, AnswerState::Done)
-                    {
-                        self.let_deliver(&sender, UNREAD_TIMEOUT);
-                        sender.finish();
-                    }
-                    self.progress = AnswerProgress::Whole;
-                    return AttemptResult::Answered;
-                }
-            }
-            if splitter.is_oversized() {
-                return AttemptResult::Lost;
-            }
-            while let Some(event) = splitter.next_event() {
-                if is_repeated(event.id.as_deref(), self.last_event.as_deref()) {
-                    continue;
-                }
-                self.begin_stream(&mut head);
-                let AnswerState::Streaming(sender) = &self.state else {
-                    return AttemptResult::Abandoned;
-                };
-                let offered = Instant::now();
-                if let Err(error) = sender.send(event.bytes).await {
-                    self.end_undelivered(error);
-                    return AttemptResult::Abandoned;
-                }
-                held_back = held_back.max(offered.elapsed());
-                self.last_event = event.id.or(self.last_event.take());
-                self.progress = self.progress.with_event();
-                if self.progress == AnswerProgress::Events(1) {
-                    self.first_event_at = Some(Instant::now());
-                    self.shell.dispatch(RoutingEvent::AnswerBegan(self.number));
-                }
-                if self.progress == AnswerProgress::Events(SETTLED_EVENTS) {
-                    self.shell.dispatch(RoutingEvent::AnswerSettled(self.number));
-                }
-                event_deadline = Instant::now() + EVENT_TIMEOUT;
-            }
+        call: &mut AttemptCall,
+        event: StreamEvent,
+    ) -> Option<AttemptResult> {
+        self.silent.clear();
+        self.begin_stream(call.take_head());
+        let AnswerState::Streaming(sender) = &self.state else {
+            return Some(AttemptResult::Abandoned);
+        };
+        let offered = Instant::now();
+        if let Err(error) = sender.send(event.bytes).await {
+            self.end_undelivered(error, call.progress);
+            return Some(AttemptResult::Abandoned);
+        }
+        call.held_back = call.held_back.max(offered.elapsed());
+        self.last_event = event.id.or(self.last_event.take());
+        call.progress = call.progress.with_event();
+        if call.progress == AnswerProgress::Events(1) {
+            call.first_event_at = Some(Instant::now());
+            self.shell.dispatch(RoutingEvent::AnswerBegan(self.number));
+        }
+        if call.progress == AnswerProgress::Events(SETTLED_EVENTS) {
+            self.shell.dispatch(RoutingEvent::AnswerSettled(self.number));
         }
+        call.expect_news_within(EVENT_TIMEOUT);
+        None
     }
 
-    /// Reads the next frame of a stream. The outer `None` means that the caller has
-    /// disconnected.
-    async fn next_frame(
-        &self,
-        body: &mut Incoming,
-    ) -> Option<Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>> {
-        match &self.state {
-            AnswerState::Streaming(sender) => tokio::select! {
-                frame = body.frame() => Some(frame),
-                () = sender.disconnected() => None,
-            },
-            AnswerState::Waiting(_) | AnswerState::Done => Some(body.frame().await),
+    /// Ends a stream as complete.
+    pub(super) fn finish_stream(&mut self, call: &mut AttemptCall) {
+        self.begin_stream(call.take_head());
+        if let AnswerState::Streaming(sender) =
+            std::mem::replace(&mut self.state, AnswerState::Done)
+        {
+            self.let_deliver(&sender, UNREAD_TIMEOUT);
+            sender.finish();
         }
+        call.progress = AnswerProgress::Whole;
     }
 
     /// Sends the head of the response to the caller, unless an earlier attempt has done so.
-    fn begin_stream(&mut self, head: &mut Option<Parts>) {
-        let (Some(head), AnswerState::Waiting(_)) = (head.take(), &self.state) else { return };
+    fn begin_stream(&mut self, head: Option<Parts>) {
+        let (Some(head), AnswerState::Waiting(_)) = (head, &self.state) else { return };
         let (sender, body) = stream_body(&self.request.memory);
         let answer = build_answer(head, Body::from_body(body));
         let state = std::mem::replace(&mut self.state, AnswerState::Streaming(sender));
@@ -140,7 +88,7 @@
         }
     }
 
-    fn end_undelivered(&self, error: DeliveryError) {
+    fn end_undelivered(&self, error: DeliveryError, progress: AnswerProgress) {
         match error {
             DeliveryError::Disconnected => return,
             // The events that wait are of no use to a caller that takes none.
@@ -148,18 +96,15 @@
         }
         self.shell.metrics.count("caller.unread");
         log::info!(
-            request:% = self.request.request_id, error:% = error, progress:% = self.progress;
+            request:% = self.request.request_id, error:% = error, progress:% = progress;
             "stream broken off"
         );
     }
 
     /// Reads the complete response before the caller gets any of it, so that the request can be
     /// retried if the response breaks off.
-    pub(super) async fn collect_answer(
-        &mut self,
-        head: Parts,
-        mut body: Incoming,
-    ) -> AttemptResult {
+    pub(super) async fn collect_answer(&mut self, call: &mut AttemptCall) -> AttemptResult {
+        let Some((head, body)) = call.take_answer() else { return AttemptResult::Lost };
         let max_bytes = usize::try_from(self.shell.limits.max_answer_bytes.0).unwrap_or(usize::MAX);
         let shell = self.shell.clone();
         let mut memory = AnswerMemory::new(&shell.answer_memory);
@@ -184,7 +129,7 @@
         }
         let is_error = head.status.is_server_error();
         if head.status.is_success() {
-            self.progress = AnswerProgress::Whole;
+            call.progress = AnswerProgress::Whole;
         }
         let is_large = collected.len() > MAX_PIECE_BYTES;
         let content = part.tie(collected.freeze());
@@ -250,14 +195,10 @@
 
 /// Returns how an attempt ended whose stream broke off. A server whose stream was not read in time
 /// for its caller's sake is not at fault, and another one would be held back in the same way.
-fn lost_after(held_back: Duration) -> AttemptResult {
+pub(super) fn lost_after(held_back: Duration) -> AttemptResult {
     if held_back >= IDLE_TIME { AttemptResult::Abandoned } else { AttemptResult::Lost }
 }
 
-fn is_chunked(head: &Parts) -> bool {
-    head.headers.contains_key(http::header::TRANSFER_ENCODING)
-}
-
 fn build_answer(head: Parts, body: Body) -> Response {
     let mut answer = Response::new(body);
     *answer.status_mut() = head.status;
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -138,7 +138,8 @@
     WrongServer,
     /// The request was sent, and the connection ended without a usable response.
     Lost,
-    /// The request was sent, and no further data arrives.
+    /// The request was sent, and no further data arrives. The call stays open until another attempt
+    /// goes on in its place.
     Stalled,
     /// The caller disconnected, or its deadline passed.
     Abandoned,
@@ -275,6 +276,20 @@
         /// How far the server's response came.
         progress: AnswerProgress,
     },
+    /// The server of an attempt that ended as [`AttemptResult::Stalled`] has gone on before any other.
+    AttemptRevived {
+        /// Request that the attempt belongs to.
+        number: RequestNumber,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// An attempt that ended as [`AttemptResult::Stalled`], and whose call was still open, has failed.
+    SilentAttemptEnded {
+        /// Request that the attempt belongs to.
+        number: RequestNumber,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// The server of a request's attempt said something about itself.
     ServerNoticed {
         /// Request that the attempt belongs to.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -10,6 +10,7 @@
 mod refusals;
 mod room_shares;
 mod shares;
+mod silence;
 mod stalls;
 mod stopping;
 mod suspects;
@@ -46,6 +47,7 @@
 use pace::{answer_began, expect_first_event};
 use refusals::{refuse, refuse_until_rested};
 use room_shares::{RoomShares, use_share};
+use silence::{SilentAttempts, attempt_revived, silent_ended};
 use stalls::StallTable;
 use stopping::{bound_wait, must_go_elsewhere, stop_requested};
 use suspects::{
@@ -127,6 +129,8 @@
     latest_start: Moment,
     /// Server of the attempt in progress.
     current_attempt: Option<CurrentAttempt>,
+    /// Attempts whose servers are silent.
+    silent: SilentAttempts,
 }
 
 /// The server of an attempt in progress, and how far the attempt has come.
@@ -341,6 +345,12 @@
         RoutingEvent::AttemptEnded { number, result, progress } => {
             attempt_ended(state, number, (result, progress), now)
         }
+        RoutingEvent::AttemptRevived { number, attempt } => {
+            attempt_revived(state, number, attempt, now)
+        }
+        RoutingEvent::SilentAttemptEnded { number, attempt } => {
+            silent_ended(state, number, attempt, now)
+        }
         RoutingEvent::ServerProbed { server, has_ended } => {
             server_probed(state, &server, has_ended, now)
         }
@@ -440,6 +450,7 @@
         is_returned: !is_first_try,
         latest_start: wait_deadline,
         current_attempt: None,
+        silent: SilentAttempts::default(),
     };
     state.models.entry(request.service.clone()).or_default().record_rank(request.rank);
     request.work = shares::record_arrival(state, &request, caller_request.size, now);
@@ -546,6 +557,7 @@
     };
     shares::record_start(&mut state.shares, request, now);
     request.is_waiting = false;
+    request.silent.begin_attempt();
     request.tried_servers.push(id.clone());
     let address = record.address;
     let attempt = request.attempts_sent + request.connect_failures + 1;
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -43,6 +43,9 @@
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
     let Some(attempt) = request.current_attempt.take() else { return Vec::new() };
+    if result == AttemptResult::Stalled {
+        request.silent.push(attempt.clone());
+    }
     let CurrentAttempt { incarnation: (id, _), address, began_at, timing, .. } = attempt;
     if result == AttemptResult::Answered {
         state.run_times.record(&request.route.name, now.since(request.received_at));
--- a/src/routing/state/pace.rs
+++ b/src/routing/state/pace.rs
@@ -33,6 +33,7 @@
     let Some(request) = state.requests.get_mut(&number) else { return };
     let Some(attempt) = &mut request.current_attempt else { return };
     attempt.has_begun = true;
+    request.silent.clear();
     let Some(timing) = &mut attempt.timing else { return };
     timing.first_event_at = Some(now);
     if timing.has_free_slot {
--- a/src/routing/state/refusals.rs
+++ b/src/routing/state/refusals.rs
@@ -4,6 +4,7 @@
 
 use super::{
     RoutingState,
+    silence::rely_on_silent,
     waiting::{backlog_wait, note},
 };
 use crate::{
@@ -38,6 +39,9 @@
     code: RefusalCode,
     now: Moment,
 ) -> RoutingEffect {
+    if let Some(effect) = rely_on_silent(state, number, now) {
+        return effect;
+    }
     let Some(request) = state.requests.get(&number) else {
         return RoutingEffect::Finished(number);
     };
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -6,7 +6,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{RequestState, RoutingState, attempts::fail_over, place_request, refuse};
+use super::{
+    RequestState, RoutingState, attempts::fail_over, place_request, refuse, silence::ask_again,
+};
 use crate::{
     core::RefusalCode,
     routing::{
@@ -200,6 +202,7 @@
         return RoutingEffect::Finished(number);
     };
     match request.suspicion {
+        Suspicion::None if request.silent.is_relied_on() => ask_again(state, number, now),
         Suspicion::None => place_request(state, number, now),
         Suspicion::Probing { until } if now < until => {
             RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
--- a/src/routing/state/waiting.rs
+++ b/src/routing/state/waiting.rs
@@ -105,6 +105,8 @@
         RoutingEvent::StoreUnavailable
         | RoutingEvent::StoreRecovered
         | RoutingEvent::StoreRewound
+        | RoutingEvent::AttemptRevived { .. }
+        | RoutingEvent::SilentAttemptEnded { .. }
         | RoutingEvent::ServerNoticed { .. }
         | RoutingEvent::AnswerBegan(_)
         | RoutingEvent::DemandReported { .. }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -41,6 +41,7 @@
 mod server_notices;
 mod shift_rollout;
 mod server_pace;
+mod silent_servers;
 mod slow_caller;
 mod stalled_groups;
 mod start_estimate;
