Refuse directory entries at addresses that no server can have

What callers saw: nothing yet; an entry of another writer at 0.0.0.0, a multicast address or port 0, or with 4,294,967,295 slots, was a server to the gateways, the last one with room for everything; and a text of 200 kB where a state was due stood whole in a line of the log. Cause: the decoder checked types only, and the JSON library's errors quote the entry. Change: such entries name no server; errors and invalid keys in the log are cut.

--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -38,6 +38,9 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Maximum number of characters of an invalid key in the log.
+const MAX_KEY_CHARS: usize = 100;
+
 /// Time after the first read of an era until another gateway is asked for a catalog that the store
 /// may have lost. Until then, other gateways that have just started have read the store too.
 const CATALOG_CHECK_DELAY: Duration = Duration::from_millis(1_000);
@@ -250,7 +253,8 @@
                 servers.remove(&id);
             }
             (Err(error), _) => {
-                log::warn!(key:% = key, error:% = error; "invalid server id in directory key");
+                let key: String = key.chars().take(MAX_KEY_CHARS).collect();
+                log::warn!(key = key, error:% = error; "invalid server id in directory key");
             }
         }
     }
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -1,15 +1,37 @@
 //! Decoding of entries of the platform's directory, in which backend servers register.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use serde::Deserialize;
 use smol_str::SmolStr;
+use thiserror::Error;
 
 use crate::{
     routing::{GroupMembership, ServerRecord},
     units::{FailureDomain, GroupName, ServerId, ServiceName},
 };
 
+/// Largest number of requests that a server runs at the same time. An entry with more would draw the
+/// requests of all gateways.
+const MAX_SLOTS: u32 = 65_536;
+/// Maximum number of characters of an error in the log: it may quote the entry.
+const MAX_ERROR_CHARS: usize = 200;
+
+/// Why an entry names no server to use.
+#[derive(Debug)]
+#[derive(Error)]
+enum EntryError {
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error("no server can be called at {0}")]
+    Address(SocketAddr),
+    #[error("{0} slots are more than {MAX_SLOTS}")]
+    Slots(u32),
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireServer {
@@ -71,10 +93,11 @@
 /// ```
 pub fn decode_server(key: &str, value: &[u8]) -> Option<ServerRecord> {
     let id: ServerId = key.parse().ok()?;
-    let wire: WireServer = match serde_json::from_slice(value) {
+    let wire = match parse_entry(value) {
         Ok(wire) => wire,
         Err(error) => {
-            log::warn!(server:% = id, error:% = error; "directory entry is not a server record");
+            let error: String = error.to_string().chars().take(MAX_ERROR_CHARS).collect();
+            log::warn!(server:% = id, error = error; "directory entry is not a server record");
             return None;
         }
     };
@@ -93,6 +116,19 @@
     })
 }
 
+fn parse_entry(value: &[u8]) -> Result<WireServer, EntryError> {
+    let wire: WireServer = serde_json::from_slice(value)?;
+    let (ip, port) = (wire.address.ip(), wire.address.port());
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    if port == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        return Err(EntryError::Address(wire.address));
+    }
+    match wire.slots {
+        Some(slots) if slots > MAX_SLOTS => Err(EntryError::Slots(slots)),
+        Some(_) | None => Ok(wire),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use googletest::prelude::*;
@@ -118,6 +154,11 @@
             ENTRY.replace("\"10.0.0.9:80\"", "7"),
             ENTRY.replace("\"sequence\":4", "\"sequence\":\"4\""),
             ENTRY.replace("\"zone\":\"a\",", ""),
+            ENTRY.replace("\"slots\":12", "\"slots\":4294967295"),
+            ENTRY.replace("10.0.0.9:80", "10.0.0.9:0"),
+            ENTRY.replace("10.0.0.9:80", "0.0.0.0:80"),
+            ENTRY.replace("10.0.0.9:80", "224.0.0.1:80"),
+            ENTRY.replace("10.0.0.9:80", "255.255.255.255:80"),
             "\u{0}".to_owned(),
         ];
         for it in broken {
