Encode the key after which the next page of a keyed stream is read

What callers saw (reported by other operators; a test shows it here): a gateway that starts is never ready, and one that must read the whole directory again stops following it, after an entry of another writer. Cause: reads of all keys come in pages, and the last key of a page went into the next query as it was. A space or '#' in it makes the call invalid, '&' cuts it, at each try. Evidence: 'gateway is not ready in time'; 'cannot read store' is logged again and again. Change: the key is percent-encoded (crate percent-encoding, which the HTTP libraries use already).

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::{Buf, Bytes};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 use smol_str::SmolStr;
 use volo_http::client::Client;
@@ -123,6 +124,8 @@
             let last = page.items.last().map(|it| it.key.clone());
             records.extend(page.items.into_iter().map(decode_item));
             let Some(last) = last.filter(|_| page.has_more) else { return Ok((records, end)) };
+            // A key may hold any bytes, whoever wrote it.
+            let last = utf8_percent_encode(&last, NON_ALPHANUMERIC);
             let uri = format!("{base}&after={last}");
             let (next_page, next_era) = self.fetch_newest_page(uri).await?;
             if next_era != era {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -27,6 +27,7 @@
 mod map_rollout;
 mod map_switch;
 mod naive_router;
+mod odd_entries;
 mod operator_tool;
 mod plan_limits;
 mod planned_stop;
--- a/tests/support/platform_store.rs
+++ b/tests/support/platform_store.rs
@@ -9,6 +9,7 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use http::StatusCode;
+use percent_encoding::percent_decode_str;
 use serde_json::json;
 use volo_http::{
     request::Request,
@@ -29,6 +30,8 @@
     is_down: bool,
     is_silent: bool,
     skips_wakeups: bool,
+    /// Number of keys that one read of all keys returns.
+    page_size: Option<usize>,
     reads: u64,
     reads_of: BTreeMap<String, u64>,
 }
@@ -61,6 +64,17 @@
         state.topics.entry(topic.into()).or_default().push((key.into(), value));
     }
 
+    /// Writes bytes that need not be JSON.
+    pub fn put_raw(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut state = self.state.lock().unwrap();
+        state.topics.entry(topic.into()).or_default().push((key.into(), Some(value.to_vec())));
+    }
+
+    /// From now on, reads of all keys return so many at once.
+    pub fn set_page_size(&self, page_size: usize) {
+        self.state.lock().unwrap().page_size = Some(page_size);
+    }
+
     /// Copies the records of all topics.
     pub fn copy(&self) -> StoreCopy {
         StoreCopy(self.state.lock().unwrap().topics.clone())
@@ -124,9 +138,15 @@
             if state.is_down {
                 return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
             }
+            let page_size = state.page_size.unwrap_or(usize::MAX);
             let records = state.topics.entry(topic.clone()).or_default();
             match from {
-                None => return newest(records),
+                None => {
+                    let after: Option<String> = query(&uri, "after");
+                    let after =
+                        after.map(|it| percent_decode_str(&it).decode_utf8_lossy().into_owned());
+                    return newest(records, after.as_deref(), page_size);
+                }
                 Some(from) if from > records.len() => return empty_answer(StatusCode::GONE),
                 Some(from) => page(records, from),
             }
@@ -150,20 +170,23 @@
     answer
 }
 
-/// JSON answer with the newest value of each key.
-fn newest(records: &Records) -> Response {
+/// JSON answer with the newest values of so many keys, those that follow `after`.
+fn newest(records: &Records, after: Option<&str>, page_size: usize) -> Response {
     let mut latest: BTreeMap<&str, (usize, &Option<Vec<u8>>)> = BTreeMap::new();
     for (offset, (key, value)) in records.iter().enumerate() {
         latest.insert(key, (offset, value));
     }
     let items: Vec<serde_json::Value> = latest
         .into_iter()
+        .filter(|(key, _)| after.is_none_or(|it| *key > it))
         .filter_map(|(key, (offset, value))| {
             let value = BASE64_STANDARD.encode(value.as_ref()?);
             Some(json!({"key": key, "value": value, "offset": offset}))
         })
         .collect();
-    let body = json!({"items": items, "has-more": false, "end-offset": records.len()});
+    let has_more = items.len() > page_size;
+    let items = &items[..items.len().min(page_size)];
+    let body = json!({"items": items, "has-more": has_more, "end-offset": records.len()});
     Response::new(body.to_string().into())
 }
 
