Let no entry of an unnamed service take a server out of use

Cause: of the servers listed at one address all but the latest started were marked as replaced, with the mark for servers that answered for another, which lasts as long as the server. Change: a mark of its own, made anew with each directory, from entries of named services only. Result: entry_of_an_unnamed_service_takes_no_address failed before ('the server stays out of use') and passes.

--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -77,6 +77,9 @@
     pub lapses_at: Option<Moment>,
     /// Whether another server runs at this address, so that the entry has outlived its server.
     pub is_replaced: bool,
+    /// Whether the directory lists a server at this address that started later.
+    #[serde(default)]
+    pub is_outlived: bool,
 }
 
 impl KnownServer {
@@ -201,7 +204,6 @@
                 }
             }
         }
-        self.mark_address_conflicts();
         self.prune_notices(now);
         changes
     }
@@ -245,18 +247,18 @@
         self.resting.retain(|_, end| now < *end);
     }
 
-    /// Marks all but the latest started of the servers listed at the same address as replaced.
-    fn mark_address_conflicts(&mut self) {
+    /// Marks all but the latest started of the servers listed at the same address as outlived. Entries
+    /// of services that are not named don't count: another writer may have left them.
+    pub fn mark_address_conflicts(&mut self, is_named: impl Fn(&ServiceName) -> bool) {
         let mut newest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
-        for server in self.servers.values() {
+        for server in self.servers.values().filter(|it| is_named(&it.record.service)) {
             let started = server.record.started_ms.unwrap_or(0);
             let latest = newest.entry(server.record.address).or_default();
             *latest = started.max(*latest);
         }
         for server in self.servers.values_mut() {
             let started = server.record.started_ms.unwrap_or(0);
-            server.is_replaced |=
-                newest.get(&server.record.address).is_some_and(|it| started < *it);
+            server.is_outlived = newest.get(&server.record.address).is_some_and(|it| started < *it);
         }
     }
 
@@ -302,6 +304,7 @@
             record.service == *service
                 && !self.is_leaving(it)
                 && !it.is_replaced
+                && !it.is_outlived
                 && !self.evacuated.contains(&record.failure_domain)
         })
     }
@@ -339,5 +342,5 @@
         }
         Some(_) | None => warm_up_end.max(now.after(DIRECTORY_LAG)),
     };
-    KnownServer { record, cold_until, lapses_at: None, is_replaced }
+    KnownServer { record, cold_until, lapses_at: None, is_replaced, is_outlived: false }
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -311,6 +311,10 @@
         RoutingEvent::DirectoryRead(list) => {
             state.first_directory_at.get_or_insert(now);
             let changes = state.servers.apply_directory(list, now);
+            let catalog = state.catalog.as_ref();
+            state.servers.mark_address_conflicts(|it| {
+                catalog.is_none_or(|catalog| catalog.service(it).is_some())
+            });
             prune_servers(state, now);
             update_subset(state);
             change_effects(changes)
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use proptest::{collection, prelude::*, sample, test_runner::TestRunner};
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
 use crate::{
     launcher, seeded,
@@ -149,6 +150,33 @@
     }
 }
 
+/// Guards against an entry that takes the server out of use whose address it names, also after it is
+/// gone.
+#[gtest]
+#[tokio::test]
+async fn entry_of_an_unnamed_service_takes_no_address() {
+    let (store, log) = (start_store().await, ServerLog::default());
+    let address = add_server(&store, "i-1", &log).await;
+    let gateway = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
+    gateway.wait_ready().await;
+    let mut foreign = entry(address);
+    foreign["born"] = json!(1_700_000_000_000_u64);
+    for (service, is_served) in [("unnamed", true), ("s", false)] {
+        foreign["service"] = json!(service);
+        store.put("keyed.servers", "foreign", Some(&foreign));
+        tokio::time::sleep(FOLLOW_TIME).await;
+        // A server of a named service that started later at the address has replaced the first.
+        let is_answered = send(&gateway).await.is_some_and(|it| it.0 == StatusCode::OK);
+        expect_that!(is_answered, eq(is_served), "{service}");
+        store.put("keyed.servers", "foreign", None);
+        let deadline = Instant::now() + FOLLOW_TIME;
+        while send(&gateway).await.is_none_or(|it| it.0 != StatusCode::OK) {
+            assert!(Instant::now() < deadline, "{service}: the server stays out of use");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
 /// Sound entries and manifests with some bytes changed, and any bytes.
 fn odd_bytes() -> impl Strategy<Value = Vec<u8>> {
     let sound = sample::select(vec![
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -75,7 +75,7 @@
     pub async fn wait_ready(&self) {
         let deadline = Instant::now() + READY_TIMEOUT;
         while get(self.ready, "/v1/readyz").await.map(|it| it.0) != Some(StatusCode::OK) {
-            assert!(Instant::now() < deadline, "gateway is not ready in time");
+            assert!(Instant::now() < deadline, "gateway is not ready in time: {}", self.log_text());
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
