Believe a refusal only if it names the request

What callers saw (reported by other operators; a test shows it here): a request that may run once ran at two servers, and its caller was told that it had not run, after a faulty server wrote a 421 of another request before its answer. Cause: 421 was taken for 'another server has the address' before the id of its request was compared. A refusal without an id was believed too. Change: the id is compared first, and a refusal without one is not believed where the request has one.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -200,7 +200,8 @@
     /// Another server has the address now; nothing ran.
     WrongServer,
     /// A response to another request, or one that does not come from a server of the platform: it
-    /// echoes another request id, a success has no signature, or the body has a content encoding.
+    /// echoes another request id, a refusal echoes none, a success has no signature, or the body has a
+    /// content encoding.
     Foreign,
 }
 
@@ -217,14 +218,21 @@
     headers: &HeaderMap,
     request: &HeaderMap,
 ) -> ResponseKind {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return ResponseKind::WrongServer;
-    }
-    let is_echoed = headers.get(REQUEST_ID).is_none_or(|it| request.get(REQUEST_ID) == Some(it));
+    let is_wrong_server = status == StatusCode::MISDIRECTED_REQUEST;
+    let is_refusal = is_wrong_server || headers.contains_key(NOT_RUN);
+    // A faulty server may write a refusal once more, for a request that it runs. Only the id tells
+    // that it belongs to this one.
+    let is_echoed = match headers.get(REQUEST_ID) {
+        Some(id) => request.get(REQUEST_ID) == Some(id),
+        None => !is_refusal || !request.contains_key(REQUEST_ID),
+    };
     if !is_echoed {
         return ResponseKind::Foreign;
     }
-    if headers.contains_key(NOT_RUN) {
+    if is_wrong_server {
+        return ResponseKind::WrongServer;
+    }
+    if is_refusal {
         return ResponseKind::NotRun;
     }
     let is_signed = headers.contains_key(SIGNATURE);
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -45,6 +45,7 @@
 mod silent_servers;
 mod slow_caller;
 mod stalled_groups;
+mod stale_refusals;
 mod start_estimate;
 mod step_timer;
 mod store_rewind;
--- a/tests/support/fragile_servers.rs
+++ b/tests/support/fragile_servers.rs
@@ -19,7 +19,7 @@
 
 use super::{
     platform_store::FakeStore,
-    scripted_server::{ReceivedRequest, read_request},
+    scripted_server::{ReceivedRequest, misdirected, read_request},
 };
 
 /// Time from the head of an answer until the server ends.
@@ -154,8 +154,7 @@
         let Some(received) = read_request(stream).await else { return };
         let header = |name: &str| received.headers.get(name).cloned();
         if header("expect-instance").as_deref() != Some(id) {
-            let answer = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
-            let _ = stream.write_all(answer).await;
+            let _ = stream.write_all(misdirected(&received.headers).as_bytes()).await;
             return;
         }
         let Some(parts) = header("prompt-prefix") else {
--- a/tests/support/paced_server.rs
+++ b/tests/support/paced_server.rs
@@ -21,21 +21,28 @@
     pub gap: Duration,
     /// After how many events of a run it pauses once, and for how long.
     pub pause: Option<(u32, Duration)>,
+    /// After how many events of a run it closes the connection.
+    pub cut_after: Option<u32>,
     /// What it answers to a request that resumes a stream, in place of the stream.
     pub resume_answer: Option<String>,
 }
 
 impl StreamPace {
     pub fn steady(events: u32, gap: Duration) -> Self {
-        Self { events, gap, pause: None, resume_answer: None }
+        Self { events, gap, pause: None, cut_after: None, resume_answer: None }
     }
 }
 
-/// Runs at all servers of a test: the server and the event after which it began.
+/// Runs at all servers of a test: the server, or the request, and the event after which it began.
 #[derive(Clone, Default)]
 pub struct PacedRuns(Arc<Mutex<Vec<(String, u32)>>>);
 
 impl PacedRuns {
+    /// Records a run by its request.
+    pub fn record(&self, request: &str) {
+        self.0.lock().unwrap().push((request.to_owned(), 0));
+    }
+
     pub fn all(&self) -> Vec<(String, u32)> {
         self.0.lock().unwrap().clone()
     }
@@ -81,6 +88,9 @@
     );
     stream.write_all(head.as_bytes()).await.ok()?;
     for n in resume_after + 1..=pace.events {
+        if pace.cut_after.is_some_and(|it| n > resume_after + it) {
+            return None;
+        }
         let pause = pace.pause.filter(|it| n == resume_after + it.0 + 1).map(|it| it.1);
         tokio::time::sleep(pace.gap + pause.unwrap_or_default()).await;
         let event = format!("id: {n}\ndata: piece {n}\n\n");
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -114,9 +114,7 @@
         return;
     };
     if headers.get("expect-instance") != Some(&id) {
-        let _ = stream
-            .write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
-            .await;
+        let _ = stream.write_all(misdirected(&headers).as_bytes()).await;
         return;
     }
     let request = headers.get("request-id").cloned().unwrap_or_default();
@@ -203,6 +201,14 @@
     let _ = stream.shutdown().await;
 }
 
+/// The answer of a server to a request that expects another one.
+pub fn misdirected(headers: &BTreeMap<String, String>) -> String {
+    let request = headers.get("request-id").map_or("", String::as_str);
+    format!(
+        "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {request}\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 /// Streams the events with ids from `resume_after + 1` to 4. With `cut_after`, breaks off in the
 /// middle of the event that follows that id.
 async fn stream_events(
