Continue a stream only with a response of its type

What callers saw (reported by other operators; a test shows it here): after a stream broke off, the next server's answer of status 200 and another content type went into the middle of it, and ended it as complete. Cause: any signed 200 to a resumed stream was read as its rest. Change: once a caller has the head of a stream, only a 200 with the same content type continues it; anything else is a lost attempt before a byte of it is read.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -7,7 +7,7 @@
 use std::{pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{StatusCode, response::Parts, uri::PathAndQuery};
+use http::{HeaderValue, StatusCode, header, response::Parts, uri::PathAndQuery};
 use http_body_util::Full;
 use smol_str::SmolStr;
 use tokio::{
@@ -82,6 +82,8 @@
     server_error: Option<Response>,
     /// Calls whose servers are silent.
     silent: SilentCalls,
+    /// Type of the stream whose head the caller has.
+    stream_type: Option<HeaderValue>,
 }
 
 /// What happens next to a call in progress.
@@ -103,7 +105,16 @@
         let last_event = request.headers.resume_after.clone();
         let state = AnswerState::Waiting(answer_sender);
         let (number, silent) = (request.number, SilentCalls::default());
-        Self { shell, number, request, state, last_event, server_error: None, silent }
+        Self {
+            shell,
+            number,
+            request,
+            state,
+            last_event,
+            server_error: None,
+            silent,
+            stream_type: None,
+        }
     }
 
     /// Runs the request to its end. The sender of `answered_rx` sends once the head of the response
@@ -313,6 +324,7 @@
         let head = call.head()?;
         let kind = classify_response(head.status, &head.headers, &self.request.head.headers);
         let is_stream = call.spec.kind.is_stream() && head.status == StatusCode::OK;
+        let continues = self.continues_stream(head);
         match kind {
             ResponseKind::NotRun | ResponseKind::Genuine => {
                 call.server_limit = self.record_notice(head);
@@ -324,6 +336,8 @@
             ResponseKind::NotRun => Some(AttemptResult::NotRun),
             ResponseKind::WrongServer => Some(AttemptResult::WrongServer),
             ResponseKind::Foreign => Some(AttemptResult::Lost),
+            // What is no rest of the stream must not reach a caller that has its beginning.
+            ResponseKind::Genuine if !continues => Some(AttemptResult::Lost),
             ResponseKind::Genuine if is_stream => {
                 call.expect_news_within(FIRST_EVENT_TIMEOUT);
                 None
@@ -332,11 +346,25 @@
         }
     }
 
+    /// Whether a response with this head goes on with what the caller has: anything if that is nothing,
+    /// else a stream of the same type.
+    fn continues_stream(&self, head: &Parts) -> bool {
+        match &self.state {
+            AnswerState::Waiting(_) | AnswerState::Done => true,
+            AnswerState::Streaming(_) => {
+                head.status == StatusCode::OK
+                    && head.headers.get(header::CONTENT_TYPE) == self.stream_type.as_ref()
+            }
+        }
+    }
+
     /// Whether what a call that was set aside has sent serves the caller.
     fn is_usable(&self, call: &AttemptCall, news: &CallPiece) -> bool {
         match news {
             CallPiece::Head => call.has_usable_head(&self.request.head.headers),
-            CallPiece::Event(_) | CallPiece::End => true,
+            CallPiece::Event(_) | CallPiece::End => {
+                call.head().is_none_or(|it| self.continues_stream(it))
+            }
             CallPiece::Failed(_) => false,
         }
     }
--- a/src/gateway/requests/answers.rs
+++ b/src/gateway/requests/answers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::BytesMut;
-use http::response::Parts;
+use http::{header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use tokio::{
@@ -78,6 +78,7 @@
     /// Sends the head of the response to the caller, unless an earlier attempt has done so.
     fn begin_stream(&mut self, head: Option<Parts>) {
         let (Some(head), AnswerState::Waiting(_)) = (head, &self.state) else { return };
+        self.stream_type = head.headers.get(header::CONTENT_TYPE).cloned();
         let (sender, body) = stream_body(&self.request.memory);
         let answer = build_answer(head, Body::from_body(body));
         let state = std::mem::replace(&mut self.state, AnswerState::Streaming(sender));
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -36,6 +36,7 @@
 mod reducer_replay;
 mod request_quarantine;
 mod retry_budget;
+mod resumed_errors;
 mod revoked_keys;
 mod run_once;
 mod server_limits;
