--- a/src/routing.rs
+++ b/src/routing.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod load;
 mod memory;
+mod outcome;
 mod pace;
 mod peers;
 mod placement;
@@ -40,13 +41,14 @@
 pub use demand::{AccountDemand, DemandMeter, DemandNews, NewsTable};
 pub(crate) use event::join_parts;
 pub use event::{
-    AdmissionNote, AdmissionOutcome, AnswerProgress, AttemptResult, AttemptSpec, CatalogSource,
-    LimitNotice, RequestNumber, RequestSize, RoutingChange, RoutingEffect, RoutingEvent,
-    RoutingRequest, SETTLED_EVENTS, ServerNotice, StopSchedule,
+    AdmissionNote, AdmissionOutcome, AttemptSpec, CatalogSource, LimitNotice, RequestNumber,
+    RequestSize, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, ServerNotice,
+    StopSchedule,
 };
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
 pub use memory::{EndedHolder, HoldKind, HoldOutcome, HoldStage, MemoryLedger};
+pub use outcome::{AnswerProgress, AttemptResult, SETTLED_EVENTS};
 pub use pace::{PaceLimit, StepPace, pace_factor};
 pub use peers::{GatewayLocation, PeerTable};
 pub use placement::{Candidate, PlacementChoice, choose_candidate};
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -27,10 +27,10 @@
 
 use super::{
     AdmissionOutcome, AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec,
-    BudgetSettings, CatalogSource, ColdLimiter, Incarnation, KnownServer, LimitTable,
-    PlacementChoice, QuarantineTable, RankTraffic, RequestNumber, RequestSize, RouteCatalog,
-    RouteRecord, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, RunTimes,
-    SETTLED_EVENTS, ServerLoad, ServerTable, ShareTable, StartModel, StopSchedule,
+    BudgetSettings, CatalogSource, ColdLimiter, KnownServer, LimitTable, PlacementChoice,
+    QuarantineTable, RankTraffic, RequestNumber, RequestSize, RouteCatalog, RouteRecord,
+    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, RunTimes, SETTLED_EVENTS,
+    ServerLoad, ServerTable, ShareTable, StartModel, StopSchedule,
 };
 use crate::{
     core::{Refusal, RefusalCode},
@@ -39,7 +39,7 @@
         ServiceName, TokenCount, UrgencyRank,
     },
 };
-use attempts::{attempt_ended, server_noticed};
+use attempts::{AttemptTiming, CurrentAttempt, attempt_ended, server_noticed};
 use directory::{prune_servers, update_subset};
 use eligibility::{choose_server, has_usable, is_isolated};
 use limits::{limits_read, share_limits};
@@ -133,32 +133,6 @@
     silent: SilentAttempts,
 }
 
-/// The server of an attempt in progress, and how far the attempt has come.
-#[derive(Clone, Debug)]
-struct CurrentAttempt {
-    incarnation: Incarnation,
-    address: SocketAddr,
-    /// Number of the attempt, starting at 1.
-    attempt: u32,
-    began_at: Moment,
-    /// Whether the first event of a stream has arrived.
-    has_begun: bool,
-    /// What the estimates learn from; `None` if the server's pace is unknown.
-    timing: Option<AttemptTiming>,
-    /// Whether [`RoutingEffect::EndAttempt`] was returned.
-    is_ending: bool,
-}
-
-/// Pace of the server of an attempt, and how the attempt went.
-#[derive(Clone, Copy, Debug)]
-struct AttemptTiming {
-    /// Step time of the server's group when the attempt began.
-    step_time: Duration,
-    /// Whether the server was expected to begin at once.
-    has_free_slot: bool,
-    first_event_at: Option<Moment>,
-}
-
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
 #[derive(Clone, Debug)]
 pub struct RoutingState {
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::{
-    CurrentAttempt, RequestState, RoutingState, budget_of, change_effects,
+    RequestState, RoutingState, budget_of, change_effects,
     pace::stream_ended,
     place_request, refuse,
     suspects::{
@@ -17,8 +17,8 @@
 use crate::{
     core::RefusalCode,
     routing::{
-        AnswerProgress, AttemptResult, LimitUpdate, RequestNumber, RouteKind, RoutingChange,
-        RoutingEffect, ServerNotice,
+        AnswerProgress, AttemptResult, Incarnation, LimitUpdate, RequestNumber, RouteKind,
+        RoutingChange, RoutingEffect, ServerNotice,
     },
     units::{Moment, ServerId},
 };
@@ -35,6 +35,32 @@
 /// Time over which gateways spread their return to a server that wanted no requests.
 const REST_JITTER: Duration = Duration::from_millis(300);
 
+/// The server of an attempt in progress, and how far the attempt has come.
+#[derive(Clone, Debug)]
+pub(super) struct CurrentAttempt {
+    pub(super) incarnation: Incarnation,
+    pub(super) address: SocketAddr,
+    /// Number of the attempt, starting at 1.
+    pub(super) attempt: u32,
+    pub(super) began_at: Moment,
+    /// Whether the first event of a stream has arrived.
+    pub(super) has_begun: bool,
+    /// What the estimates learn from; `None` if the server's pace is unknown.
+    pub(super) timing: Option<AttemptTiming>,
+    /// Whether [`RoutingEffect::EndAttempt`] was returned.
+    pub(super) is_ending: bool,
+}
+
+/// Pace of the server of an attempt, and how the attempt went.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptTiming {
+    /// Step time of the server's group when the attempt began.
+    pub(super) step_time: Duration,
+    /// Whether the server was expected to begin at once.
+    pub(super) has_free_slot: bool,
+    pub(super) first_event_at: Option<Moment>,
+}
+
 pub(super) fn attempt_ended(
     state: &mut RoutingState,
     number: RequestNumber,
