--- a/tests/silent_servers.rs
+++ b/tests/silent_servers.rs
@@ -126,6 +126,27 @@
     expect_that!(site.runs.all(), contains(eq(&("i-1".to_owned(), 8))));
 }
 
+/// Guards against servers that work on for a caller that has left, while its stream is resumed at one
+/// that has sent no head yet.
+#[gtest]
+#[tokio::test]
+async fn left_caller_ends_both_calls() {
+    // Both servers pause in the middle, and answer a request that resumes with nothing at all.
+    let pace = StreamPace { holds_resumed: true, ..pausing(8, 6_000) };
+    let site = start_site(&[pace.clone(), pace], 2).await;
+    let mut sender = connect(site.gateway.listen).await.unwrap();
+    let answer = sender.send_request(draft("q-1")).await.unwrap();
+    let deadline = Instant::now() + Duration::from_secs(4);
+    while site.runs.all().len() < 2 {
+        assert!(Instant::now() < deadline, "the stream is not resumed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(site.runs.closed(), eq(0));
+    drop((answer, sender));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    expect_that!(site.runs.closed(), ge(1), "the call that resumes is still open");
+}
+
 /// Guards against a stream that is cut as the server asked to take over refuses.
 #[gtest]
 #[tokio::test]
--- a/tests/support/paced_server.rs
+++ b/tests/support/paced_server.rs
@@ -2,13 +2,16 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use serde_json::json;
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
 
@@ -23,21 +26,35 @@
     pub pause: Option<(u32, Duration)>,
     /// After how many events of a run it closes the connection.
     pub cut_after: Option<u32>,
+    /// Whether it sends nothing to a request that resumes a stream, until its connection is closed.
+    pub holds_resumed: bool,
     /// What it answers to a request that resumes a stream, in place of the stream.
     pub resume_answer: Option<String>,
 }
 
 impl StreamPace {
     pub fn steady(events: u32, gap: Duration) -> Self {
-        Self { events, gap, pause: None, cut_after: None, resume_answer: None }
+        Self {
+            events,
+            gap,
+            pause: None,
+            cut_after: None,
+            holds_resumed: false,
+            resume_answer: None,
+        }
     }
 }
 
 /// Runs at all servers of a test: the server, or the request, and the event after which it began.
 #[derive(Clone, Default)]
-pub struct PacedRuns(Arc<Mutex<Vec<(String, u32)>>>);
+pub struct PacedRuns(Arc<Mutex<Vec<(String, u32)>>>, Arc<AtomicUsize>);
 
 impl PacedRuns {
+    /// Number of held requests whose connection was closed.
+    pub fn closed(&self) -> usize {
+        self.1.load(Ordering::SeqCst)
+    }
+
     /// Records a run by its request.
     pub fn record(&self, request: &str) {
         self.0.lock().unwrap().push((request.to_owned(), 0));
@@ -78,6 +95,13 @@
     let request = header("request-id");
     let resume_after: u32 = header("last-event-id").parse().unwrap_or(0);
     runs.0.lock().unwrap().push((id.to_owned(), resume_after));
+    if pace.holds_resumed && resume_after > 0 {
+        let mut unexpected = [0; 1];
+        if let Ok(0) | Err(_) = stream.read(&mut unexpected).await {
+            runs.1.fetch_add(1, Ordering::SeqCst);
+        }
+        return None;
+    }
     if let Some(text) = pace.resume_answer.as_ref().filter(|_| resume_after > 0) {
         stream.write_all(text.replace("{id}", &request).as_bytes()).await.ok()?;
         return stream.shutdown().await.ok();
