--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -199,7 +199,7 @@
     },
     /// The first event of the stream of an attempt has arrived.
     AnswerBegan(RequestNumber),
-    /// The stream of a request has reached [`SETTLED_EVENTS`] events.
+    /// The stream of a request has reached [`SETTLED_EVENTS`](super::SETTLED_EVENTS) events.
     AnswerSettled(RequestNumber),
     /// Another gateway sent its records of servers that ended.
     QuarantineRead(Vec<CrashReport>),
