Log each request that a stopping gateway cuts off

What callers saw: a request that was in progress at the end of the grace period got a closed connection, and the log of the process held at most a number ("grace period ended with requests in progress"). Half-read bodies, and answers that were not delivered, were not even counted.

Change, no decision is touched: a table of the requests whose head has been read, until their task has ended and the connection has taken the last of their response. At the end of a stop each that is left gets a line with id, route, stage, status, bytes taken, age and the time since the signal, and counts in stop.cut_off.STAGE; each phase of the stop has a line.

Result: stop_answers::cut_off_requests_are_logged, with one request in each of three stages and a large answer that is not read, in a process of its own: all four lines are in the output, `stopped` is the last.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 mod event_stream;
 mod exchange;
 mod held_memory;
+mod open_requests;
 mod peers;
 mod probes;
 mod relay;
@@ -16,10 +17,11 @@
 mod requests;
 mod shell;
 mod sources;
+mod stopping;
 
 pub(crate) use exchange::{BlockedStatus, EXCHANGE_PATH, LIFT_PATH, LimitStatus, RecordStatus};
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use tokio::sync::{mpsc, watch};
 
@@ -28,21 +30,11 @@
     http::{HttpListener, ListenerPhase},
     options::{DaemonArguments, DirectRole, DirectSettings, GatewaySettings},
     platform::StoreClient,
-    routing::{RoutingEvent, StopSchedule},
     telemetry::{MetricSink, init_logging, serve_metrics},
 };
 use probes::MAX_QUEUED_PROBES;
 use shell::GatewayShell;
 
-/// Time until the platform's load balancer notices that a gateway is not ready: two readiness
-/// probes, one per second.
-const READINESS_PROBE_DELAY: Duration = Duration::from_millis(2_300);
-/// Time after [`READINESS_PROBE_DELAY`] in which each caller's connection is closed after its next
-/// response.
-const CONNECTION_CLOSE_TIME: Duration = Duration::from_millis(1_200);
-/// Time before the end of the grace period at which the process exits by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
-
 /// Runs a gateway until it receives a stop signal and has drained its requests. Returns the number
 /// of requests that were cut off.
 ///
@@ -71,10 +63,7 @@
     tokio::spawn(shell.memory.clone().report());
     tokio::spawn(reload_on_sighup(arguments));
     wait_for_stop_signal().await?;
-    stop(&shell, &settings, &phase, served).await;
-    let cut_off = shell.in_progress();
-    log::info!(cut_off = cut_off; "stopped");
-    Ok(cut_off)
+    Ok(stopping::stop(&shell, settings.grace(), &phase, served).await)
 }
 
 async fn serve(
@@ -93,26 +82,3 @@
     let callers = HttpListener::bind(gateway.listen, limits).await?;
     Ok(tokio::spawn(callers.serve_with(callers::handler(shell.clone()), phases)))
 }
-
-/// Drains the gateway: accepts callers until the load balancer has noticed, then closes
-/// connections, then waits for requests in progress until the grace period ends.
-async fn stop(
-    shell: &Arc<GatewayShell>,
-    settings: &DirectSettings,
-    phase: &watch::Sender<ListenerPhase>,
-    served: tokio::task::JoinHandle<()>,
-) {
-    let time = settings.grace().saturating_sub(GRACE_MARGIN);
-    let (end, now) = (tokio::time::Instant::now() + time, shell.clock.now());
-    shell.dispatch(RoutingEvent::StopRequested(StopSchedule {
-        callers_moved_at: now.after(READINESS_PROBE_DELAY),
-        ends_at: now.after(time),
-    }));
-    tokio::time::sleep(READINESS_PROBE_DELAY).await;
-    phase.send_replace(ListenerPhase::Draining);
-    tokio::time::sleep(CONNECTION_CLOSE_TIME).await;
-    phase.send_replace(ListenerPhase::Closed);
-    if tokio::time::timeout_at(end, served).await.is_err() {
-        log::warn!(in_progress = shell.in_progress(); "grace period ended with requests in progress");
-    }
-}
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -12,6 +12,7 @@
 
 use super::{
     held_memory::{HeldBodyError, RequestMemory},
+    open_requests::{OpenRequest, RequestStage},
     requests::RequestTask,
     shell::GatewayShell,
 };
@@ -35,6 +36,8 @@
     pub(super) body: Bytes,
     /// What the request holds, its body included.
     pub(super) memory: Arc<RequestMemory>,
+    /// Its place among the requests in progress.
+    pub(super) open: Arc<OpenRequest>,
     pub(super) content: ContentHash,
     pub(super) arrived: Instant,
 }
@@ -64,18 +67,32 @@
 }
 
 async fn answer(shell: Arc<GatewayShell>, request: http::Request<Incoming>) -> Response {
-    let arrived = Instant::now();
     shell.metrics.count("requests.arrived");
-    let (mut head, mut body) = request.into_parts();
+    let (head, body) = request.into_parts();
     let headers = CallerHeaders::decode(&head.headers);
     let request_id =
         headers.request_id.clone().unwrap_or_else(|| RequestId::from_uuid(Uuid::now_v7()));
+    let route = shell.read(|it| {
+        let route = it.catalog()?.route(&host_name(&head), head.uri.path())?;
+        Some(route.name.clone())
+    });
+    let open = shell.open_requests.open(shell.next_number(), request_id, route);
+    let answer = answer_open(shell, (head, headers, body), open.clone()).await;
+    open.deliver(answer)
+}
+
+async fn answer_open(
+    shell: Arc<GatewayShell>,
+    (mut head, headers, mut body): (Parts, CallerHeaders, Incoming),
+    open: Arc<OpenRequest>,
+) -> Response {
+    let arrived = Instant::now();
+    let (number, request_id) = (open.number(), open.request_id().clone());
     let (max_body, account) = shell.read(|it| {
         let catalog = it.catalog();
         let account = headers.api_key.as_ref().and_then(|key| catalog?.account_of(key)).cloned();
         (catalog.map_or(DEFAULT_MAX_BODY, |it| it.limits().max_body), account)
     });
-    let number = shell.next_number();
     let announced = ByteCount(body.size_hint().lower().min(max_body.0));
     let connection = head.extensions.remove::<ConnectionAbort>().unwrap_or_default();
     let admitted = shell.memory.admit(number, (&request_id, account), announced, connection);
@@ -94,13 +111,14 @@
             return refuse_for_memory(&shell, (&head, &headers), body);
         }
     };
+    open.set_stage(RequestStage::Waiting);
     let (sender, answer) = oneshot::channel();
     let request_headers = head.headers.clone();
     let gateway_shell = shell.clone();
     let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let content = ContentHash::of_request(head.method.as_str(), &host_name(&head), path, &body);
     let request =
-        CallerRequest { number, head, headers, request_id, body, memory, content, arrived };
+        CallerRequest { number, head, headers, request_id, body, memory, open, content, arrived };
     let (answered_tx, answered_rx) = oneshot::channel();
     tokio::spawn(RequestTask::new(shell, request, sender).run(answered_rx));
     match answer.await {
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -20,6 +20,7 @@
     attempts::OpenAttempt,
     callers::{CallerRequest, refusal_answer, routing_request},
     held_memory::{IDLE_TIME, watch_delivery},
+    open_requests::RequestStage,
     relay::StreamSender,
     shell::GatewayShell,
 };
@@ -183,6 +184,7 @@
         mut disconnected: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<RoutingEffect> {
         let wait_end = Instant::now() + delay;
+        self.request.open.set_stage(RequestStage::Waiting);
         loop {
             let Self { state, silent, last_event, request, .. } = &mut *self;
             let headers = &request.head.headers;
@@ -195,6 +197,7 @@
             };
             if self.is_usable(&call, &news) {
                 self.revive(&call);
+                self.request.open.set_stage(RequestStage::Running);
                 return self.follow(call, Some(news), disconnected).await;
             }
             if let Some(effect) = self.drop_silent(&call) {
@@ -224,6 +227,7 @@
         disconnected: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<RoutingEffect> {
         self.log_attempt(spec);
+        self.request.open.set_stage(RequestStage::Running);
         let silent_after = stall_timeout(spec).map(|it| it.max(CONNECT_TIMEOUT));
         let call = AttemptCall::new(spec.clone(), self.send_request(spec), silent_after);
         self.follow(call, None, disconnected).await
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -29,6 +29,7 @@
 use super::{
     attempts::AttemptTable,
     held_memory::{HeldMemory, held_bound},
+    open_requests::OpenRequests,
     probes::ServerProbe,
     sources::PlatformView,
 };
@@ -67,6 +68,8 @@
     pub(super) limits: HttpLimits,
     /// Kilobytes that large answers may take together while they are collected.
     pub(super) answer_memory: Semaphore,
+    /// Requests that are not answered in full.
+    pub(super) open_requests: Arc<OpenRequests>,
     /// Memory that requests hold.
     pub(super) memory: Arc<HeldMemory>,
     /// Settings of the retry delays.
@@ -116,6 +119,7 @@
             was_ready: AtomicBool::new(false),
             limits: settings.http,
             answer_memory: Semaphore::new(MAX_ANSWER_MEMORY_KB),
+            open_requests: Arc::default(),
             memory: Arc::new(HeldMemory::new(held_bound(gateway.memory_mb), metrics.clone())),
             admission: gateway.admission,
             leave_time: Duration::from_millis(gateway.leave_ms),
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -49,6 +49,7 @@
 mod stale_refusals;
 mod start_estimate;
 mod step_timer;
+mod stop_answers;
 mod store_rewind;
 mod whole_answer;
 mod whole_path;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -39,5 +39,7 @@
 pub mod fake_server;
 #[path = "support/vm_list.rs"]
 pub mod vm_list;
+#[path = "support/timed_server.rs"]
+pub mod timed_server;
 #[path = "support/usage.rs"]
 pub mod usage;
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -47,6 +47,16 @@
 impl GatewayProcess {
     /// Starts a gateway that reads from `store` and finds other gateways through `seeds`.
     pub fn start(launcher: &Launcher, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Self::start_with_grace(launcher, store, seeds, Duration::from_secs(8))
+    }
+
+    /// Starts a gateway with this grace period.
+    pub fn start_with_grace(
+        launcher: &Launcher,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        grace: Duration,
+    ) -> Self {
         let [listen, ready, peer, admin, datagrams] = [(); 5].map(|()| free_address());
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("gateway.json");
@@ -57,7 +67,7 @@
                 "store": store, "budget": {"retry_ratio": 0.2, "retry_burst": 90.0,  "cold_factor": 1.5, "cold_burst": 5.0}
             }},
             "datagrams": datagrams,
-            "grace_s": 8
+            "grace_s": grace.as_secs_f64()
         });
         std::fs::write(&path, settings.to_string()).unwrap();
         let launcher = launcher.clone();
@@ -91,6 +101,25 @@
         assert!(status.success());
     }
 
+    /// Waits until the process has exited. Returns its exit code, or `None` after `max_wait`.
+    pub async fn wait_exit(&mut self, max_wait: Duration) -> Option<i32> {
+        let deadline = Instant::now() + max_wait;
+        while Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    /// Lines of the log with this message.
+    pub fn log_lines(&self, message: &str) -> Vec<serde_json::Value> {
+        let lines = self.log_text();
+        let lines = lines.lines().filter_map(|it| serde_json::from_str(it).ok());
+        lines.filter(|it: &serde_json::Value| it["message"] == message).collect()
+    }
+
     /// Standard output of all runs so far.
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
