Bound the wait for log lines as a process exits

What callers and operators saw: a process whose standard output is not read did not end. The exit flushes the log, and both the place in the full queue and the reply of the writer thread were waited for without a bound; so the process lived until SIGKILL, and its exit code was lost.

Class: a wait without a bound on something that another party has to do.

Lines that are in the queue are still written first.

Result: stop_answers::unread_log_does_not_hold_the_exit_up (2,000 refused requests, standard output a pipe that nobody reads).

--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -8,8 +8,9 @@
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
+    time::{Duration, Instant},
 };
 
 use log::{
@@ -25,6 +26,10 @@
 
 /// Capacity of the queue to the writer thread, in lines.
 const MAX_QUEUED_LINES: usize = 4_096;
+/// Longest time for which a process that ends waits until its lines are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+/// Interval at which a flush tries to enter a full queue.
+const FLUSH_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Why logging cannot be initialized.
 #[derive(Debug)]
@@ -144,9 +149,16 @@
 
     fn flush(&self) {
         let (done, flushed) = sync_channel(1);
-        if self.commands.send(LogCommand::Flush(done)).is_ok() {
-            let _ = flushed.recv();
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
+        let mut command = LogCommand::Flush(done);
+        while let Err(TrySendError::Full(rejected)) = self.commands.try_send(command) {
+            if Instant::now() >= deadline {
+                return;
+            }
+            command = rejected;
+            std::thread::sleep(FLUSH_RETRY_INTERVAL);
         }
+        let _ = flushed.recv_timeout(deadline.saturating_duration_since(Instant::now()));
     }
 }
 
--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -5,7 +5,11 @@
 
 use googletest::prelude::*;
 use serde_json::Value;
-use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 use crate::{
     launcher,
@@ -130,3 +134,22 @@
     expect_that!(last["message"].as_str(), some(eq("stopped")));
     expect_that!(last["cut_off"].as_u64(), some(eq(4)));
 }
+
+/// Guards against a process that does not end because nobody reads its log.
+#[gtest]
+#[tokio::test]
+async fn unread_log_does_not_hold_the_exit_up() {
+    let store = timed_server::start_store(ROUTE_TIMEOUT).await;
+    let mut gateway = GatewayProcess::start_unread(&launcher(), store.fake_server.address);
+    timed_server::start(&store, "i-1", &TimedRuns::default()).await;
+    gateway.wait_ready().await;
+    let mut caller = RawCaller::connect(gateway.listen).await;
+    let mut answers = vec![0; 1 << 20];
+    for n in 0..2_000 {
+        caller.send(&whole(&format!("q-{n}"), "/none/")).await;
+        assert!(caller.0.read(&mut answers).await.unwrap() > 0);
+    }
+    drop(caller);
+    gateway.terminate();
+    expect_that!(gateway.wait_exit(Duration::from_secs(8)).await, some(eq(0)));
+}
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     path::Path,
-    process::{Child, Command},
+    process::{Child, Command, Stdio},
     time::Duration,
 };
 
@@ -56,6 +56,21 @@
         store: SocketAddr,
         seeds: &[SocketAddr],
         grace: Duration,
+    ) -> Self {
+        Self::start_with(launcher, (store, seeds, grace), launch)
+    }
+
+    /// Starts a gateway whose standard output is a pipe that nobody reads.
+    pub fn start_unread(launcher: &Launcher, store: SocketAddr) -> Self {
+        Self::start_with(launcher, (store, &[], Duration::from_secs(8)), |launcher, folder| {
+            spawn(command(launcher, folder).stdout(Stdio::piped()))
+        })
+    }
+
+    fn start_with(
+        launcher: &Launcher,
+        (store, seeds, grace): (SocketAddr, &[SocketAddr], Duration),
+        launch: impl Fn(&Launcher, &Path) -> Child,
     ) -> Self {
         let [listen, ready, peer, admin, datagrams] = [(); 5].map(|()| free_address());
         let folder = tempfile::tempdir().unwrap();
@@ -145,13 +160,13 @@
 
 fn launch(launcher: &Launcher, folder: &Path) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(folder.join("log")).unwrap();
+    spawn(command(launcher, folder).stdout(log))
+}
+
+fn command(launcher: &Launcher, folder: &Path) -> Command {
     let mut command = Command::new(&launcher.program);
+    command.args(&launcher.arguments).arg("--settings").arg(folder.join("gateway.json"));
     command
-        .args(&launcher.arguments)
-        .arg("--settings")
-        .arg(folder.join("gateway.json"))
-        .stdout(log);
-    spawn(&mut command)
 }
 
 /// Opens an HTTP/1 connection. None if it fails.
