Install signal handlers before anything else starts

What was seen: a process that got SIGTERM or SIGHUP early in its start was killed by it: /proc/PID/status shows neither signal as caught while its port already takes connections. SIGTERM was caught only once all listeners served and the main task waited for it, SIGHUP when a spawned task first ran. A change of the settings right after a start, or a stop during the start, so ended connections without a word in the log.

Class: a handler that is installed later than the thing that it protects.

Change: SIGTERM, SIGINT and SIGHUP are caught from the first line of each role on, and kept until the process is ready to act on them. A stop during the start then takes its usual course.

Result: stop_answers::signals_are_caught_before_callers_come reads the mask of caught signals as soon as a port takes connections, then sends both.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     core::{Event, ProcessState},
-    daemon::{DaemonError, ProcessShell, wait_for_stop_signal},
+    daemon::{DaemonError, ProcessShell, StopSignals},
     options::AgentSettings,
     transport::PeerEndpoint,
     wire::IdempotencyKey,
@@ -33,13 +33,14 @@
     shell: Arc<ProcessShell>,
     claim_requests: mpsc::UnboundedReceiver<Vec<IdempotencyKey>>,
     settings: &AgentSettings,
+    mut signals: StopSignals,
 ) -> Result<usize, DaemonError> {
     let endpoint = PeerEndpoint::bind(&shell.settings.peers)?;
     let tracker = TaskTracker::new();
     tokio::spawn(peers::run(shell.clone(), endpoint.clone(), tracker.clone(), settings.clone()));
     tokio::spawn(claims::run(shell.clone(), claim_requests, settings.clone()));
     log::info!(listen:% = shell.settings.peers.listen, backend:% = settings.backend; "agent started");
-    wait_for_stop_signal().await?;
+    signals.received().await;
     let n_cut_off = drain(&shell, &tracker).await;
     endpoint.close().await;
     Ok(n_cut_off)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,17 +9,19 @@
 mod reload;
 mod replication;
 mod shell;
+mod signals;
 mod status;
 
 pub use admin::health_routes;
 pub use audit::AuditRecord;
 pub use clock::ProcessClock;
 pub use control::{ControlError, exchange_hellos, run_control_stream};
-pub use reload::reload_on_sighup;
+pub use reload::SettingsReload;
 pub use shell::{
     AttemptRecord, DaemonError, DemandMessage, EffectReceivers, PeerCommand, ProcessShell,
     RequestCommand, RequestTrace, WorkCommand,
 };
+pub use signals::StopSignals;
 pub use status::{PeerStatus, ProcessStatus};
 
 use std::sync::Arc;
@@ -40,6 +42,7 @@
 /// The process cannot start, for instance because an address cannot be bound or a certificate
 /// cannot be loaded.
 pub async fn run(settings: Settings) -> Result<usize, DaemonError> {
+    let signals = StopSignals::install()?;
     init_logging(settings.telemetry.log_level, settings.identity.vm.clone())?;
     let metrics = MetricSink::open(&settings.telemetry)?;
     let (shell, receivers) = ProcessShell::new(&settings, metrics)?;
@@ -53,27 +56,13 @@
     tokio::spawn(shell::run_timer(shell.clone()));
     let n_cut_off = match &settings.role {
         RoleSettings::Entry(entry) => {
-            crate::entry::run(shell, receivers.peers, receivers.demand, entry).await?
+            let commands = (receivers.peers, receivers.demand);
+            crate::entry::run(shell, commands, entry, signals).await?
+        }
+        RoleSettings::Agent(agent) => {
+            crate::agent::run(shell, receivers.claims, agent, signals).await?
         }
-        RoleSettings::Agent(agent) => crate::agent::run(shell, receivers.claims, agent).await?,
     };
     drop(phase);
     Ok(n_cut_off)
 }
-
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Errors
-///
-/// The signal handlers cannot be installed.
-pub async fn wait_for_stop_signal() -> Result<(), DaemonError> {
-    use tokio::signal::unix::{SignalKind, signal};
-
-    let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signal)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(DaemonError::Signal)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     core::{DEREGISTRATION_DELAY, Event},
-    daemon::{DaemonError, DemandMessage, PeerCommand, ProcessShell, wait_for_stop_signal},
+    daemon::{DaemonError, DemandMessage, PeerCommand, ProcessShell, StopSignals},
     http::{HttpListener, ListenerPhase},
     options::EntrySettings,
     transport::PeerEndpoint,
@@ -29,9 +29,12 @@
 /// An address cannot be bound, or a certificate cannot be loaded.
 pub async fn run(
     shell: Arc<ProcessShell>,
-    commands: mpsc::UnboundedReceiver<PeerCommand>,
-    demand: mpsc::UnboundedReceiver<DemandMessage>,
+    (commands, demand): (
+        mpsc::UnboundedReceiver<PeerCommand>,
+        mpsc::UnboundedReceiver<DemandMessage>,
+    ),
     settings: &EntrySettings,
+    mut signals: StopSignals,
 ) -> Result<usize, DaemonError> {
     let endpoint = PeerEndpoint::bind(&shell.settings.peers)?;
     let connections = Arc::new(AgentConnections::default());
@@ -44,7 +47,7 @@
     let router = callers::router(shell.clone(), connections);
     let server_task = tokio::spawn(listener.serve(router, phases));
     log::info!(listen:% = settings.listen; "entry started");
-    wait_for_stop_signal().await?;
+    signals.received().await;
     let n_cut_off = drain(&shell, &phase, server_task).await;
     endpoint.close().await;
     Ok(n_cut_off)
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
-    daemon::{DaemonError, reload_on_sighup, wait_for_stop_signal},
+    daemon::{DaemonError, SettingsReload, StopSignals},
     http::{HttpListener, ListenerPhase},
     options::{DaemonArguments, DirectRole, DirectSettings, GatewaySettings},
     platform::StoreClient,
@@ -46,6 +46,7 @@
     settings: DirectSettings,
     arguments: DaemonArguments,
 ) -> Result<usize, DaemonError> {
+    let (mut signals, reload) = (StopSignals::install()?, SettingsReload::install(arguments)?);
     init_logging(settings.telemetry.log_level, settings.identity.vm.clone())?;
     let metrics = MetricSink::open(&settings.telemetry)?;
     let DirectRole::Gateway(gateway) = settings.role.clone() else { return Ok(0) };
@@ -61,8 +62,8 @@
     tokio::spawn(exchange::exchange_records(shell.clone()));
     tokio::spawn(probes::probe_servers(shell.clone(), probes));
     tokio::spawn(shell.memory.clone().report());
-    tokio::spawn(reload_on_sighup(arguments));
-    wait_for_stop_signal().await?;
+    tokio::spawn(reload.run());
+    signals.received().await;
     Ok(stopping::stop(&shell, settings.grace(), &phase, served).await)
 }
 
--- a/src/rank_agent.rs
+++ b/src/rank_agent.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    daemon::{DaemonError, ProcessClock, reload_on_sighup, wait_for_stop_signal},
+    daemon::{DaemonError, ProcessClock, SettingsReload, StopSignals},
     experts::{
         COORDINATOR_CANDIDATES, ExpertUsage, MapRollout, MapVersion, MemberStatus, RankOrder,
         RankPace, RankReport, RolloutEffect, RolloutEvent, RolloutState, SampleAction,
@@ -68,6 +68,7 @@
     settings: DirectSettings,
     arguments: DaemonArguments,
 ) -> Result<usize, DaemonError> {
+    let (mut signals, reload) = (StopSignals::install()?, SettingsReload::install(arguments)?);
     init_logging(settings.telemetry.log_level, settings.identity.vm.clone())?;
     let metrics = MetricSink::open(&settings.telemetry)?;
     let DirectRole::RankAgent(role) = &settings.role else { return Ok(0) };
@@ -101,11 +102,11 @@
         steps: StepTimer::default(),
         is_engine_reachable: true,
     };
-    tokio::spawn(reload_on_sighup(arguments));
+    tokio::spawn(reload.run());
     log::info!(version = env!("CARGO_PKG_VERSION"), engine:% = role.engine; "started");
     tokio::select! {
         () = agent.serve() => {}
-        stopped = wait_for_stop_signal() => stopped?,
+        () = signals.received() => {}
     }
     log::info!("stopped");
     Ok(0)
--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -153,3 +153,34 @@
     gateway.terminate();
     expect_that!(gateway.wait_exit(Duration::from_secs(8)).await, some(eq(0)));
 }
+
+/// Signals that a process catches, as a mask of bits.
+fn caught_signals(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let mask = status.lines().find_map(|it| it.strip_prefix("SigCgt:")).unwrap();
+    u64::from_str_radix(mask.trim(), 16).unwrap()
+}
+
+/// Guards against a process that a signal kills because it has just started.
+#[gtest]
+#[tokio::test]
+async fn signals_are_caught_before_callers_come() {
+    const HANGUP: u64 = 1 << 0;
+    const TERMINATE: u64 = 1 << 14;
+    let store = timed_server::start_store(ROUTE_TIMEOUT).await;
+    for _ in 0..5 {
+        let mut gateway = GatewayProcess::start_with_grace(
+            &launcher(),
+            store.fake_server.address,
+            &[],
+            Duration::from_secs(4),
+        );
+        while std::net::TcpStream::connect(gateway.peer).is_err() {}
+        let caught = caught_signals(gateway.child.id());
+        expect_that!(caught & HANGUP, eq(HANGUP));
+        expect_that!(caught & TERMINATE, eq(TERMINATE));
+        gateway.signal("-HUP");
+        gateway.terminate();
+        expect_that!(gateway.wait_exit(Duration::from_secs(5)).await, some(eq(0)));
+    }
+}
