Read what has arrived before closing connections

What callers saw: 3.5 s after the signal a stopping gateway closes idle connections and its listener. A request that had arrived just before, on a kept connection, on a new one, or on one that was still to be accepted, got no answer but a reset.

Cause: the phase and the socket become ready in the same turn of the event loop, and the connection was told to shut down without being read once more; the listener was dropped with connections in its queue. A process that was held up for some tenths of a second loses all that came meanwhile.

Class: a close that does not look at what has been received.

Change: a connection goes on being served for 30 ms before it is shut down, and the listener accepts for as long what is in its queue. What crosses the close on the way can still be lost, as always in HTTP/1.1; no server has seen it.

Result: stop_answers::requests_before_the_close_are_answered stops the process by SIGSTOP from 3.3 to 3.9 s and sends 10 requests of each of the three sorts.

--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -14,6 +14,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
+    time::{Instant, timeout, timeout_at},
 };
 use volo::net::Address;
 use volo_http::{body::Body, context::ServerContext, response::Response, server::Router};
@@ -43,6 +44,9 @@
     }
 }
 
+/// Time in which a listener that closes takes what has reached the process before.
+const SETTLE_TIME: Duration = Duration::from_millis(30);
+
 /// Phase of a listener's shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ListenerPhase {
@@ -55,6 +59,9 @@
     Closed,
 }
 
+/// A connection, its caller's address and its part of the limit on connections.
+type AcceptedConnection = (TcpStream, SocketAddr, OwnedSemaphorePermit);
+
 /// HTTP/1.1 server bound to an address.
 #[derive(Debug)]
 pub struct HttpListener {
@@ -97,13 +104,14 @@
                 accepted = self.accept() => accepted,
                 Ok(_) = phase.wait_for(|it| *it == ListenerPhase::Closed) => break,
             };
-            let Some((stream, peer, permit)) = accepted else { continue };
-            let connection =
-                serve_connection(stream, peer, self.limits, handle.clone(), phase.clone());
-            tokio::spawn(async move {
-                connection.await;
-                drop(permit);
-            });
+            let Some(accepted) = accepted else { continue };
+            self.spawn_connection(accepted, &handle, &phase);
+        }
+        // Callers may have sent requests on connections that wait to be accepted.
+        let settled = Instant::now() + SETTLE_TIME;
+        while let Ok(accepted) = timeout_at(settled, self.accept()).await {
+            let Some(accepted) = accepted else { continue };
+            self.spawn_connection(accepted, &handle, &phase);
         }
         // Closes the socket: the kernel would complete handshakes of callers that nobody serves.
         drop(self.listener);
@@ -111,7 +119,23 @@
         let _ = self.permits.acquire_many(self.limits.max_connections).await;
     }
 
-    async fn accept(&self) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+    fn spawn_connection<H, F>(
+        &self,
+        (stream, peer, permit): AcceptedConnection,
+        handle: &H,
+        phase: &watch::Receiver<ListenerPhase>,
+    ) where
+        H: Fn(SocketAddr, http::Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let connection = serve_connection(stream, peer, self.limits, handle.clone(), phase.clone());
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+
+    async fn accept(&self) -> Option<AcceptedConnection> {
         let permit = self.permits.clone().acquire_owned().await.ok()?;
         match self.listener.accept().await {
             Ok((stream, peer)) => Some((stream, peer, permit)),
@@ -163,6 +187,11 @@
         () = abort.aborted() => return,
         Ok(_) = phase.wait_for(|it| *it == ListenerPhase::Closed) => None,
     };
+    // A request that has arrived is read first: closing an idle connection would discard it.
+    let ended = match ended {
+        Some(ended) => Some(ended),
+        None => timeout(SETTLE_TIME, connection.as_mut()).await.ok(),
+    };
     let ended = match ended {
         Some(ended) => ended,
         None => {
--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -3,12 +3,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -58,6 +59,12 @@
 /// A caller's connection, on which it sends bytes of its choice.
 struct RawCaller(TcpStream);
 
+/// What a caller got until its connection ended, or until it gave up.
+struct RawAnswer {
+    text: String,
+    is_reset: bool,
+}
+
 impl RawCaller {
     async fn connect(address: SocketAddr) -> Self {
         Self(TcpStream::connect(address).await.unwrap())
@@ -66,6 +73,29 @@
     async fn send(&mut self, text: &str) {
         self.0.write_all(text.as_bytes()).await.unwrap();
     }
+
+    async fn read_end(mut self) -> RawAnswer {
+        let mut bytes = Vec::new();
+        let read = timeout(Duration::from_secs(20), self.0.read_to_end(&mut bytes)).await;
+        let is_reset = !matches!(read, Ok(Ok(_)));
+        RawAnswer { text: String::from_utf8_lossy(&bytes).into_owned(), is_reset }
+    }
+}
+
+/// Status of a response.
+fn status_of(text: &str) -> Option<u16> {
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+/// A connection on which one request was answered.
+async fn kept_connection(address: SocketAddr) -> RawCaller {
+    let mut caller = RawCaller::connect(address).await;
+    caller.send(&whole("q-first", "/sa/run/1")).await;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"an answer") {
+        answer.push(caller.0.read_u8().await.unwrap());
+    }
+    caller
 }
 
 /// A request with a whole body.
@@ -135,6 +165,63 @@
     expect_that!(last["cut_off"].as_u64(), some(eq(4)));
 }
 
+/// Guards against an answer that is lost with its connection because the caller has sent more.
+#[gtest]
+#[tokio::test]
+async fn last_answer_survives_unread_bytes() {
+    let site = StopSite::start(Duration::from_secs(8)).await;
+    let mut caller = RawCaller::connect(site.gateway.listen).await;
+    caller.send(&whole("q-1", "/un/large/3000000")).await;
+    site.wait_run("q-1").await;
+    site.gateway.terminate();
+    caller.send(&whole("q-2", "/un/run/10")).await;
+    sleep(Duration::from_millis(1_000)).await;
+    let answer = caller.read_end().await;
+    expect_that!(status_of(&answer.text), some(eq(200)));
+    expect_that!(answer.text.len(), gt(3_000_000), "reset: {}", answer.is_reset);
+}
+
+/// Guards against requests that arrive just before their connections are closed, and get no answer.
+#[gtest]
+#[tokio::test]
+async fn requests_before_the_close_are_answered() {
+    let site = StopSite::start(Duration::from_secs(8)).await;
+    let listen = site.gateway.listen;
+    let mut kept = Vec::new();
+    for _ in 0..10 {
+        kept.push(kept_connection(listen).await);
+    }
+    let mut idle = Vec::new();
+    for _ in 0..10 {
+        idle.push(RawCaller::connect(listen).await);
+    }
+    site.gateway.terminate();
+    sleep(Duration::from_millis(3_300)).await;
+    // What comes while the process is held up is there when it closes its connections.
+    site.gateway.signal("-STOP");
+    let mut calls = Vec::new();
+    for (n, mut caller) in kept.into_iter().enumerate() {
+        caller.send(&whole(&format!("q-kept-{n}"), "/sa/run/10")).await;
+        calls.push(("kept", caller));
+    }
+    for (n, mut caller) in idle.into_iter().enumerate() {
+        caller.send(&whole(&format!("q-idle-{n}"), "/sa/run/10")).await;
+        calls.push(("idle", caller));
+    }
+    for n in 0..10 {
+        let mut caller = RawCaller::connect(listen).await;
+        caller.send(&whole(&format!("q-new-{n}"), "/sa/run/10")).await;
+        calls.push(("new", caller));
+    }
+    sleep(Duration::from_millis(600)).await;
+    site.gateway.signal("-CONT");
+    let calls =
+        calls.into_iter().map(|(kind, caller)| async move { (kind, caller.read_end().await) });
+    for (kind, answer) in join_all(calls).await {
+        expect_that!(status_of(&answer.text), some(eq(503)), "{kind}: {:?}", answer.text);
+    }
+}
+
 /// Guards against a process that does not end because nobody reads its log.
 #[gtest]
 #[tokio::test]
