Fit the phases of a stop into short grace periods

What was seen: with grace_s below 3.8 the process slept through the phases of its stop, 3.5 s, beyond the end of its grace period, and was killed with its requests in progress and without a last line in its log.

Cause: the times of the phases were constants, whatever the grace period.

Change: a phase takes at most a fixed part of the grace period. Nothing changes from 7.5 s on.

Result: stop_answers::short_grace_period_is_kept, grace period 2 s. Before: the process still ran after 2 s. After: it has ended by itself.

--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -6,7 +6,7 @@
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 use super::{open_requests::RequestStatus, shell::GatewayShell};
@@ -23,6 +23,27 @@
 const CONNECTION_CLOSE_TIME: Duration = Duration::from_millis(1_200);
 /// Time before the end of the grace period at which the process exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Parts of a short grace period that these times take at most: one in this many.
+const READINESS_PROBE_PART: u32 = 3;
+const CONNECTION_CLOSE_PART: u32 = 6;
+const GRACE_MARGIN_PART: u32 = 6;
+
+/// Times of a stop, counted from the signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct StopTimes {
+    callers_moved: Duration,
+    closed: Duration,
+    end: Duration,
+}
+
+impl StopTimes {
+    fn within(grace: Duration) -> Self {
+        let end = grace - GRACE_MARGIN.min(grace / GRACE_MARGIN_PART);
+        let callers_moved = READINESS_PROBE_DELAY.min(end / READINESS_PROBE_PART);
+        let closed = callers_moved + CONNECTION_CLOSE_TIME.min(end / CONNECTION_CLOSE_PART);
+        Self { callers_moved, closed, end }
+    }
+}
 
 /// A stop in progress.
 struct GatewayStop {
@@ -40,20 +61,20 @@
     served: JoinHandle<()>,
 ) -> usize {
     let stop = GatewayStop { shell: shell.clone(), began: Instant::now() };
-    let time = grace.saturating_sub(GRACE_MARGIN);
+    let times = StopTimes::within(grace);
     let now = shell.clock.now();
     stop.log_phase("stop requested");
     shell.dispatch(RoutingEvent::StopRequested(StopSchedule {
-        callers_moved_at: now.after(READINESS_PROBE_DELAY),
-        ends_at: now.after(time),
+        callers_moved_at: now.after(times.callers_moved),
+        ends_at: now.after(times.end),
     }));
-    sleep(READINESS_PROBE_DELAY).await;
+    sleep_until(stop.began + times.callers_moved).await;
     phase.send_replace(ListenerPhase::Draining);
     stop.log_phase("closing connections after their answers");
-    sleep(CONNECTION_CLOSE_TIME).await;
+    sleep_until(stop.began + times.closed).await;
     phase.send_replace(ListenerPhase::Closed);
     stop.log_phase("accepting no more connections");
-    if timeout_at(stop.began + time, served).await.is_err() {
+    if timeout_at(stop.began + times.end, served).await.is_err() {
         log::warn!(in_progress = shell.in_progress(); "grace period ended with requests in progress");
     }
     let cut_off = stop.log_cut_off();
--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -222,6 +222,20 @@
     }
 }
 
+/// Guards against a process that outlives a short grace period, in which its requests are cut off.
+#[gtest]
+#[tokio::test]
+async fn short_grace_period_is_kept() {
+    let grace = Duration::from_secs(2);
+    let mut site = StopSite::start(grace).await;
+    let mut caller = RawCaller::connect(site.gateway.listen).await;
+    caller.send(&whole("q-never", "/un/never")).await;
+    site.wait_run("q-never").await;
+    site.gateway.terminate();
+    let exit = site.gateway.wait_exit(grace).await;
+    expect_that!(exit, some(anything()), "{}", site.gateway.log_text());
+}
+
 /// Guards against a process that does not end because nobody reads its log.
 #[gtest]
 #[tokio::test]
