Answer what is left as the grace period ends

Cause: the end of the process was a time-out around the listener; no request was told. Class: a deadline that is enforced by whoever drops the work, not by the work.

Change: 100 ms before its end the process ends what its callers have nothing of. The reducer decides: a request that has not run is refused as shutting_down (503, Retry-After 0), one that may have run gets outcome_unknown (502), with Retry-After 0 only if it may be repeated. Half-read bodies get 503 and are read on, so that the answer is not lost in a reset. Streams that have begun go on to the very end. Each has a line "request ended by the stop", with the stage that it was in.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -98,7 +98,12 @@
     let admitted = shell.memory.admit(number, (&request_id, account), announced, connection);
     let body_timeout = Duration::from_millis(shell.limits.body_timeout_ms);
     let content = match &admitted {
-        Ok(memory) => memory.read_body(&mut body, max_body, body_timeout).await,
+        Ok(memory) => tokio::select! {
+            content = memory.read_body(&mut body, max_body, body_timeout) => content,
+            () = shell.grace_ended.cancelled() => {
+                return refuse_unread(&shell, &open, (&head, body), &shutdown_refusal());
+            }
+        },
         Err(error) => Err((*error).into()),
     };
     let (memory, body) = match (admitted, content) {
@@ -108,7 +113,8 @@
             return refusal_answer(&body_refusal(error), &head.headers);
         }
         (Err(_), _) | (_, Err(HeldBodyError::Memory(_))) => {
-            return refuse_for_memory(&shell, (&head, &headers), body);
+            let refusal = shell.memory_refusal(headers.time_left);
+            return refuse_unread(&shell, &open, (&head, body), &refusal);
         }
     };
     open.set_stage(RequestStage::Waiting);
@@ -139,17 +145,25 @@
     }
 }
 
-/// Answers a request for whose body there is no room. The rest of the body is read without being
-/// held, so that its caller can read the answer.
-fn refuse_for_memory(
+fn shutdown_refusal() -> Refusal {
+    Refusal::not_run(RefusalCode::ShuttingDown).retry_after(Duration::ZERO)
+}
+
+/// Refuses a request before its body is in. The rest of the body is read without being held, so that
+/// its caller can read the answer.
+fn refuse_unread(
     shell: &GatewayShell,
-    (head, headers): (&Parts, &CallerHeaders),
-    mut body: Incoming,
+    open: &OpenRequest,
+    (head, mut body): (&Parts, Incoming),
+    refusal: &Refusal,
 ) -> Response {
-    let refusal = shell.memory_refusal(headers.time_left);
     shell.metrics.count(&format!("refused.{}", refusal.code));
+    log::info!(
+        request:% = open.request_id(), code:% = refusal.code, outcome:% = refusal.outcome;
+        "request refused"
+    );
     tokio::spawn(async move { discard_body(&mut body).await });
-    let mut answer = refusal_answer(&refusal, &head.headers);
+    let mut answer = refusal_answer(refusal, &head.headers);
     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     answer
 }
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -61,6 +61,14 @@
 }
 
 impl AnswerState {
+    /// Whether the caller has nothing of its response.
+    fn is_waiting(&self) -> bool {
+        match self {
+            Self::Waiting(_) => true,
+            Self::Streaming(_) | Self::Done => false,
+        }
+    }
+
     /// Resolves when a caller that has received a part of its response disconnects, and never
     /// otherwise.
     async fn closed(&self) {
@@ -186,11 +194,12 @@
         let wait_end = Instant::now() + delay;
         self.request.open.set_stage(RequestStage::Waiting);
         loop {
-            let Self { state, silent, last_event, request, .. } = &mut *self;
+            let Self { shell, state, silent, last_event, request, .. } = &mut *self;
             let headers = &request.head.headers;
             let (call, news) = tokio::select! {
                 () = sleep_until(wait_end) => break,
                 () = wake.notified() => break,
+                () = shell.grace_ended.cancelled() => break,
                 () = disconnected.as_mut() => return None,
                 () = state.closed() => return None,
                 news = silent.next_news(last_event.as_deref(), headers) => news,
@@ -252,11 +261,15 @@
                 CallStep::Piece(piece) => {
                     let deadline = shell.clock.instant(call.spec.deadline);
                     let may_cancel = call.spec.kind != RouteKind::Single;
+                    let has_nothing = self.state.is_waiting();
                     let end = tokio::select! {
                         end = timeout_at(deadline, self.pass_on(&mut call, piece)) => {
                             end.unwrap_or(Some(AttemptResult::Abandoned))
                         }
                         () = disconnected.as_mut(), if may_cancel => Some(AttemptResult::Abandoned),
+                        () = shell.grace_ended.cancelled(), if has_nothing => {
+                            Some(AttemptResult::Abandoned)
+                        }
                     };
                     if let Some(result) = end {
                         return self.end_attempt(call, result);
@@ -298,6 +311,9 @@
         tokio::select! {
             biased;
             () = sleep_until(deadline) => CallStep::Ended(AttemptResult::Abandoned),
+            () = shell.grace_ended.cancelled(), if state.is_waiting() => {
+                CallStep::Ended(AttemptResult::Abandoned)
+            }
             () = disconnected, if may_cancel => CallStep::Ended(AttemptResult::Abandoned),
             () = state.closed(), if may_cancel => CallStep::Ended(AttemptResult::Abandoned),
             () = open_attempt.ended() => CallStep::Ended(AttemptResult::Stalled),
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -12,6 +12,7 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, Semaphore, mpsc};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     core::{Refusal, RefusalCode},
@@ -68,6 +69,8 @@
     pub(super) limits: HttpLimits,
     /// Kilobytes that large answers may take together while they are collected.
     pub(super) answer_memory: Semaphore,
+    /// Cancelled when all requests that are left must be answered, since the process ends.
+    pub(super) grace_ended: CancellationToken,
     /// Requests that are not answered in full.
     pub(super) open_requests: Arc<OpenRequests>,
     /// Memory that requests hold.
@@ -119,6 +122,7 @@
             was_ready: AtomicBool::new(false),
             limits: settings.http,
             answer_memory: Semaphore::new(MAX_ANSWER_MEMORY_KB),
+            grace_ended: CancellationToken::new(),
             open_requests: Arc::default(),
             memory: Arc::new(HeldMemory::new(held_bound(gateway.memory_mb), metrics.clone())),
             admission: gateway.admission,
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -3,13 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
+use log::Level;
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{Instant, sleep_until, timeout_at},
+    time::{Instant, sleep_until},
 };
 
-use super::{open_requests::RequestStatus, shell::GatewayShell};
+use super::{
+    open_requests::{RequestStage, RequestStatus},
+    shell::GatewayShell,
+};
 use crate::{
     http::ListenerPhase,
     routing::{RoutingEvent, StopSchedule},
@@ -64,51 +68,80 @@
     let times = StopTimes::within(grace);
     let now = shell.clock.now();
     stop.log_phase("stop requested");
-    shell.dispatch(RoutingEvent::StopRequested(StopSchedule {
+    let schedule = StopSchedule {
         callers_moved_at: now.after(times.callers_moved),
         ends_at: now.after(times.end),
-    }));
-    sleep_until(stop.began + times.callers_moved).await;
-    phase.send_replace(ListenerPhase::Draining);
-    stop.log_phase("closing connections after their answers");
-    sleep_until(stop.began + times.closed).await;
-    phase.send_replace(ListenerPhase::Closed);
-    stop.log_phase("accepting no more connections");
-    if timeout_at(stop.began + times.end, served).await.is_err() {
-        log::warn!(in_progress = shell.in_progress(); "grace period ended with requests in progress");
-    }
-    let cut_off = stop.log_cut_off();
-    log::info!(cut_off = cut_off, elapsed_ms = stop.elapsed_ms(); "stopped");
+    };
+    shell.dispatch(RoutingEvent::StopRequested(schedule));
+    let closing = async {
+        sleep_until(stop.began + times.callers_moved).await;
+        phase.send_replace(ListenerPhase::Draining);
+        stop.log_phase("closing connections after their answers");
+        sleep_until(stop.began + times.closed).await;
+        phase.send_replace(ListenerPhase::Closed);
+        stop.log_phase("accepting no more connections");
+        let _ = served.await;
+    };
+    let ending = async {
+        sleep_until(shell.clock.instant(schedule.answers_due_at())).await;
+        shell.grace_ended.cancel();
+        stop.log_phase("grace period ended with requests in progress");
+        let runs = stop.log_answered();
+        sleep_until(stop.began + times.end).await;
+        runs
+    };
+    let runs = tokio::select! {
+        () = closing => 0,
+        runs = ending => runs,
+    };
+    let cut_off = runs + stop.log_cut_off();
+    log::info!(cut_off = cut_off, elapsed_ms = millis(stop.began.elapsed()); "stopped");
     cut_off
 }
 
 impl GatewayStop {
-    fn elapsed_ms(&self) -> u64 {
-        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-
     fn log_phase(&self, phase: &str) {
-        log::info!(
+        let level = if self.shell.grace_ended.is_cancelled() { Level::Warn } else { Level::Info };
+        log::log!(
+            level,
             open = self.shell.open_requests.len(), in_progress = self.shell.in_progress(),
-            elapsed_ms = self.elapsed_ms();
+            elapsed_ms = millis(self.began.elapsed());
             "{phase}"
         );
     }
 
+    /// Logs each request that is answered now because the process ends. Returns the number of those
+    /// that a server runs.
+    fn log_answered(&self) -> usize {
+        let mut requests = self.shell.open_requests.list();
+        requests.retain(|it| it.stage != RequestStage::Delivering);
+        for request in &requests {
+            self.log_request(request, "request ended by the stop");
+        }
+        requests.iter().filter(|it| it.stage == RequestStage::Running).count()
+    }
+
     /// Logs each request that the end of the process cuts off. Returns their number.
     fn log_cut_off(&self) -> usize {
         let requests = self.shell.open_requests.list();
         for request in &requests {
-            let RequestStatus { request_id, route, stage, status, sent, age } = request;
-            self.shell.metrics.count(&format!("stop.cut_off.{stage}"));
-            log::warn!(
-                request:% = request_id, route = route.as_ref().map(|it| it.as_str()),
-                stage:% = stage, status = status.as_ref().map(StatusCode::as_u16),
-                sent = sent.0, age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-                elapsed_ms = self.elapsed_ms();
-                "request cut off by the stop"
-            );
+            self.shell.metrics.count(&format!("stop.cut_off.{}", request.stage));
+            self.log_request(request, "request cut off by the stop");
         }
         requests.len()
     }
+
+    fn log_request(&self, request: &RequestStatus, message: &str) {
+        let RequestStatus { request_id, route, stage, status, sent, age } = request;
+        log::warn!(
+            request:% = request_id, route = route.as_ref().map(|it| it.as_str()),
+            stage:% = stage, status = status.as_ref().map(StatusCode::as_u16), sent = sent.0,
+            age_ms = millis(*age), elapsed_ms = millis(self.began.elapsed());
+            "{message}"
+        );
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -232,6 +232,23 @@
     pub ends_at: Moment,
 }
 
+/// Time in which an answer reaches its caller.
+const DELIVERY_TIME: Duration = Duration::from_millis(100);
+
+impl StopSchedule {
+    /// Returns the time by which each request must have its answer.
+    ///
+    /// ```
+    /// use alderbay::{routing::StopSchedule, units::Moment};
+    /// let (callers_moved_at, ends_at) = (Moment(2_000_000), Moment(7_000_000));
+    /// let schedule = StopSchedule { callers_moved_at, ends_at };
+    /// assert_eq!(schedule.answers_due_at(), Moment(6_900_000));
+    /// ```
+    pub fn answers_due_at(&self) -> Moment {
+        self.ends_at.before(DELIVERY_TIME)
+    }
+}
+
 /// An attempt to make: its server and the parameters of the request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptSpec {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -49,7 +49,7 @@
 use room_shares::{RoomShares, use_share};
 use silence::{SilentAttempts, attempt_revived, silent_ended};
 use stalls::StallTable;
-use stopping::{bound_wait, must_go_elsewhere, stop_requested};
+use stopping::{bound_wait, is_over, must_go_elsewhere, stop_requested};
 use suspects::{
     EndingServer, Suspicion, answer_progressed, quarantine_read, resolve_suspicion, server_probed,
     update_effects,
@@ -372,6 +372,10 @@
 ) -> RoutingEffect {
     let number = caller_request.number;
     let refuse_early = |code| RoutingEffect::Refuse(number, Refusal::not_run(code));
+    if is_over(state, now) {
+        let refusal = Refusal::not_run(RefusalCode::ShuttingDown);
+        return RoutingEffect::Refuse(number, refusal.retry_after(Duration::ZERO));
+    }
     let Some(catalog) = state.catalog.as_ref() else {
         if caller_request.waited < MAX_CATALOG_WAIT {
             return RoutingEffect::Wait(number, WAIT_POLL_INTERVAL);
@@ -449,6 +453,9 @@
     if !state.requests.contains_key(&number) {
         return request_arrived(state, caller_request, now);
     }
+    if is_over(state, now) {
+        return refuse(state, number, RefusalCode::ShuttingDown, now);
+    }
     resolve_suspicion(state, number, now)
 }
 
@@ -467,7 +474,7 @@
 /// Chooses a server for a request in progress and starts an attempt, or makes it wait or refuses
 /// it.
 fn place_request(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
-    if must_go_elsewhere(state, number, now) {
+    if is_over(state, now) || must_go_elsewhere(state, number, now) {
         return refuse(state, number, RefusalCode::ShuttingDown, now);
     }
     let effect = find_server(state, number, now);
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -8,6 +8,7 @@
     RequestState, RoutingState, budget_of, change_effects,
     pace::stream_ended,
     place_request, refuse,
+    stopping::is_over,
     suspects::{
         PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning, is_suspect,
         record_suspect,
@@ -179,6 +180,9 @@
     let has_time = now.after(MIN_ATTEMPT_TIME) < request.deadline;
     let has_attempts = request.attempts_sent < request.route.max_attempts.max(1);
     match result {
+        AttemptResult::Abandoned if is_over(state, now) => {
+            refuse(state, number, RefusalCode::ShuttingDown, now)
+        }
         AttemptResult::Answered | AttemptResult::Abandoned => RoutingEffect::Finished(number),
         AttemptResult::NeverSent if !has_time => {
             refuse(state, number, RefusalCode::DeadlinePassed, now)
--- a/src/routing/state/silence.rs
+++ b/src/routing/state/silence.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use super::{CurrentAttempt, RoutingState, attempts::fail_over, choose_server};
+use super::{CurrentAttempt, RoutingState, attempts::fail_over, choose_server, stopping::is_over};
 use crate::{
     routing::{PlacementChoice, RequestNumber, RoutingEffect},
     units::Moment,
@@ -52,6 +52,9 @@
     number: RequestNumber,
     now: Moment,
 ) -> Option<RoutingEffect> {
+    if is_over(state, now) {
+        return None;
+    }
     let request = state.requests.get_mut(&number)?;
     if request.silent.attempts.is_empty() || now >= request.deadline {
         return None;
--- a/src/routing/state/stopping.rs
+++ b/src/routing/state/stopping.rs
@@ -1,16 +1,11 @@
 //! A planned stop: which requests the process can still serve before it ends.
 
-use std::time::Duration;
-
 use super::{RequestState, RoutingState, WAIT_POLL_INTERVAL, change_effects};
 use crate::{
-    routing::{RequestNumber, RoutingChange, RoutingEffect, StopSchedule},
+    routing::{RequestNumber, RouteKind, RouteRecord, RoutingChange, RoutingEffect, StopSchedule},
     units::Moment,
 };
 
-/// Time in which the end of an answer reaches its caller.
-const DELIVERY_TIME: Duration = Duration::from_millis(100);
-
 /// Begins the stop. All requests that wait look for a server again, since they may wait too long.
 pub(super) fn stop_requested(
     state: &mut RoutingState,
@@ -30,7 +25,7 @@
 /// connect again.
 pub(super) fn can_finish(state: &RoutingState, request: &RequestState, now: Moment) -> bool {
     let Some(schedule) = state.stop else { return true };
-    let left = schedule.ends_at.before(DELIVERY_TIME).since(now);
+    let left = schedule.answers_due_at().since(now);
     let longest = request.deadline.since(now);
     let has_moved = now >= schedule.callers_moved_at;
     let expected = state.run_times.bound(&request.route.name).filter(|_| !has_moved);
@@ -48,6 +43,11 @@
     }
 }
 
+/// Whether the process ends before any request can go on.
+pub(super) fn is_over(state: &RoutingState, now: Moment) -> bool {
+    state.stop.is_some_and(|it| now >= it.answers_due_at())
+}
+
 /// Whether a request that has not run cannot be served any more by this process.
 pub(super) fn must_go_elsewhere(state: &RoutingState, number: RequestNumber, now: Moment) -> bool {
     let request = state.requests.get(&number);
