Reset streams without framing that the stop cuts off

What callers saw: a stream to an HTTP/1.0 caller has neither length nor chunks. Cut off at the end of the grace period, its connection was closed in order, so that it looked complete.

Class: an end that only the transport tells, closed by whoever drops the socket.

Change: a response is known to be without framing as it begins. If its body fails, or the process ends before it does, the connection is reset. Framed responses are still closed in order: what the kernel has buffered reaches the caller, and their framing shows that they are cut.

Result: stop_answers::cut_off_stream_without_framing_is_reset. After: a reset. That the reset also comes where the body fails before the end of the process is not tested.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -76,9 +76,11 @@
         let route = it.catalog()?.route(&host_name(&head), head.uri.path())?;
         Some(route.name.clone())
     });
-    let open = shell.open_requests.open(shell.next_number(), request_id, route);
+    let connection = head.extensions.get::<ConnectionAbort>().cloned().unwrap_or_default();
+    let open = shell.open_requests.open(shell.next_number(), request_id, route, connection);
+    let version = head.version;
     let answer = answer_open(shell, (head, headers, body), open.clone()).await;
-    open.deliver(answer)
+    open.deliver(answer, version)
 }
 
 async fn answer_open(
--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -11,12 +11,13 @@
 };
 
 use bytes::Bytes;
-use http::StatusCode;
+use http::{StatusCode, Version};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use tokio::time::Instant;
 use volo_http::{body::Body, error::BoxError, response::Response};
 
 use crate::{
+    http::ConnectionAbort,
     routing::RequestNumber,
     units::{ByteCount, RequestId, RouteName},
 };
@@ -59,6 +60,8 @@
     request_id: RequestId,
     route: Option<RouteName>,
     arrived: Instant,
+    /// The caller's connection.
+    connection: ConnectionAbort,
     progress: Mutex<RequestProgress>,
 }
 
@@ -69,6 +72,8 @@
     status: Option<StatusCode>,
     /// What the connection has taken of the response's body.
     sent: ByteCount,
+    /// Whether only the end of the connection tells where the response ends.
+    is_unframed: bool,
 }
 
 /// What is known of a request in progress.
@@ -89,15 +94,21 @@
         number: RequestNumber,
         request_id: RequestId,
         route: Option<RouteName>,
+        connection: ConnectionAbort,
     ) -> Arc<OpenRequest> {
-        let progress =
-            RequestProgress { stage: RequestStage::Reading, status: None, sent: ByteCount(0) };
+        let progress = RequestProgress {
+            stage: RequestStage::Reading,
+            status: None,
+            sent: ByteCount(0),
+            is_unframed: false,
+        };
         let request = Arc::new(OpenRequest {
             requests: self.clone(),
             number,
             request_id,
             route,
             arrived: Instant::now(),
+            connection,
             progress: Mutex::new(progress),
         });
         lock(&self.table).insert(number, Arc::downgrade(&request));
@@ -106,10 +117,16 @@
 
     /// Returns the requests in progress, oldest first.
     pub(super) fn list(&self) -> Vec<RequestStatus> {
-        // The last reference of a request may be dropped here, which locks the table.
-        let requests: Vec<Arc<OpenRequest>> =
-            lock(&self.table).values().filter_map(Weak::upgrade).collect();
-        requests.iter().map(|it| it.status()).collect()
+        self.all().iter().map(|it| it.status()).collect()
+    }
+
+    /// Breaks off the responses that would look complete if their connections just ended.
+    pub(super) fn break_off_unframed(&self) {
+        self.all().iter().for_each(|it| it.break_off_unframed());
+    }
+
+    fn all(&self) -> Vec<Arc<OpenRequest>> {
+        lock(&self.table).values().filter_map(Weak::upgrade).collect()
     }
 
     /// Returns the number of requests in progress.
@@ -136,7 +153,7 @@
     }
 
     fn status(&self) -> RequestStatus {
-        let RequestProgress { stage, status, sent } = *lock(&self.progress);
+        let RequestProgress { stage, status, sent, .. } = *lock(&self.progress);
         RequestStatus {
             request_id: self.request_id.clone(),
             route: self.route.clone(),
@@ -147,11 +164,19 @@
         }
     }
 
+    fn break_off_unframed(&self) {
+        if lock(&self.progress).is_unframed {
+            self.connection.abort();
+        }
+    }
+
     /// Ties the request to its response, which the caller's connection takes from here on.
-    pub(super) fn deliver(self: &Arc<Self>, answer: Response) -> Response {
+    pub(super) fn deliver(self: &Arc<Self>, answer: Response, version: Version) -> Response {
         let mut progress = lock(&self.progress);
         progress.stage = RequestStage::Delivering;
         progress.status = Some(answer.status());
+        let is_chunked = version >= Version::HTTP_11;
+        progress.is_unframed = !is_chunked && answer.body().size_hint().exact().is_none();
         drop(progress);
         answer.map(|body| Body::from_body(CountedBody { body, request: self.clone() }))
     }
@@ -182,6 +207,9 @@
             let length = frame.data_ref().map_or(0, Bytes::len);
             lock(&self.request.progress).sent.0 += length as u64;
         }
+        if let Poll::Ready(Some(Err(_))) = &polled {
+            self.request.break_off_unframed();
+        }
         polled
     }
 
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -94,6 +94,7 @@
         () = closing => 0,
         runs = ending => runs,
     };
+    shell.open_requests.break_off_unframed();
     let cut_off = runs + stop.log_cut_off();
     log::info!(cut_off = cut_off, elapsed_ms = millis(stop.began.elapsed()); "stopped");
     cut_off
--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -207,6 +207,22 @@
     expect_that!(site.gateway.log_lines("request refused").len(), eq(6));
 }
 
+/// Guards against a stream without a length or chunks that looks complete as the process ends.
+#[gtest]
+#[tokio::test]
+async fn cut_off_stream_without_framing_is_reset() {
+    let mut site = StopSite::start(Duration::from_secs(5)).await;
+    let mut caller = RawCaller::connect(site.gateway.listen).await;
+    let request = whole("q-old", "/on/stream/200/50").replace("HTTP/1.1", "HTTP/1.0");
+    caller.send(&request).await;
+    site.wait_run("q-old").await;
+    site.gateway.terminate();
+    let answer = caller.read_end().await;
+    expect_that!(answer.text.contains("id: 20\n"), eq(true), "{}", answer.text);
+    expect_that!(answer.is_reset, eq(true), "{}", answer.text);
+    site.gateway.wait_exit(EXIT_SLACK).await;
+}
+
 /// Guards against an answer that is lost with its connection because the caller has sent more.
 #[gtest]
 #[tokio::test]
