Take run-once requests in a stop only if they can end in time

Cause: the estimate is made for the many. A route with a few long requests among short ones has a short estimate, one without any has none, and quick failures of servers counted as run times.

Others stay as they were: their callers may ask again. Only whole successes count as run times.

--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -74,7 +74,8 @@
         request.silent.push(attempt.clone());
     }
     let CurrentAttempt { incarnation: (id, _), address, began_at, timing, .. } = attempt;
-    if result == AttemptResult::Answered {
+    // Failures are often quick.
+    if result == AttemptResult::Answered && progress == AnswerProgress::Whole {
         state.run_times.record(&request.route.name, now.since(request.received_at));
     }
     if result == AttemptResult::Answered && request.rank.is_some() {
--- a/src/routing/state/stopping.rs
+++ b/src/routing/state/stopping.rs
@@ -1,5 +1,7 @@
 //! A planned stop: which requests the process can still serve before it ends.
 
+use std::time::Duration;
+
 use super::{RequestState, RoutingState, WAIT_POLL_INTERVAL, change_effects};
 use crate::{
     routing::{RequestNumber, RouteKind, RouteRecord, RoutingChange, RoutingEffect, StopSchedule},
@@ -28,9 +30,21 @@
     let left = schedule.answers_due_at().since(now);
     let longest = request.deadline.since(now);
     let has_moved = now >= schedule.callers_moved_at;
-    let expected = state.run_times.bound(&request.route.name).filter(|_| !has_moved);
-    let is_untold = expected.is_none() && !has_moved;
-    is_untold && !left.is_zero() || expected.map_or(longest, |it| it.min(longest)) <= left
+    let expected = expected_time(state, &request.route).unwrap_or(longest);
+    (if has_moved { longest } else { expected.min(longest) }) <= left
+}
+
+/// Returns the time within which a request of the route is expected to end, or `None` if it may take
+/// all the time that it has.
+fn expected_time(state: &RoutingState, route: &RouteRecord) -> Option<Duration> {
+    let usual = state.run_times.bound(&route.name);
+    match route.kind {
+        // A caller whose request was cut off may ask again.
+        RouteKind::Idempotent | RouteKind::ResumableStream => Some(usual.unwrap_or_default()),
+        RouteKind::Single | RouteKind::SingleStream => {
+            Some(usual?.max(state.run_times.longest(&route.name)?))
+        }
+    }
 }
 
 /// Shortens the wait of a request while the process stops, since it may have to be refused in time.
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -217,6 +217,62 @@
     expect_that!(server_of(&effect), some(not(eq(&first))));
 }
 
+/// Serves requests that take these times, one after the other.
+fn learn(gateway: &mut TestGateway, run_times: impl IntoIterator<Item = Duration>) {
+    for (number, run_time) in (1..).zip(run_times) {
+        arrive(gateway, number, WHOLE_TIME);
+        pass(gateway, run_time);
+        answer(gateway, number);
+    }
+}
+
+/// Guards against requests that may run only once and are cut off as the process ends, since most of
+/// their route are short or none has ended yet.
+#[gtest]
+fn run_once_requests_are_taken_only_if_they_can_end() {
+    let (short, long) = (Duration::from_millis(200), Duration::from_millis(6_500));
+    for kind in [RouteKind::Single, RouteKind::SingleStream, RouteKind::Idempotent] {
+        let servers = || vec![server(1, "a"), server(2, "a")];
+        let runs_once = kind != RouteKind::Idempotent;
+        let mut untold = TestGateway::with(settings(budget(), 7), kind, servers());
+        stop(&mut untold);
+        pass(&mut untold, Duration::from_secs(1));
+        let effect = arrive(&mut untold, 1, WHOLE_TIME);
+        expect_that!(server_of(&effect).is_none(), eq(runs_once), "{kind:?}");
+        let effect = arrive(&mut untold, 2, Duration::from_secs(6));
+        expect_that!(server_of(&effect), some(anything()), "{kind:?}");
+        let mut mixed = TestGateway::with(settings(budget(), 7), kind, servers());
+        let run_times = (0..200).map(|it| if it == 20 { long } else { short });
+        learn(&mut mixed, run_times);
+        stop(&mut mixed);
+        pass(&mut mixed, Duration::from_millis(500));
+        let effect = arrive(&mut mixed, 1_000, WHOLE_TIME);
+        expect_that!(server_of(&effect), some(anything()), "{kind:?}");
+        pass(&mut mixed, Duration::from_millis(1_000));
+        let effect = arrive(&mut mixed, 1_001, WHOLE_TIME);
+        expect_that!(server_of(&effect).is_none(), eq(runs_once), "{kind:?}");
+    }
+}
+
+/// Guards against a usual time that is too short because failures are quick.
+#[gtest]
+fn failures_do_not_shorten_the_usual_time() {
+    let mut gateway = gateway();
+    learn(&mut gateway, [Duration::from_secs(7); 20]);
+    for number in 100..200 {
+        arrive(&mut gateway, number, WHOLE_TIME);
+        pass(&mut gateway, Duration::from_millis(5));
+        let (number, result) = (RequestNumber(number), AttemptResult::Answered);
+        let progress = AnswerProgress::Head;
+        gateway.dispatch(RoutingEvent::AttemptEnded { number, result, progress });
+        gateway.dispatch(RoutingEvent::RequestEnded(number));
+    }
+    stop(&mut gateway);
+    pass(&mut gateway, Duration::from_millis(1_500));
+    let effect = arrive(&mut gateway, 1_000, WHOLE_TIME);
+    expect_that!(refusal_of(&effect), some(eq(REFUSED)));
+}
+
 /// Guards against requests that get no answer as the process ends.
 #[gtest]
 fn end_of_grace_refuses_what_is_left() {
