Take an empty body without a length for broken off

A server that ended right after the head of a plain answer without a length or chunks left its caller with a 200 and an empty body, framed as whole by the gateway.

Cause: a body without a length ends with its connection, so its end and the end of its server look the same. Streams were held to "no end before the first event"; plain answers, in the gateway and in the agent, were not. Class: an end that is inferred from silence, checked in one of its places.

Change: `http::ResponseBody` carries the rule for all who read answers: without a length or chunks, a body that ends before its first byte is broken off. The rule of streams moves there. A body that is empty by its length, its chunks or its status is whole, as before. Idempotent requests are tried at another server, others get 502.

Shown by `broken_heads`: answers in eight forms (length, chunks, trailers, neither, HTTP/1.0, interim heads before) cut at each byte and then closed, reset or left silent, for plain safe and unsafe calls, streams that may be resumed or not, and resumed streams; and 28 odd heads.

--- a/src/agent/backend.rs
+++ b/src/agent/backend.rs
@@ -5,11 +5,13 @@
 use bytes::Bytes;
 use http::{HeaderValue, Method, Uri, header::HOST};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use thiserror::Error;
 
 use crate::{
-    http::{CallFailure, ConnectionGuard, OpenCall, REQUEST_ID, RESUME_AFTER, connect, start_call},
+    http::{
+        CallFailure, ConnectionGuard, OpenCall, REQUEST_ID, RESUME_AFTER, ResponseBody, connect,
+        start_call,
+    },
     wire::{HeaderPair, WorkRequest},
 };
 
@@ -47,7 +49,7 @@
 pub(super) struct BackendCall {
     pub(super) status: u16,
     pub(super) headers: Vec<HeaderPair>,
-    pub(super) body: Incoming,
+    pub(super) body: ResponseBody,
     _connection: ConnectionGuard,
 }
 
--- a/src/gateway/requests/call.rs
+++ b/src/gateway/requests/call.rs
@@ -6,12 +6,11 @@
 use futures_util::future::select_all;
 use http::{HeaderMap, StatusCode, response::Parts};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
 use tokio::time::{Duration, Instant};
 
 use super::super::event_stream::{SseSplitter, StreamEvent, is_repeated};
 use crate::{
-    http::{ConnectionGuard, OpenCall},
+    http::{ConnectionGuard, OpenCall, ResponseBody},
     platform::{ResponseKind, classify_response},
     routing::{AnswerProgress, AttemptResult, AttemptSpec, LimitNotice},
 };
@@ -61,12 +60,10 @@
 struct AnswerReader {
     /// The head, until it is passed on.
     head: Option<Parts>,
-    body: Incoming,
+    body: ResponseBody,
     /// Keeps the connection open.
     _guard: ConnectionGuard,
     splitter: SseSplitter,
-    /// Whether a length or chunks tell where the body ends.
-    is_delimited: bool,
 }
 
 impl AttemptCall {
@@ -105,10 +102,7 @@
                     CallPiece::Failed(result)
                 }
             },
-            CallStage::Open(reader) => {
-                let has_events = self.progress != AnswerProgress::Head;
-                reader.next_piece(last_event, has_events).await
-            }
+            CallStage::Open(reader) => reader.next_piece(last_event).await,
         }
     }
 
@@ -156,7 +150,7 @@
     }
 
     /// Returns the head, which is taken, and the body of the response, once the head has arrived.
-    pub(super) fn take_answer(&mut self) -> Option<(Parts, &mut Incoming)> {
+    pub(super) fn take_answer(&mut self) -> Option<(Parts, &mut ResponseBody)> {
         match &mut self.stage {
             CallStage::Pending(_) => None,
             CallStage::Open(reader) => Some((reader.head.take()?, &mut reader.body)),
@@ -167,13 +161,11 @@
 impl AnswerReader {
     fn new(call: OpenCall) -> Self {
         let OpenCall { head, body, guard } = call;
-        let is_chunked = head.headers.contains_key(http::header::TRANSFER_ENCODING);
-        let is_delimited = body.size_hint().exact().is_some() || is_chunked;
         let splitter = SseSplitter::default();
-        Self { head: Some(head), body, _guard: guard, splitter, is_delimited }
+        Self { head: Some(head), body, _guard: guard, splitter }
     }
 
-    async fn next_piece(&mut self, last_event: Option<&str>, has_events: bool) -> CallPiece {
+    async fn next_piece(&mut self, last_event: Option<&str>) -> CallPiece {
         loop {
             while let Some(event) = self.splitter.next_event() {
                 if !is_repeated(event.id.as_deref(), last_event) {
@@ -192,10 +184,6 @@
                 None if self.splitter.has_partial() => {
                     return CallPiece::Failed(AttemptResult::Lost);
                 }
-                // A stream without a length or chunks ends with its connection, as a lost one does.
-                None if !self.is_delimited && !has_events => {
-                    return CallPiece::Failed(AttemptResult::Lost);
-                }
                 None => return CallPiece::End,
             }
         }
--- a/src/http.rs
+++ b/src/http.rs
@@ -12,7 +12,9 @@
     BodyError, RelayAborted, RelayBody, RelaySender, caller_disconnected, collect_body,
     discard_body, read_body, relay_body,
 };
-pub use call::{CallFailure, ConnectionGuard, OpenCall, connect, start_call};
+pub use call::{
+    CallBreak, CallFailure, ConnectionGuard, OpenCall, ResponseBody, connect, start_call,
+};
 pub use listener::{HttpListener, ListenerError, ListenerPhase};
 pub use responses::{ErrorBody, error_event, error_response, json_response, text_response};
 
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -18,7 +18,8 @@
 };
 
 use bytes::Bytes;
-use http::response::Parts;
+use http::{HeaderValue, header::TRANSFER_ENCODING, response::Parts};
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -39,7 +40,7 @@
     /// Status and headers of the response.
     pub head: Parts,
     /// Body of the response, which may still be arriving.
-    pub body: Incoming,
+    pub body: ResponseBody,
     /// Keeps the connection open; hold it while reading the body.
     pub guard: ConnectionGuard,
 }
@@ -47,14 +48,76 @@
 /// A call ended without the head of a response. The request may have reached the server.
 #[derive(Debug)]
 #[derive(Error)]
-#[error("{source}")]
+#[error("{cause}")]
 pub struct CallFailure {
-    source: hyper::Error,
+    cause: CallBreak,
     /// Whether the server had begun to respond: it had sent a part of a head, or a whole interim
     /// response.
     pub has_begun: bool,
 }
 
+/// Why a call has no response, or not the whole of it.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum CallBreak {
+    /// The connection broke, or what was received is no HTTP/1.
+    #[error("{0}")]
+    Connection(#[from] hyper::Error),
+    /// The connection ended in place of a body without a length.
+    #[error("the connection ended before the first byte of the body")]
+    EmptyBody,
+}
+
+/// Body of a response.
+///
+/// Without a length or chunks it ends with its connection, which may also mean that the server has
+/// ended right after the head. So such a body is broken off if it is empty.
+#[derive(Debug)]
+pub struct ResponseBody {
+    body: Incoming,
+    is_delimited: bool,
+    has_begun: bool,
+}
+
+impl ResponseBody {
+    fn new(body: Incoming, head: &Parts) -> Self {
+        let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+        let is_chunked = codings.any(|it| is_coding(it, "chunked"));
+        let is_delimited = body.size_hint().exact().is_some() || is_chunked;
+        Self { body, is_delimited, has_begun: false }
+    }
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = CallBreak;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CallBreak>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx)?;
+        if let Poll::Ready(Some(_)) = polled {
+            self.has_begun = true;
+        }
+        if let Poll::Ready(None) = polled
+            && !self.is_delimited
+            && !self.has_begun
+        {
+            return Poll::Ready(Some(Err(CallBreak::EmptyBody)));
+        }
+        polled.map(|it| it.map(Ok))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.is_delimited && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Closes the connection of a call when dropped.
 #[derive(Debug)]
 pub struct ConnectionGuard(AbortHandle);
@@ -81,29 +144,35 @@
 ///
 /// # Errors
 ///
-/// The connection failed, or the head is too large; the request may have reached the server.
+/// The connection failed, or the head is too large; the request may have reached the
+/// server.
 pub async fn start_call(
     stream: TcpStream,
     request: http::Request<Full<Bytes>>,
 ) -> Result<OpenCall, CallFailure> {
     let has_received = Arc::new(AtomicBool::new(false));
     let stream = ObservedStream { stream, has_received: has_received.clone() };
-    send_request(stream, request).await.map_err(|source| {
+    send_request(stream, request).await.map_err(|cause| {
         let has_begun = has_received.load(Ordering::Relaxed);
-        CallFailure { source, has_begun }
+        CallFailure { cause, has_begun }
     })
 }
 
+fn is_coding(value: &HeaderValue, coding: &str) -> bool {
+    value.as_bytes().eq_ignore_ascii_case(coding.as_bytes())
+}
+
 async fn send_request(
     stream: ObservedStream,
     request: http::Request<Full<Bytes>>,
-) -> hyper::Result<OpenCall> {
+) -> Result<OpenCall, CallBreak> {
     // An HTTP/1 handshake sends nothing; only `send_request` does.
     let mut client = http1::Builder::new();
     client.max_buf_size(MAX_HEAD_BYTES);
     let (mut sender, connection) = client.handshake(TokioIo::new(stream)).await?;
     let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
     let (head, body) = sender.send_request(request).await?.into_parts();
+    let body = ResponseBody::new(body, &head);
     Ok(OpenCall { head, body, guard })
 }
 
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -8,6 +8,7 @@
 mod account_shares;
 mod admission_order;
 mod bad_input;
+mod broken_heads;
 mod cold_server;
 mod config_race;
 mod crashing_prompts;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -7,6 +7,8 @@
 pub mod callers;
 #[path = "support/certificates.rs"]
 pub mod certificates;
+#[path = "support/cut_server.rs"]
+pub mod cut_server;
 #[path = "support/engine.rs"]
 pub mod engine;
 #[path = "support/fleet.rs"]
