Refuse protocol switches and transfer codings that nobody asked for

A faulty server's 101 (Switching Protocols) reached callers of plain routes as their answer, and a body with a transfer coding such as gzip reached them as a 200 without that header, so with other bytes than the server's.

Cause: the HTTP library gives 101 as a final head with an empty body, and decodes no coding but chunks; the gateway took any head that is not a success for the server's answer, and drops `Transfer-Encoding`, which concerns one connection. Class: a header that changes the meaning of the body is dropped unread.

Change: a call whose head is informational, or names a coding other than chunks (or `identity`, which is none), has no usable answer and counts as lost.

Shown by `broken_heads::odd_answers_are_no_success`: before, 101 in each form and ending for safe and unsafe calls, and `gzip` and `gzip, chunked` with a 200; after, own failures or a break.

--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -63,6 +63,12 @@
     /// The connection broke, or what was received is no HTTP/1.
     #[error("{0}")]
     Connection(#[from] hyper::Error),
+    /// The server switched to another protocol.
+    #[error("the server switched to a protocol that it was not asked for")]
+    ProtocolSwitch,
+    /// The body has a transfer coding other than chunks.
+    #[error("the response has an unknown transfer coding")]
+    UnknownCoding,
     /// The connection ended in place of a body without a length.
     #[error("the connection ended before the first byte of the body")]
     EmptyBody,
@@ -144,7 +150,7 @@
 ///
 /// # Errors
 ///
-/// The connection failed, or the head is too large; the request may have reached the
+/// The connection failed, or the head is too large or of no use; the request may have reached the
 /// server.
 pub async fn start_call(
     stream: TcpStream,
@@ -172,6 +178,14 @@
     let (mut sender, connection) = client.handshake(TokioIo::new(stream)).await?;
     let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
     let (head, body) = sender.send_request(request).await?.into_parts();
+    if head.status.is_informational() {
+        return Err(CallBreak::ProtocolSwitch);
+    }
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    let is_known = |it: &HeaderValue| is_coding(it, "chunked") || is_coding(it, "identity");
+    if !codings.all(is_known) {
+        return Err(CallBreak::UnknownCoding);
+    }
     let body = ResponseBody::new(body, &head);
     Ok(OpenCall { head, body, guard })
 }
--- a/tests/broken_heads.rs
+++ b/tests/broken_heads.rs
@@ -320,11 +320,18 @@
         format!("{ok}Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n{BODY}"),
         format!("{ok}Transfer-Encoding: chunked\r\n\r\n15\r\n{BODY}\r\n0\r\n\r\n"),
         format!("{ok}Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n14\r\n{BODY}\r\n"),
+        // Codings that were not asked for.
+        format!("{ok}Transfer-Encoding: gzip\r\n\r\n{BODY}"),
+        format!("{ok}Transfer-Encoding: gzip, chunked\r\n\r\n14\r\n{BODY}\r\n0\r\n\r\n"),
         // Nothing but a head, and interim responses alone.
         format!("{ok}\r\n"),
         format!("HTTP/1.0 200 OK\r\n{OWN}\r\n"),
         INTERIM.to_owned(),
         format!("HTTP/1.1 103 Early Hints\r\n{OWN}Content-Length: 20\r\n\r\n{BODY}"),
+        format!("HTTP/1.1 101 Switching Protocols\r\n{OWN}\r\n"),
+        format!(
+            "HTTP/1.1 101 Switching Protocols\r\n{OWN}Upgrade: x\r\nConnection: upgrade\r\n\r\n"
+        ),
         // No HTTP, and an older one.
         BODY.to_owned(),
         format!("HTTP/0.9 200 OK\r\n{OWN}\r\n{BODY}"),
