Reset the connection of a caller without chunks whose stream breaks off

A caller that speaks HTTP/1.0 got the beginning of a broken stream and an orderly end of its connection, which is how a whole stream ends for it.

Cause: a break is shown by the missing last chunk, and there are no chunks below HTTP/1.1.

Change: a connection on which an HTTP/1.0 request came is reset if its response fails. Others end as before, so that they still get the events that wait.

Shown by `broken_heads::broken_stream_is_reset_for_callers_without_chunks`: before, a 200 with one event and an orderly end for both kinds of stream; after, an error on reading.

--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -4,9 +4,18 @@
 //! limits neither the number of connections nor the time for a request's head, and it cuts off
 //! streams 30 s after a stop signal at the latest.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
-use http::{HeaderValue, StatusCode, header::CONNECTION};
+use http::{HeaderValue, StatusCode, Version, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use motore::service::Service;
@@ -164,8 +173,13 @@
     let abort = ConnectionAbort::default();
     let stream = AbortableStream::new(stream, abort.clone());
     let request_abort = abort.clone();
+    let takes_no_chunks = Arc::new(AtomicBool::new(false));
+    let seen_version = takes_no_chunks.clone();
     let service = service_fn(move |mut request: http::Request<Incoming>| {
         request.extensions_mut().insert(request_abort.clone());
+        if request.version() < Version::HTTP_11 {
+            seen_version.store(true, Ordering::Relaxed);
+        }
         let (response, phase) = (handle(peer, request), response_phase.clone());
         async move {
             let mut response = response.await;
@@ -203,6 +217,10 @@
         }
     };
     if let Err(error) = ended {
+        // To these callers a stream that breaks off ends as a whole one does, with the connection.
+        if takes_no_chunks.load(Ordering::Relaxed) {
+            abort.abort();
+        }
         log::debug!(peer:% = peer, error:% = error; "connection ended");
     }
 }
--- a/tests/broken_heads.rs
+++ b/tests/broken_heads.rs
@@ -9,6 +9,10 @@
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::{
     launcher,
@@ -367,3 +371,30 @@
     .await;
     println!("{count} cases");
 }
+
+/// Guards against a stream that breaks off and looks complete to a caller that reads to the end of its
+/// connection.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn broken_stream_is_reset_for_callers_without_chunks() {
+    let site = start_site().await;
+    let events = event(1);
+    let begun = whole_answer("HTTP/1.1", "", &format!("{CHUNKED}{STREAM}"), &[&events]);
+    let begun = begun.text.strip_suffix("0\r\n\r\n").unwrap().to_owned();
+    for route in ["stream", "single"] {
+        let first = CutScript::new(begun.clone(), CutEnd::Close);
+        let odd = CutScript::new("odd".to_owned(), CutEnd::Close);
+        let script = site.scripts.add(vec![first, odd]);
+        let mut stream = TcpStream::connect(site.gateway.listen).await.unwrap();
+        let request = format!(
+            "POST /{route}/{script} HTTP/1.0\r\nHost: h.example\r\nRequest-Id: old-{route}\r\n\
+             Time-Budget-Ms: 700\r\nContent-Length: 0\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut text = Vec::new();
+        let read = stream.read_to_end(&mut text).await;
+        let text = String::from_utf8_lossy(&text);
+        let looks_whole = read.is_ok() && text.contains(" 200 ") && !text.contains("chunked");
+        expect_that!(looks_whole, eq(false), "{route}: {text}");
+    }
+}
