Test how many servers run a request, and for how long

`max_attempts` sends 1,000 requests of five kinds through a gateway to twelve servers, each of whose runs draws from refusals, 421, errors, cuts at any byte, resets, silences and pauses of 0.2 to 2.3 s, beside a listed address at which nobody listens. It asks that no request runs on more servers than its route allows (one, where it may run only once), and that no repeat is given more time than its caller has, whatever the caller states: nothing, 0, a text, 0.3 s to the largest number, and with a route timeout below it.

--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -27,6 +27,7 @@
 mod limit_exploration;
 mod map_rollout;
 mod map_switch;
+mod max_attempts;
 mod naive_router;
 mod odd_entries;
 mod operator_tool;
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -21,6 +21,19 @@
 /// Time within which a started gateway must become ready.
 pub const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Settings in which tests differ.
+struct GatewayTuning {
+    grace: Duration,
+    /// Retries allowed at once, over all gateways.
+    retry_burst: f64,
+}
+
+impl Default for GatewayTuning {
+    fn default() -> Self {
+        Self { grace: Duration::from_secs(8), retry_burst: 90.0 }
+    }
+}
+
 /// A running gateway and the addresses of its listeners; killed on drop.
 pub struct GatewayProcess {
     pub child: Child,
@@ -47,7 +60,7 @@
 impl GatewayProcess {
     /// Starts a gateway that reads from `store` and finds other gateways through `seeds`.
     pub fn start(launcher: &Launcher, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Self::start_with_grace(launcher, store, seeds, Duration::from_secs(8))
+        Self::start_with(launcher, (store, seeds), GatewayTuning::default(), launch)
     }
 
     /// Starts a gateway with this grace period.
@@ -57,21 +70,36 @@
         seeds: &[SocketAddr],
         grace: Duration,
     ) -> Self {
-        Self::start_with(launcher, (store, seeds, grace), launch)
+        let tuning = GatewayTuning { grace, ..GatewayTuning::default() };
+        Self::start_with(launcher, (store, seeds), tuning, launch)
+    }
+
+    /// Starts a gateway that may repeat this many requests at once, with all others together.
+    pub fn start_with_burst(
+        launcher: &Launcher,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        retry_burst: f64,
+    ) -> Self {
+        let tuning = GatewayTuning { retry_burst, ..GatewayTuning::default() };
+        Self::start_with(launcher, (store, seeds), tuning, launch)
     }
 
     /// Starts a gateway whose standard output is a pipe that nobody reads.
     pub fn start_unread(launcher: &Launcher, store: SocketAddr) -> Self {
-        Self::start_with(launcher, (store, &[], Duration::from_secs(8)), |launcher, folder| {
+        let tuning = GatewayTuning::default();
+        Self::start_with(launcher, (store, &[]), tuning, |launcher, folder| {
             spawn(command(launcher, folder).stdout(Stdio::piped()))
         })
     }
 
     fn start_with(
         launcher: &Launcher,
-        (store, seeds, grace): (SocketAddr, &[SocketAddr], Duration),
+        (store, seeds): (SocketAddr, &[SocketAddr]),
+        tuning: GatewayTuning,
         launch: impl Fn(&Launcher, &Path) -> Child,
     ) -> Self {
+        let GatewayTuning { grace, retry_burst } = tuning;
         let [listen, ready, peer, admin, datagrams] = [(); 5].map(|()| free_address());
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("gateway.json");
@@ -79,7 +107,7 @@
             "identity": {"vm": "g-1", "failure_domain": "a", "admin_listen": admin},
             "role": {"gateway": {
                 "listen": listen, "ready_listen": ready, "peer_listen": peer, "seeds": seeds,
-                "store": store, "budget": {"retry_ratio": 0.2, "retry_burst": 90.0,  "cold_factor": 1.5, "cold_burst": 5.0}
+                "store": store, "budget": {"retry_ratio": 0.2, "retry_burst": retry_burst, "cold_factor": 1.5, "cold_burst": 5.0}
             }},
             "datagrams": datagrams,
             "grace_s": grace.as_secs_f64()
