Move the evidence and the harmless inputs of the quarantine into modules

`routing::quarantine` keeps the table and its exchange; `evidence` says what records mean together, `harmless` remembers what answers have shown. No behaviour changes.

--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -10,16 +10,16 @@
 //! - an answer that goes on shows that neither the request nor any of its parts does this, so they
 //!   are excused from all records about that time.
 //!
-//! A whole request is blocked once [`MIN_ENDS`] ends at different times have it in common and nothing
+//! A whole request is blocked once two ends at different times have it in common and nothing
 //! excuses it. All other requests in progress on those servers leave records too; the answer to their
 //! next attempt excuses them.
 //!
-//! A part is blocked once [`MIN_ENDS`] ends at different times have it in common and nothing excuses
+//! A part is blocked once two ends at different times have it in common and nothing excuses
 //! it. Parts end servers as they begin to answer. Where nothing of an answer arrived, it may have been
 //! lost with the server, or the request may only have waited there, so two such ends count as one.
 //!
 //! Ends at the same time may share another cause and count once. A part is blocked all the same if
-//! [`MIN_PART_BATCH`] servers ended at once as they began to answer: callers may send as many requests
+//! five servers ended at once as they began to answer: callers may send as many requests
 //! with it again.
 //!
 //! Parts that always came together with it and are not excused either are blocked only together
@@ -28,9 +28,12 @@
 //! Gateways exchange their records. Merging is idempotent, commutative and only adds, so any order
 //! and any number of exchanges give the same table, up to its bound.
 
+mod evidence;
+mod harmless;
+
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -38,23 +41,12 @@
 
 use super::RoutingChange;
 use crate::units::{InputDigest, Moment, RequestId, ServerId};
+use evidence::find_blocked;
+use harmless::HarmlessInputs;
 
-/// Number of ends that block an input. One may be a coincidence: servers also end for other reasons.
-const MIN_ENDS: usize = 2;
-/// Ends of several servers within this time count once: they may share another cause, such as a
-/// failure domain that lost its power.
-const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
-/// Number of servers whose ends within [`COMMON_CAUSE_WINDOW`] block a part that is not the first of
-/// the prompts. Five ends are all that gateways may need to learn of it.
-const MIN_PART_BATCH: usize = 5;
-/// Time in which records about one server are about the same end.
-const SAME_END_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which an answer that went on excuses what its request held from later records. Bounded
 /// because a new version of the model may fail where the last one did not.
 const EXCUSE_TTL: Duration = Duration::from_secs(60);
-/// Number of parts, and of requests, remembered as harmless, twice: of the present and of the last
-/// generation.
-const MAX_HARMLESS_INPUTS: usize = 4_096;
 /// Maximum number of records that are kept.
 const MAX_RECORDS: usize = 64;
 /// Maximum number of records sent to another gateway at once.
@@ -384,115 +376,6 @@
     }
 }
 
-/// Finds the parts that explain several ends.
-///
-/// The first parts of prompts are shared by most requests, so they come with each harmful part. They
-/// count only in records that no later part explains.
-fn find_blocked(
-    records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
-) -> BTreeMap<InputDigest, BlockedInput> {
-    let mut blocked = BTreeMap::new();
-    let (mut first, mut later) = (BTreeSet::new(), BTreeSet::new());
-    for record in records.values() {
-        let is_first = |it: &InputDigest| record.parts.first() == Some(it);
-        let (firsts, laters): (Vec<_>, Vec<_>) = record.suspects().partition(is_first);
-        first.extend(firsts);
-        later.extend(laters);
-    }
-    for part in &later {
-        let with_part: Vec<_> = records.iter().filter(|it| it.1.is_suspect(*part)).collect();
-        blocked.extend(judge(&with_part, Some(MIN_PART_BATCH)).map(|it| (*part, it)));
-    }
-    let explained: BTreeSet<InputDigest> = blocked.keys().copied().collect();
-    for part in first.difference(&later) {
-        let is_unexplained = |it: &CrashRecord| !it.suspects().any(|it| explained.contains(&it));
-        let with_part: Vec<_> =
-            records.iter().filter(|it| it.1.is_suspect(*part) && is_unexplained(it.1)).collect();
-        // Most requests may share it: one bad moment must not refuse them all.
-        blocked.extend(judge(&with_part, None).map(|it| (*part, it)));
-    }
-    blocked.extend(find_blocked_requests(records));
-    blocked
-}
-
-/// Finds the whole requests that explain several ends.
-fn find_blocked_requests(
-    records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
-) -> BTreeMap<InputDigest, BlockedInput> {
-    let mut by_content: BTreeMap<InputDigest, Vec<_>> = BTreeMap::new();
-    for (key, record) in records {
-        if let Some(content) = record.suspect_content() {
-            by_content.entry(content).or_default().push((key, record));
-        }
-    }
-    let judged = by_content.into_iter().map(|(content, records)| (content, find_ends(&records)));
-    // A popular request may be in progress at many servers that end at once for another reason.
-    judged
-        .filter(|(_, ends)| ends.len() >= MIN_ENDS)
-        .map(|(content, ends)| {
-            (content, BlockedInput { combination: BTreeSet::new(), end_count: ends.len() })
-        })
-        .collect()
-}
-
-/// Decides whether the records, which have a part in common, block it: by ends at different times, or
-/// by as many at once as `min_batch`.
-fn judge(
-    records: &[(&(ServerId, RequestId), &CrashRecord)],
-    min_batch: Option<usize>,
-) -> Option<BlockedInput> {
-    let ends = find_ends(records);
-    let weight: usize = ends.iter().map(|it| if it.is_confirmed { 2 } else { 1 }).sum();
-    let confirmed: Vec<_> = records.iter().filter(|it| it.1.is_confirmed).copied().collect();
-    let is_batch = min_batch.is_some_and(|it| has_batch(&find_ends(&confirmed), it));
-    if weight < 2 * MIN_ENDS && !is_batch {
-        return None;
-    }
-    let end_count = ends.len();
-    let mut sets = records.iter().map(|it| it.1.suspects().collect::<BTreeSet<_>>());
-    let first = sets.next()?;
-    let combination = sets.fold(first, |common, it| &common & &it);
-    Some(BlockedInput { combination, end_count })
-}
-
-/// Ends of servers that may share a cause.
-struct EndGroup<'a> {
-    at: EvidenceTime,
-    servers: BTreeSet<&'a ServerId>,
-    /// Whether one of the servers is known to have begun to answer.
-    is_confirmed: bool,
-}
-
-/// Groups the ends of servers by time.
-fn find_ends<'a>(records: &[(&'a (ServerId, RequestId), &'a CrashRecord)]) -> Vec<EndGroup<'a>> {
-    let mut sorted: Vec<(EvidenceTime, &ServerId, bool)> =
-        records.iter().map(|(key, it)| (it.at, &key.0, it.is_confirmed)).collect();
-    sorted.sort_unstable();
-    let mut groups: Vec<EndGroup<'_>> = Vec::new();
-    for (at, server, is_confirmed) in sorted {
-        let same_end = groups
-            .iter()
-            .rposition(|it| it.servers.contains(server) && it.at.is_within(SAME_END_WINDOW, at));
-        let simultaneous = groups
-            .len()
-            .checked_sub(1)
-            .filter(|it| groups[*it].at.is_within(COMMON_CAUSE_WINDOW, at));
-        match same_end.or(simultaneous) {
-            Some(index) => {
-                groups[index].servers.insert(server);
-                groups[index].is_confirmed |= is_confirmed;
-            }
-            None => groups.push(EndGroup { at, servers: BTreeSet::from([server]), is_confirmed }),
-        }
-    }
-    groups
-}
-
-/// Whether at least `min_size` servers ended at the same time.
-fn has_batch(groups: &[EndGroup<'_>], min_size: usize) -> bool {
-    groups.iter().any(|it| it.servers.len() >= min_size)
-}
-
 /// Returns the parts of a report: those that are confirmed, and those that are not.
 fn split_parts(
     parts: Vec<InputDigest>,
@@ -500,25 +383,3 @@
 ) -> (Vec<InputDigest>, Vec<InputDigest>) {
     if is_confirmed { (parts, Vec::new()) } else { (Vec::new(), parts) }
 }
-
-/// Inputs of requests whose answers went on, with the latest time. Two generations bound the memory.
-#[derive(Clone, Debug, Default)]
-struct HarmlessInputs {
-    current: HashMap<InputDigest, EvidenceTime>,
-    last: HashMap<InputDigest, EvidenceTime>,
-}
-
-impl HarmlessInputs {
-    fn insert(&mut self, input: InputDigest, at: EvidenceTime) {
-        if self.current.len() >= MAX_HARMLESS_INPUTS && !self.current.contains_key(&input) {
-            self.last = std::mem::take(&mut self.current);
-        }
-        self.current.insert(input, at);
-    }
-
-    /// Whether an answer with the input went on after, or not long before, a time.
-    fn excuses(&self, input: InputDigest, at: EvidenceTime) -> bool {
-        let known = self.current.get(&input).or_else(|| self.last.get(&input));
-        known.is_some_and(|it| it.after(EXCUSE_TTL) > at)
-    }
-}
