Try out inputs under which many servers end at once

Copies of a request that ends its servers reached 8 to 16 servers at once, and as many again 3.6 s later; so did prompts whose harmful part is the first one, or whose servers end before any byte of an answer.

Cause: ends within 100 ms count as one, since servers that lose their power end together, and one end blocks nothing. Class: two causes that look the same in the records, and a rule that always decides for one of them.

Change: neither is assumed. A request under which three servers end at once, and a part under which five do (the first, or before any byte of an answer), is on trial: in each second two gateways, which all draw alike from those seen lately, send it, one copy at a time each; the others refuse it with 503 `input_on_trial` and a delay. An answer ends the trial at all gateways, another end blocks the input. A request that was lost before it is held by a trial gets 502 without a delay. The protection of sound requests stays: `failure_domain_without_power_blocks_no_request` and the tests of prompts hold unchanged.

Shown by `second_batch_of_a_request_reaches_few_servers` (9 cases with 1, 3 and 9 gateways, 3 to 16 copies; safe, unsafe and stream; nothing to a part of an event written) and `later_batches_reach_few_servers_whatever_ends_them` (7 cases). The harmful calls of `fragile_servers` now write what their crash point says; the tests that used to have them write nothing ask for that by name.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -286,6 +286,8 @@
     HarmfulPrompt = "harmful_prompt", 500, "backend servers end when they answer prompts with a part of this one";
     /// Backend servers have ended as they ran this request, by its target, account and body.
     HarmfulRequest = "harmful_request", 500, "backend servers end when they run this request";
+    /// Many servers have ended at once as they ran requests like this one.
+    InputOnTrial = "input_on_trial", 503, "many backend servers ended at once as they ran requests like this one, which is being tried out";
     AnswerTooLarge = "answer_too_large", 502, "the backend server's answer is over the bound";
     AnswerBroken = "answer_broken", 502, "the backend server's answer broke off";
     DeadlineDuringRun = "deadline_during_run", 504, "the deadline passed while the request ran";
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -52,7 +52,9 @@
 pub use pace::{PaceLimit, StepPace, pace_factor};
 pub use peers::{GatewayLocation, PeerTable};
 pub use placement::{Candidate, PlacementChoice, choose_candidate};
-pub use quarantine::{BlockedInput, CrashReport, QuarantineTable, QuarantineUpdate, SuspectInput};
+pub use quarantine::{
+    BlockedInput, CrashReport, InputTrial, QuarantineTable, QuarantineUpdate, SuspectInput,
+};
 pub use reader_mark::{OperatorStep, ReaderMark, next_operator_step};
 pub use run_times::RunTimes;
 pub use servers::{GroupMembership, Incarnation, KnownServer, ServerRecord, ServerTable};
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -441,6 +441,11 @@
     },
     /// A part of prompts, or a whole request, is no longer blocked.
     InputUnblocked(InputDigest),
+    /// Many servers ended at once as they ran requests with a part or copies of a request: few
+    /// gateways send it, one at a time.
+    TrialBegan(InputDigest),
+    /// The trial of a part or request has ended.
+    TrialEnded(InputDigest),
     /// An account asks for more than its share in a crowded service, or no longer does.
     AccountShare {
         /// The service.
@@ -525,6 +530,10 @@
                 if others.is_empty() { Ok(()) } else { write!(f, ", with {}", join_parts(&others)) }
             }
             Self::InputUnblocked(input) => write!(f, "input {input} is no longer blocked"),
+            Self::TrialBegan(input) => {
+                write!(f, "input {input} is on trial: many servers ended at once as they ran it")
+            }
+            Self::TrialEnded(input) => write!(f, "input {input} is no longer on trial"),
             Self::AccountShare { service, account, is_beyond, demand, share, sums_age } => {
                 let position = if *is_beyond { "beyond" } else { "within" };
                 write!(
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -22,6 +22,10 @@
 //! five servers ended at once as they began to answer: callers may send as many requests
 //! with it again.
 //!
+//! A whole request, or a first part, under which many servers ended at once may be popular and sound,
+//! or harmful and sent in many copies. It is put *on trial*: few gateways send it, one at a time, until
+//! an answer excuses it or another end blocks it.
+//!
 //! Parts that always came together with it and are not excused either are blocked only together
 //! with it: requests with one of them go on, and their answers excuse it.
 //!
@@ -41,7 +45,7 @@
 
 use super::RoutingChange;
 use crate::units::{InputDigest, Moment, RequestId, ServerId};
-use evidence::find_blocked;
+use evidence::{Findings, find_inputs};
 use harmless::HarmlessInputs;
 
 /// Time for which an answer that went on excuses what its request held from later records. Bounded
@@ -158,13 +162,32 @@
     pub end_count: usize,
 }
 
+/// How much depends on a record, from what is forgotten first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum RecordWeight {
+    Excused,
+    Suspect,
+    OnTrial,
+    Blocks,
+}
+
 /// What one gateway knows about inputs that end servers.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
     records: BTreeMap<(ServerId, RequestId), CrashRecord>,
     harmless_parts: HarmlessInputs,
     harmless_requests: HarmlessInputs,
-    blocked: BTreeMap<InputDigest, BlockedInput>,
+    findings: Findings,
+}
+
+/// An input that is neither blocked nor excused, but that many servers had in progress when they ended
+/// at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InputTrial {
+    /// The part or request.
+    pub input: InputDigest,
+    /// Time since the servers ended.
+    pub age: Duration,
 }
 
 /// Result of a change of the table.
@@ -180,7 +203,7 @@
     /// Returns why a request with these shared parts must not be sent, or `None` if it may be.
     pub fn blocked_part(&self, parts: &[InputDigest]) -> Option<(InputDigest, &BlockedInput)> {
         parts.iter().find_map(|part| {
-            let blocked = self.blocked.get(part)?;
+            let blocked = self.findings.blocked.get(part)?;
             let is_match = blocked.combination.iter().all(|it| parts.contains(it));
             is_match.then_some((*part, blocked))
         })
@@ -188,12 +211,27 @@
 
     /// Returns all blocked parts.
     pub fn blocked(&self) -> &BTreeMap<InputDigest, BlockedInput> {
-        &self.blocked
+        &self.findings.blocked
     }
 
     /// Returns why this whole request must not be sent, or `None` if it may be.
     pub fn blocked_request(&self, content: InputDigest) -> Option<&BlockedInput> {
-        self.blocked.get(&content)
+        self.findings.blocked.get(&content)
+    }
+
+    /// Returns the inputs on trial that a request holds.
+    pub fn trials_of(
+        &self,
+        content: InputDigest,
+        parts: &[InputDigest],
+        now: Moment,
+    ) -> Vec<InputTrial> {
+        let inputs = parts.iter().copied().chain([content]);
+        let trial = |input: InputDigest| {
+            let since = self.findings.trials.get(&input)?;
+            Some(InputTrial { input, age: since.age(now) })
+        };
+        inputs.filter_map(trial).collect()
     }
 
     /// Whether a server has ended as it ran this request, and nothing excuses it.
@@ -213,7 +251,7 @@
 
     /// Whether there are records that gateways which missed them must be told.
     pub fn has_reports(&self, now: Moment) -> bool {
-        !self.blocked.is_empty() || self.records.values().any(|it| it.at.age(now) < EXCHANGE_TTL)
+        !self.findings.is_empty() || self.records.values().any(|it| it.at.age(now) < EXCHANGE_TTL)
     }
 
     /// Whether answers to requests with each of these parts have gone on lately.
@@ -276,7 +314,7 @@
                 has_news |= record.excused.insert(input);
             }
         }
-        let changes = if has_news { self.update_blocked() } else { Vec::new() };
+        let changes = if has_news { self.update_findings() } else { Vec::new() };
         QuarantineUpdate { has_news, changes }
     }
 
@@ -289,7 +327,7 @@
         if !has_news {
             return QuarantineUpdate::default();
         }
-        let changes = self.update_blocked();
+        let changes = self.update_findings();
         self.evict();
         QuarantineUpdate { has_news, changes }
     }
@@ -337,38 +375,49 @@
             }
         };
         let mut records: Vec<_> = self.records.iter().collect();
-        records.sort_by_key(|(_, it)| Reverse((self.blocks(it), it.at)));
+        records.sort_by_key(|(_, it)| Reverse((self.weight(it), it.at)));
         records.into_iter().take(MAX_REPORTS).map(report).collect()
     }
 
-    /// Whether a record is among those that block an input.
-    fn blocks(&self, record: &CrashRecord) -> bool {
-        let mut suspects = record.suspects().chain(record.suspect_content());
-        suspects.any(|it| self.blocked.contains_key(&it))
+    /// How much depends on a record.
+    fn weight(&self, record: &CrashRecord) -> RecordWeight {
+        let suspects: Vec<InputDigest> =
+            record.suspects().chain(record.suspect_content()).collect();
+        if suspects.iter().any(|it| self.findings.blocked.contains_key(it)) {
+            RecordWeight::Blocks
+        } else if suspects.iter().any(|it| self.findings.trials.contains_key(it)) {
+            RecordWeight::OnTrial
+        } else if !suspects.is_empty() {
+            RecordWeight::Suspect
+        } else {
+            RecordWeight::Excused
+        }
     }
 
-    /// Decides again which parts are blocked. Returns the changes.
-    fn update_blocked(&mut self) -> Vec<RoutingChange> {
-        let blocked = find_blocked(&self.records);
-        let previous = std::mem::replace(&mut self.blocked, blocked);
+    /// Decides again which inputs are blocked or on trial. Returns the changes.
+    fn update_findings(&mut self) -> Vec<RoutingChange> {
+        let previous = std::mem::replace(&mut self.findings, find_inputs(&self.records));
+        let Findings { blocked, trials } = &self.findings;
         let is_changed = |part: &InputDigest, it: &BlockedInput| {
-            previous.get(part).is_none_or(|known| known.combination != it.combination)
+            previous.blocked.get(part).is_none_or(|known| known.combination != it.combination)
         };
-        let added = self.blocked.iter().filter(|(part, it)| is_changed(part, it));
-        let lifted = previous.keys().filter(|it| !self.blocked.contains_key(it));
+        let added = blocked.iter().filter(|(part, it)| is_changed(part, it));
+        let lifted = previous.blocked.keys().filter(|it| !blocked.contains_key(it));
+        let begun = trials.keys().filter(|it| !previous.trials.contains_key(it));
+        let ended = previous.trials.keys().filter(|it| !trials.contains_key(it));
         added
             .map(|(input, it)| RoutingChange::InputBlocked { input: *input, blocked: it.clone() })
             .chain(lifted.map(|it| RoutingChange::InputUnblocked(*it)))
+            .chain(begun.map(|it| RoutingChange::TrialBegan(*it)))
+            .chain(ended.map(|it| RoutingChange::TrialEnded(*it)))
             .collect()
     }
 
     /// Removes records above the bound: first those in which everything is excused, then the oldest
     /// of those that block nothing, so that callers who invent inputs cannot push out what blocks one.
     fn evict(&mut self) {
-        let has_suspects =
-            |it: &CrashRecord| it.suspects().next().is_some() || it.suspect_content().is_some();
         while self.records.len() > MAX_RECORDS {
-            let priority = |it: &CrashRecord| (self.blocks(it), has_suspects(it), it.at);
+            let priority = |it: &CrashRecord| (self.weight(it), it.at);
             let oldest = self.records.iter().min_by_key(|(_, it)| priority(it));
             let Some(key) = oldest.map(|it| it.0.clone()) else { return };
             self.records.remove(&key);
--- a/src/routing/quarantine/evidence.rs
+++ b/src/routing/quarantine/evidence.rs
@@ -16,17 +16,55 @@
 /// Number of servers whose ends within [`COMMON_CAUSE_WINDOW`] block a part that is not the first of
 /// the prompts. Five ends are all that gateways may need to learn of it.
 const MIN_PART_BATCH: usize = 5;
+/// Number of servers whose ends within [`COMMON_CAUSE_WINDOW`] put a whole request on trial.
+const MIN_REQUEST_BATCH: usize = 3;
+/// Time after which all gateways know that an input is on trial.
+const TRIAL_DELAY: Duration = Duration::from_secs(1);
 /// Time in which records about one server are about the same end.
 const SAME_END_WINDOW: Duration = Duration::from_secs(2);
 
-/// Finds the parts that explain several ends.
+/// What all records say together.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Findings {
+    /// Inputs that explain several ends.
+    pub(super) blocked: BTreeMap<InputDigest, BlockedInput>,
+    /// Inputs that many servers had in progress when they ended at the same time, with that time.
+    pub(super) trials: BTreeMap<InputDigest, EvidenceTime>,
+}
+
+impl Findings {
+    pub(super) fn is_empty(&self) -> bool {
+        self.blocked.is_empty() && self.trials.is_empty()
+    }
+
+    fn add(&mut self, input: InputDigest, verdict: InputVerdict) {
+        match verdict {
+            InputVerdict::Unknown => {}
+            InputVerdict::OnTrial(since) => {
+                self.trials.insert(input, since);
+            }
+            InputVerdict::Blocked(blocked) => {
+                self.blocked.insert(input, blocked);
+            }
+        }
+    }
+}
+
+/// What the records with an input in common say about it.
+enum InputVerdict {
+    Unknown,
+    OnTrial(EvidenceTime),
+    Blocked(BlockedInput),
+}
+
+type RecordEntry<'a> = (&'a (ServerId, RequestId), &'a CrashRecord);
+
+/// Finds the inputs that explain ends.
 ///
 /// The first parts of prompts are shared by most requests, so they come with each harmful part. They
 /// count only in records that no later part explains.
-pub(super) fn find_blocked(
-    records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
-) -> BTreeMap<InputDigest, BlockedInput> {
-    let mut blocked = BTreeMap::new();
+pub(super) fn find_inputs(records: &BTreeMap<(ServerId, RequestId), CrashRecord>) -> Findings {
+    let mut findings = Findings::default();
     let (mut first, mut later) = (BTreeSet::new(), BTreeSet::new());
     for record in records.values() {
         let is_first = |it: &InputDigest| record.parts.first() == Some(it);
@@ -36,58 +74,71 @@
     }
     for part in &later {
         let with_part: Vec<_> = records.iter().filter(|it| it.1.is_suspect(*part)).collect();
-        blocked.extend(judge(&with_part, Some(MIN_PART_BATCH)).map(|it| (*part, it)));
+        findings.add(*part, judge_part(&with_part, PartPlace::Later));
     }
-    let explained: BTreeSet<InputDigest> = blocked.keys().copied().collect();
+    let explained: BTreeSet<InputDigest> =
+        findings.blocked.keys().chain(findings.trials.keys()).copied().collect();
     for part in first.difference(&later) {
         let is_unexplained = |it: &CrashRecord| !it.suspects().any(|it| explained.contains(&it));
         let with_part: Vec<_> =
             records.iter().filter(|it| it.1.is_suspect(*part) && is_unexplained(it.1)).collect();
-        // Most requests may share it: one bad moment must not refuse them all.
-        blocked.extend(judge(&with_part, None).map(|it| (*part, it)));
+        findings.add(*part, judge_part(&with_part, PartPlace::First));
     }
-    blocked.extend(find_blocked_requests(records));
-    blocked
-}
-
-/// Finds the whole requests that explain several ends.
-fn find_blocked_requests(
-    records: &BTreeMap<(ServerId, RequestId), CrashRecord>,
-) -> BTreeMap<InputDigest, BlockedInput> {
     let mut by_content: BTreeMap<InputDigest, Vec<_>> = BTreeMap::new();
     for (key, record) in records {
         if let Some(content) = record.suspect_content() {
             by_content.entry(content).or_default().push((key, record));
         }
     }
-    let judged = by_content.into_iter().map(|(content, records)| (content, find_ends(&records)));
-    // A popular request may be in progress at many servers that end at once for another reason.
-    judged
-        .filter(|(_, ends)| ends.len() >= MIN_ENDS)
-        .map(|(content, ends)| {
-            (content, BlockedInput { combination: BTreeSet::new(), end_count: ends.len() })
-        })
-        .collect()
+    for (content, records) in by_content {
+        findings.add(content, judge_request(&records));
+    }
+    findings
+}
+
+/// Decides about a whole request. A popular one may be in progress at many servers that end at once
+/// for another reason, so that alone does not block it.
+fn judge_request(records: &[RecordEntry<'_>]) -> InputVerdict {
+    let ends = find_ends(records);
+    if ends.len() >= MIN_ENDS {
+        let combination = BTreeSet::new();
+        return InputVerdict::Blocked(BlockedInput { combination, end_count: ends.len() });
+    }
+    find_batch(&ends, MIN_REQUEST_BATCH).map_or(InputVerdict::Unknown, InputVerdict::OnTrial)
+}
+
+/// Place of a part in the prompts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PartPlace {
+    /// Most requests may share it: one bad moment must not refuse them all.
+    First,
+    Later,
 }
 
-/// Decides whether the records, which have a part in common, block it: by ends at different times, or
-/// by as many at once as `min_batch`.
-fn judge(
-    records: &[(&(ServerId, RequestId), &CrashRecord)],
-    min_batch: Option<usize>,
-) -> Option<BlockedInput> {
+/// Decides about a part, by ends at different times or by many at once.
+fn judge_part(records: &[RecordEntry<'_>], place: PartPlace) -> InputVerdict {
     let ends = find_ends(records);
     let weight: usize = ends.iter().map(|it| if it.is_confirmed { 2 } else { 1 }).sum();
     let confirmed: Vec<_> = records.iter().filter(|it| it.1.is_confirmed).copied().collect();
-    let is_batch = min_batch.is_some_and(|it| has_batch(&find_ends(&confirmed), it));
-    if weight < 2 * MIN_ENDS && !is_batch {
-        return None;
+    let has_batch = find_batch(&find_ends(&confirmed), MIN_PART_BATCH).is_some();
+    let on_trial = find_batch(&ends, MIN_PART_BATCH);
+    let is_known = weight >= 2 * MIN_ENDS
+        || place == PartPlace::Later
+            && (has_batch || on_trial.is_some_and(|it| has_failed_trial(&ends, it)));
+    if is_known {
+        let mut sets = records.iter().map(|it| it.1.suspects().collect::<BTreeSet<_>>());
+        let Some(first) = sets.next() else { return InputVerdict::Unknown };
+        let combination = sets.fold(first, |common, it| &common & &it);
+        return InputVerdict::Blocked(BlockedInput { combination, end_count: ends.len() });
     }
-    let end_count = ends.len();
-    let mut sets = records.iter().map(|it| it.1.suspects().collect::<BTreeSet<_>>());
-    let first = sets.next()?;
-    let combination = sets.fold(first, |common, it| &common & &it);
-    Some(BlockedInput { combination, end_count })
+    on_trial.map_or(InputVerdict::Unknown, InputVerdict::OnTrial)
+}
+
+/// Whether few servers have ended while an input was on trial since a time. It is in progress at few
+/// servers then, so that this is hardly a coincidence.
+fn has_failed_trial(ends: &[EndGroup<'_>], since: EvidenceTime) -> bool {
+    let is_trial = |it: &&EndGroup<'_>| it.servers.len() < MIN_REQUEST_BATCH;
+    ends.iter().filter(is_trial).any(|it| it.at >= since.after(TRIAL_DELAY))
 }
 
 /// Ends of servers that may share a cause.
@@ -99,7 +150,7 @@
 }
 
 /// Groups the ends of servers by time.
-fn find_ends<'a>(records: &[(&'a (ServerId, RequestId), &'a CrashRecord)]) -> Vec<EndGroup<'a>> {
+fn find_ends<'a>(records: &[RecordEntry<'a>]) -> Vec<EndGroup<'a>> {
     let mut sorted: Vec<(EvidenceTime, &ServerId, bool)> =
         records.iter().map(|(key, it)| (it.at, &key.0, it.is_confirmed)).collect();
     sorted.sort_unstable();
@@ -123,7 +174,7 @@
     groups
 }
 
-/// Whether at least `min_size` servers ended at the same time.
-fn has_batch(groups: &[EndGroup<'_>], min_size: usize) -> bool {
-    groups.iter().any(|it| it.servers.len() >= min_size)
+/// Returns the latest time at which at least `min_size` servers ended at once.
+fn find_batch(groups: &[EndGroup<'_>], min_size: usize) -> Option<EvidenceTime> {
+    groups.iter().filter(|it| it.servers.len() >= min_size).map(|it| it.at).max()
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -14,6 +14,7 @@
 mod stalls;
 mod stopping;
 mod suspects;
+mod trials;
 mod waiting;
 
 use std::{
@@ -54,6 +55,7 @@
     EndingServer, Suspicion, answer_progressed, quarantine_read, resolve_suspicion, server_probed,
     update_effects,
 };
+use trials::is_held_by_trial;
 use waiting::{
     WaitingQueue, has_expired, leave, record_arrival, room_scope, start_in_order, wait_limit,
     wait_or_refuse, wait_or_refuse_full, wake,
@@ -149,6 +151,8 @@
     budgets: BTreeMap<ServiceName, AttemptBudget>,
     /// Largest number of gateways reported lately, and the time of that report.
     reported_gateways: Option<(u32, Moment)>,
+    /// Addresses of the gateways that were seen lately, this one included.
+    known_gateways: Vec<SocketAddr>,
     requests: BTreeMap<RequestNumber, RequestState>,
     /// Requests that wait because all servers are full.
     waiting: WaitingQueue,
@@ -186,6 +190,7 @@
             limits: LimitTable::new(settings.address, DEFAULT_GATEWAY_COUNT),
             budgets: BTreeMap::new(),
             reported_gateways: None,
+            known_gateways: Vec::new(),
             requests: BTreeMap::new(),
             waiting: WaitingQueue::default(),
             room_shares: RoomShares::new(),
@@ -341,6 +346,7 @@
         RoutingEvent::QuarantineRead(reports) => quarantine_read(state, reports, now),
         RoutingEvent::LimitsRead(reports) => limits_read(state, reports, now),
         RoutingEvent::GatewaysSeen(gateways) => {
+            state.known_gateways = gateways.iter().map(|it| it.address).collect();
             share_limits(state, gateways, now);
             Vec::new()
         }
@@ -491,6 +497,9 @@
     if state.quarantine.blocked_request(request.content).is_some() {
         return refuse(state, number, RefusalCode::HarmfulRequest, now);
     }
+    if is_held_by_trial(state, number, now) {
+        return refuse(state, number, RefusalCode::InputOnTrial, now);
+    }
     if has_expired(state, number, now) {
         return refuse(state, number, RefusalCode::Overloaded, now);
     }
--- a/src/routing/state/refusals.rs
+++ b/src/routing/state/refusals.rs
@@ -57,8 +57,12 @@
         true => Refusal::unknown(RefusalCode::OutcomeUnknown),
         false => Refusal::not_run(code),
     };
+    // It was lost, and what it holds is on trial.
+    let is_lost_suspect = code == RefusalCode::InputOnTrial && request.may_have_run;
     // A caller that must not repeat its request, or whose request ends servers, gets no retry delay.
-    let may_retry = !is_suspect && (!request.may_have_run || request.route.kind.is_idempotent());
+    let may_retry = !is_suspect
+        && !is_lost_suspect
+        && (!request.may_have_run || request.route.kind.is_idempotent());
     let is_full = code == RefusalCode::Overloaded;
     if is_full {
         state.shares.record_refusal(&request.service, now);
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -15,7 +15,7 @@
         AnswerProgress, AttemptResult, CrashReport, QuarantineUpdate, RequestNumber, RoutingChange,
         RoutingEffect, SETTLED_EVENTS, SuspectInput,
     },
-    units::{Moment, RequestId, ServerId},
+    units::{InputDigest, Moment, RequestId, ServerId},
 };
 
 /// Number of events of a stream up to which its response counts as just begun.
@@ -59,6 +59,14 @@
     suspects: Vec<SuspectRequest>,
 }
 
+impl EndingServer {
+    /// Whether the server may have ended under this input, and its address is being tried.
+    pub(super) fn may_have_ended_under(&self, input: InputDigest, now: Moment) -> bool {
+        let holds = |it: &SuspectInput| it.content == Some(input) || it.parts.contains(&input);
+        now.since(self.since) < PROBE_TTL && self.suspects.iter().any(|it| holds(&it.input))
+    }
+}
+
 #[derive(Clone, Debug)]
 struct SuspectRequest {
     number: RequestNumber,
--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -14,7 +14,7 @@
     launcher,
     support::{
         fragile_servers::{CrashPoint, FragileServers},
-        gateway::{GatewayProcess, connect, read},
+        gateway::{GatewayProcess, connect, read, start_gateways},
         platform_store::FakeStore,
         ports::free_address,
     },
@@ -68,17 +68,17 @@
     store
 }
 
-/// Starts two gateways and the servers, which end at this point of their answers.
-async fn start_fleet(crash_point: CrashPoint) -> (FragileServers, [GatewayProcess; 2]) {
+/// Starts gateways and the servers, which end at this point of their answers.
+async fn start_fleet(
+    crash_point: CrashPoint,
+    gateway_count: usize,
+) -> (FragileServers, Vec<GatewayProcess>) {
     let store = start_store().await;
     let addresses = [(); SERVER_COUNT].map(|()| free_address());
     let harmful = [HARMFUL_PART];
     let servers = FragileServers::start_with(&store, &addresses, &harmful, crash_point).await;
-    let first = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
-    first.wait_ready().await;
-    let second = GatewayProcess::start(&launcher(), store.fake_server.address, &[first.peer]);
-    second.wait_ready().await;
-    (servers, [first, second])
+    let gateways = start_gateways(gateway_count, &launcher(), store.fake_server.address).await;
+    (servers, gateways)
 }
 
 /// Returns the number of servers that ended, and of harmful requests that reached one later than
@@ -116,23 +116,118 @@
 #[gtest]
 #[tokio::test]
 async fn second_batch_reaches_few_servers() {
-    let (servers, gateways) = start_fleet(CrashPoint::Head).await;
-    for batch in 0..2 {
+    send_batches(CrashPoint::Head, 2, PartPlace::Second).await;
+}
+
+/// Guards against batches of prompts that end servers with their first part, or before any byte of an
+/// answer, and reach as many servers each time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn later_batches_reach_few_servers_whatever_ends_them() {
+    let cases = [
+        (CrashPoint::Head, 1, PartPlace::First),
+        (CrashPoint::PartOfEvent, 3, PartPlace::First),
+        (CrashPoint::Head, 9, PartPlace::First),
+        (CrashPoint::Nothing, 1, PartPlace::Second),
+        (CrashPoint::Nothing, 3, PartPlace::Second),
+        (CrashPoint::Nothing, 9, PartPlace::Second),
+        (CrashPoint::InterimResponse, 9, PartPlace::Second),
+    ];
+    join_all(cases.map(|(point, count, place)| send_batches(point, count, place))).await;
+}
+
+/// Where the harmful part stands in the prompts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PartPlace {
+    First,
+    Second,
+}
+
+async fn send_batches(crash_point: CrashPoint, gateway_count: usize, place: PartPlace) {
+    let (servers, gateways) = start_fleet(crash_point, gateway_count).await;
+    for batch in 0..3 {
         let harmful = (0..SERVER_COUNT).map(|n| {
-            let parts = format!("5a:40,{HARMFUL_PART}:30,f{batch}{n:x}:600");
-            send(gateways[n % 2].listen, draft(&format!("b-{batch}-{n}"), &parts))
+            let first = if place == PartPlace::First { "" } else { "5a:40," };
+            let parts = format!("{first}{HARMFUL_PART}:30,f{batch}{n:x}:600");
+            let gateway = gateways[(n + batch) % gateway_count].listen;
+            send(gateway, draft(&format!("b-{batch}-{n}"), &parts))
         });
         join_all(harmful).await;
         tokio::time::sleep(BATCH_PAUSE).await;
     }
     let (end_count, later_sends) = later_sends(&servers);
-    println!("{end_count} servers ended, {later_sends} harmful requests sent later");
-    expect_that!(end_count, ge(5), "the first batch ends too few servers to show anything");
-    expect_that!(later_sends, le(MAX_LATER_SENDS));
+    let case = format!("{crash_point:?}, {gateway_count} gateways, {place:?}");
+    println!("{case}: {end_count} servers ended, {later_sends} harmful requests sent later");
+    expect_that!(end_count, ge(5), "{case}: the first batch ends too few servers to show anything");
+    expect_that!(later_sends, le(MAX_LATER_SENDS), "{case}");
+}
+
+/// Guards against a harmful part that no gateway blocks since each sees few of the ends.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nine_gateways_that_see_one_end_each_block_the_part() {
+    join_all([CrashPoint::Head, CrashPoint::Nothing].map(|point| async move {
+        let (servers, gateways) = start_fleet(point, 9).await;
+        let started = Instant::now();
+        let mut harmful = Vec::new();
+        for n in 0.. {
+            if started.elapsed() > RUN_TIME {
+                break;
+            }
+            let parts = format!("5a{:x}:40,{HARMFUL_PART}:30,f{n:x}:600", n % 3);
+            let request = draft(&format!("b-{n}"), &parts);
+            harmful.push(tokio::spawn(send(gateways[n % gateways.len()].listen, request)));
+            tokio::time::sleep(Duration::from_millis(130)).await;
+        }
+        join_all(harmful).await;
+        let (end_count, later_sends) = later_sends(&servers);
+        println!("{point:?}: {end_count} servers ended, {later_sends} sent later");
+        expect_that!(later_sends, le(MAX_LATER_SENDS), "{point:?}");
+    }))
+    .await;
+}
+
+/// Guards against prompts that stay refused since all servers ended at once as they began to answer
+/// others with the same first part, before any answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn common_first_part_is_served_after_an_outage() {
+    join_all([1, 3, 9].map(|gateway_count| async move {
+        let (servers, gateways) = start_fleet(CrashPoint::Head, gateway_count).await;
+        let ask = |n: usize| {
+            let parts = format!("5a:40,f{n:x}:600");
+            send(gateways[n % gateway_count].listen, draft(&format!("p-{n}"), &parts))
+        };
+        let outage = async {
+            tokio::time::sleep(Duration::from_millis(15)).await;
+            servers.end_all();
+        };
+        let (_, ()) = tokio::join!(join_all((0..24).map(ask)), outage);
+        let ended = Instant::now();
+        let is_whole = |it: Option<DraftAnswer>| it.is_some_and(|it| it.text.contains("id: 10\n"));
+        let mut asked = 24;
+        while !is_whole(ask(asked).await) {
+            assert!(ended.elapsed() < RUN_TIME, "{gateway_count} gateways: not served");
+            asked += 1;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        println!(
+            "{gateway_count} gateways: served {:?} after the outage, at prompt {}",
+            ended.elapsed(),
+            asked - 23
+        );
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for n in 0..gateway_count {
+            let answer = ask(1_000 * gateway_count + n).await;
+            expect_that!(is_whole(answer), eq(true), "gateway {n} of {gateway_count}");
+        }
+    }))
+    .await;
 }
 
 async fn send_harmful_prompts(crash_point: CrashPoint) {
-    let (servers, [first, second]) = start_fleet(crash_point).await;
+    let (servers, gateways) = start_fleet(crash_point, 2).await;
+    let [first, second] = &gateways[..] else { panic!("not two gateways") };
     let started = Instant::now();
     let (mut sound, mut harmful) = (Vec::new(), Vec::new());
     for n in 0_u32.. {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, process::Command, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -13,7 +14,7 @@
 use crate::{
     launcher,
     support::{
-        fragile_servers::FragileServers,
+        fragile_servers::{CrashPoint, FragileServers},
         gateway::{GatewayProcess, connect, read, start_gateways},
         platform_store::FakeStore,
         ports::{free_address, output},
@@ -53,19 +54,31 @@
     let store = Arc::new(FakeStore::start(free_address()).await);
     let manifest = json!({"version": 3, "routes": [{"name": "r", "hostname": "h.example",
             "path-prefix": "/a/", "kind": kind, "timeout-ms": 3000,
-            "target-latency-ms": 400, "service": "s", "max-attempts": 2, "public": false}],
+            "target-latency-ms": 400, "service": "s", "max-attempts": 2, "public": false,
+            "resumable": kind == "streaming"}],
         "services": [{"name": "s", "health-check-path": "/healthz", "max-connections": 100}],
         "tenants": [{"name": "acc", "api-keys": ["k1"]}], "limits": {"max-body-bytes": 4096}});
     store.put("keyed.op", "config", Some(&manifest));
     store
 }
 
+/// Returns the number of servers that ended, and of harmful requests that reached one later than
+/// gateways must know.
+fn count_sends(servers: &FragileServers) -> (usize, usize) {
+    servers.log(|log| {
+        let third = log.ends.get(2).map(|it| *it + CONTACT_TIME);
+        let is_later = |it: &&Instant| third.is_some_and(|third| **it > third);
+        (log.ends.len(), log.harmful_sends.iter().filter(is_later).count())
+    })
+}
+
 async fn check_harmful_request(kind: &str, gateway_count: usize) {
     const SEED: u64 = 28;
     let mut rng = SmallRng::seed_from_u64(SEED);
     let store = start_store(kind).await;
     let addresses = [(); 6].map(|()| free_address());
-    let servers = FragileServers::start(&store, &addresses, &[HARMFUL_BODY]).await;
+    let servers =
+        FragileServers::start_with(&store, &addresses, &[HARMFUL_BODY], CrashPoint::Nothing).await;
     let gateways = start_gateways(gateway_count, &launcher(), store.fake_server.address).await;
     let (mut sound, mut harmful) = (Vec::new(), Vec::new());
     let started = Instant::now();
@@ -83,11 +96,7 @@
         }
         tokio::time::sleep(Duration::from_millis(25)).await;
     }
-    let (end_count, later_sends) = servers.log(|log| {
-        let third = log.ends.get(2).map(|it| *it + CONTACT_TIME);
-        let is_later = |it: &&Instant| third.is_some_and(|third| **it > third);
-        (log.ends.len(), log.harmful_sends.iter().filter(is_later).count())
-    });
+    let (end_count, later_sends) = count_sends(&servers);
     println!(
         "{kind}, {gateway_count} gateways: {end_count} servers ended, {later_sends} sent later"
     );
@@ -128,7 +137,8 @@
 async fn operator_lifts_the_block_of_a_request_at_all_gateways() {
     let store = start_store("safe").await;
     let addresses = [(); 4].map(|()| free_address());
-    let servers = FragileServers::start(&store, &addresses, &[HARMFUL_BODY]).await;
+    let servers =
+        FragileServers::start_with(&store, &addresses, &[HARMFUL_BODY], CrashPoint::Nothing).await;
     let first = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
     first.wait_ready().await;
     let second = GatewayProcess::start(&launcher(), store.fake_server.address, &[first.peer]);
@@ -186,3 +196,64 @@
 async fn harmful_call_that_runs_once_ends_few_servers() {
     check_harmful_request("unsafe", 9).await;
 }
+
+/// Time between two batches of a harmful request: more than [`CONTACT_TIME`].
+const BATCH_PAUSE: Duration = Duration::from_millis(3_600);
+
+/// Sends a harmful request as several copies at once, three times, and returns the number of servers
+/// that ended and of copies that reached one later than gateways must know.
+async fn send_batches(
+    kind: &str,
+    gateway_count: usize,
+    copies: usize,
+    crash_point: CrashPoint,
+) -> (usize, usize) {
+    let store = start_store(kind).await;
+    let addresses = [(); 8].map(|()| free_address());
+    let servers =
+        FragileServers::start_with(&store, &addresses, &[HARMFUL_BODY], crash_point).await;
+    let gateways = start_gateways(gateway_count, &launcher(), store.fake_server.address).await;
+    for batch in 0..3 {
+        let harmful = (0..copies).map(|n| {
+            let gateway = gateways[(n + batch) % gateway_count].listen;
+            send(gateway, format!("b-{batch}-{n}"), HARMFUL_BODY.to_owned())
+        });
+        for answer in join_all(harmful).await.into_iter().flatten() {
+            expect_that!(answer.status, not(eq(StatusCode::OK)), "{answer:?}");
+        }
+        tokio::time::sleep(BATCH_PAUSE).await;
+    }
+    let counts = count_sends(&servers);
+    println!(
+        "{kind}, {gateway_count} gateways, {copies} copies, {crash_point:?}: \
+         {} servers ended, {} sent later",
+        counts.0, counts.1
+    );
+    counts
+}
+
+/// Guards against copies of one harmful request at once that count as a single end, so that the next
+/// copies reach as many servers.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn second_batch_of_a_request_reaches_few_servers() {
+    let cases = [
+        ("safe", 1, 3, CrashPoint::Nothing),
+        ("safe", 3, 8, CrashPoint::InterimResponse),
+        ("safe", 9, 16, CrashPoint::Head),
+        ("unsafe", 1, 8, CrashPoint::PartOfStatusLine),
+        ("unsafe", 3, 3, CrashPoint::Nothing),
+        ("unsafe", 9, 16, CrashPoint::Nothing),
+        ("streaming", 1, 16, CrashPoint::PartOfEvent),
+        ("streaming", 3, 8, CrashPoint::PartOfHead),
+        ("streaming", 9, 8, CrashPoint::Head),
+    ];
+    let played = cases.map(|(kind, gateways, copies, point)| async move {
+        (kind, gateways, copies, point, send_batches(kind, gateways, copies, point).await)
+    });
+    for (kind, gateways, copies, point, (end_count, later_sends)) in join_all(played).await {
+        let case = format!("{kind}, {gateways} gateways, {copies} copies, {point:?}");
+        expect_that!(end_count, ge(3), "{case}: too few to show anything");
+        expect_that!(later_sends, le(MAX_LATER_SENDS), "{case}");
+    }
+}
--- a/tests/request_quarantine.rs
+++ b/tests/request_quarantine.rs
@@ -197,6 +197,55 @@
     expect_that!(refusal_of(&effect), some(eq(refused)));
 }
 
+/// Three servers end at once as they run copies of a request, and the gateway that knows no other
+/// sends one copy at a time.
+#[gtest]
+fn request_on_trial_is_sent_in_one_copy_at_a_time() {
+    for (progress, is_sound) in [(AnswerProgress::Nothing, false), (AnswerProgress::Whole, true)] {
+        let mut gateway = gateway(RouteKind::Single);
+        let copies: Vec<_> = (1..=3).map(|it| arrive(&mut gateway, it, "popular")).collect();
+        let servers: std::collections::BTreeSet<_> =
+            copies.iter().map(|it| server_of(&it.1).unwrap()).collect();
+        expect_that!(servers.len(), eq(3));
+        for (request, placed) in &copies {
+            let (number, result) = (request.number, AttemptResult::Lost);
+            let progress = AnswerProgress::Nothing;
+            gateway.dispatch(RoutingEvent::AttemptEnded { number, result, progress });
+            let server = server_of(placed).unwrap().parse().unwrap();
+            gateway.dispatch(RoutingEvent::ServerProbed { server, has_ended: true });
+            gateway.dispatch(RoutingEvent::RequestEnded(number));
+        }
+        gateway.now += 4 * SECOND;
+        let (tried, placed) = arrive(&mut gateway, 4, "popular");
+        expect_that!(server_of(&placed), some(anything()));
+        let held = (RefusalCode::InputOnTrial, RunOutcome::NotRun);
+        for number in 5..20 {
+            let (_, effect) = arrive(&mut gateway, number, "popular");
+            expect_that!(refusal_of(&effect), some(eq(held)));
+            let RoutingEffect::Refuse(_, refusal) = effect else { panic!("not refused") };
+            expect_that!(refusal.retry_after, some(anything()));
+        }
+        let number = tried.number;
+        let result = if is_sound { AttemptResult::Answered } else { AttemptResult::Lost };
+        gateway.dispatch(RoutingEvent::AttemptEnded { number, result, progress });
+        if !is_sound {
+            // Nobody else is tried while it is unknown whether the server has ended.
+            let (_, effect) = arrive(&mut gateway, 20, "popular");
+            expect_that!(refusal_of(&effect), some(eq(held)));
+            let server = server_of(&placed).unwrap().parse().unwrap();
+            gateway.dispatch(RoutingEvent::ServerProbed { server, has_ended: true });
+        }
+        let (_, effect) = arrive(&mut gateway, 21, "popular");
+        match is_sound {
+            true => expect_that!(server_of(&effect), some(anything())),
+            false => {
+                let blocked = (RefusalCode::HarmfulRequest, RunOutcome::NotRun);
+                expect_that!(refusal_of(&effect), some(eq(blocked)));
+            }
+        }
+    }
+}
+
 #[gtest]
 fn sound_requests_survive_ends_of_servers() {
     for seed in 0..100 {
--- a/tests/support/fragile_servers.rs
+++ b/tests/support/fragile_servers.rs
@@ -30,6 +30,8 @@
 const WORK_TIME: Duration = Duration::from_millis(60);
 /// Pause between the events of an answer.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// Length that a server announces for the answer under which it ends.
+const CALL_BYTES: usize = 600;
 /// Number of events of an answer.
 const EVENT_COUNT: u32 = 10;
 
@@ -74,6 +76,8 @@
     log: Arc<Mutex<CrashLog>>,
     harmful: Arc<BTreeSet<String>>,
     crash_point: CrashPoint,
+    /// Counts the times at which all servers ended at once.
+    outages: watch::Sender<u32>,
 }
 
 impl FragileServers {
@@ -91,7 +95,12 @@
         crash_point: CrashPoint,
     ) -> Self {
         let harmful = harmful.iter().map(|it| (*it).to_owned()).collect();
-        let servers = Self { log: Arc::default(), harmful: Arc::new(harmful), crash_point };
+        let servers = Self {
+            log: Arc::default(),
+            harmful: Arc::new(harmful),
+            crash_point,
+            outages: watch::Sender::new(0),
+        };
         for address in addresses {
             let listener = TcpListener::bind(address).await.unwrap();
             tokio::spawn(servers.clone().run(store.clone(), *address, listener));
@@ -104,6 +113,11 @@
         read(&self.log.lock().unwrap())
     }
 
+    /// Ends all servers, which start again as after other ends.
+    pub fn end_all(&self) {
+        self.outages.send_modify(|it| *it += 1);
+    }
+
     /// Runs one server after the other at an address.
     async fn run(self, store: Arc<FakeStore>, address: SocketAddr, mut listener: TcpListener) {
         loop {
@@ -117,6 +131,7 @@
             store.put("keyed.servers", &id, Some(&entry));
             let (end, ended) = watch::channel(false);
             let mut has_ended = ended.clone();
+            let mut outages = self.outages.subscribe();
             while !*ended.borrow() {
                 tokio::select! {
                     accepted = listener.accept() => {
@@ -124,6 +139,9 @@
                         tokio::spawn(self.clone().serve(stream, id.clone(), end.clone(), ended.clone()));
                     }
                     _ = has_ended.changed() => {}
+                    _ = outages.changed() => {
+                        end.send_replace(true);
+                    }
                 }
             }
             drop(listener);
@@ -202,17 +220,23 @@
         end: &watch::Sender<bool>,
     ) {
         let body = String::from_utf8_lossy(&received.body);
+        let request = received.headers.get("request-id").cloned().unwrap_or_default();
+        let head = |length: usize| {
+            format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n\
+                 Content-Type: text/event-stream\r\nContent-Length: {length}\r\n\r\n"
+            )
+        };
         if self.harmful.contains(body.as_ref()) {
             self.log.lock().unwrap().harmful_sends.push(Instant::now());
+            let written = self.crash_point.written(&head(CALL_BYTES));
+            let _ = stream.write_all(written.as_bytes()).await;
             self.crash(end).await;
             return;
         }
         tokio::time::sleep(WORK_TIME).await;
-        let request = received.headers.get("request-id").cloned().unwrap_or_default();
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n\
-             Content-Length: 2\r\n\r\nok"
-        );
+        let content = "id: 1\ndata: ok\n\n";
+        let answer = head(content.len()) + content;
         let _ = stream.write_all(answer.as_bytes()).await;
         let _ = stream.read_u8().await;
     }
