Let what excuses an input reach other gateways whatever its records

After an outage with a popular request in progress everywhere, one gateway got an answer to it, and others kept it on trial: callers got 503 there for more than half a second longer, and with no end in sight.

Cause: 24 of up to 64 records go with an exchange. An answer excused 30 records of the input, the newest 24 travelled, and the other gateways went on with the rest; the sender, to which these came back, knew them as excused and had no news. Blocked inputs with more records than that had the same fault. Class: a conclusion sent as a sample of its evidence.

Change: what excuses an input from a record excuses it from all earlier ones, which is what it means; up to 8 of the records of an exchange are excused ones, so that newer suspects don't push them out.

`excuse_reaches_all_gateways_whatever_the_number_of_records` plays it without processes; not run without the change.

--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -55,6 +55,8 @@
 const MAX_RECORDS: usize = 64;
 /// Maximum number of records sent to another gateway at once.
 const MAX_REPORTS: usize = 24;
+/// Number of these that may be records in which everything is excused, so that others learn of it.
+const MIN_EXCUSED_REPORTS: usize = 8;
 /// Time for which records that block nothing are exchanged.
 const EXCHANGE_TTL: Duration = Duration::from_secs(60);
 /// Maximum number of parts of a record of another gateway.
@@ -327,11 +329,29 @@
         if !has_news {
             return QuarantineUpdate::default();
         }
+        self.excuse_earlier_records();
         let changes = self.update_findings();
         self.evict();
         QuarantineUpdate { has_news, changes }
     }
 
+    /// Applies what excuses an input from a record to all earlier ones. Not all records go with an
+    /// exchange.
+    fn excuse_earlier_records(&mut self) {
+        let mut excused_until: BTreeMap<InputDigest, EvidenceTime> = BTreeMap::new();
+        for record in self.records.values() {
+            for input in &record.excused {
+                let until = excused_until.entry(*input).or_insert(record.at);
+                *until = record.at.max(*until);
+            }
+        }
+        for record in self.records.values_mut() {
+            let held = excused_until.iter().filter(|it| record.holds(it.0) && record.at <= *it.1);
+            let held: Vec<InputDigest> = held.map(|it| *it.0).collect();
+            record.excused.extend(held);
+        }
+    }
+
     /// Merges one report. Returns whether it added anything.
     fn merge_report(&mut self, report: CrashReport, now: Moment) -> bool {
         let CrashReport { server, request, parts, unconfirmed_parts, content, excused, age_ms } =
@@ -359,7 +379,7 @@
     }
 
     /// Returns the records in the form for other gateways, those that block something and then the
-    /// newest first, up to a bound.
+    /// newest first, up to a bound, with some of those that block nothing any more.
     pub fn reports(&self, now: Moment) -> Vec<CrashReport> {
         let report = |((server, request), record): (&(ServerId, RequestId), &CrashRecord)| {
             let age = record.at.age(now).as_millis();
@@ -376,7 +396,11 @@
         };
         let mut records: Vec<_> = self.records.iter().collect();
         records.sort_by_key(|(_, it)| Reverse((self.weight(it), it.at)));
-        records.into_iter().take(MAX_REPORTS).map(report).collect()
+        let is_excused = |it: &CrashRecord| self.weight(it) == RecordWeight::Excused;
+        let (excused, mut suspects): (Vec<_>, Vec<_>) =
+            records.into_iter().partition(|it| is_excused(it.1));
+        suspects.truncate(MAX_REPORTS - excused.len().min(MIN_EXCUSED_REPORTS));
+        suspects.into_iter().chain(excused).take(MAX_REPORTS).map(report).collect()
     }
 
     /// How much depends on a record.
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -257,3 +257,56 @@
         expect_that!(later_sends, le(MAX_LATER_SENDS), "{case}");
     }
 }
+
+/// Guards against a sound request that stays refused since it was in progress at all servers when they
+/// ended at once.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn popular_request_is_served_after_an_outage() {
+    let cases = [("safe", 1), ("unsafe", 1), ("unsafe", 3), ("unsafe", 9), ("streaming", 9)];
+    join_all(cases.map(|(kind, gateway_count)| async move {
+        let store = start_store(kind).await;
+        let addresses = [(); 8].map(|()| free_address());
+        let servers = FragileServers::start(&store, &addresses, &[]).await;
+        let gateways = start_gateways(gateway_count, &launcher(), store.fake_server.address).await;
+        let ask = |n: usize| {
+            send(gateways[n % gateway_count].listen, format!("p-{n}"), "popular".to_owned())
+        };
+        // In progress everywhere, and never answered before.
+        let outage = async {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            servers.end_all();
+        };
+        let (_, ()) = tokio::join!(join_all((0..24).map(ask)), outage);
+        let ended = Instant::now();
+        let mut rng = SmallRng::seed_from_u64(47);
+        let is_answered = |it: Option<CallAnswer>| it.is_some_and(|it| it.status == StatusCode::OK);
+        let mut asked = 24;
+        loop {
+            let n = asked * gateway_count + rng.random_range(0..gateway_count);
+            asked += 1;
+            if is_answered(ask(n).await) {
+                break;
+            }
+            assert!(ended.elapsed() < RUN_TIME, "{kind}, {gateway_count} gateways: not served");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        println!(
+            "{kind}, {gateway_count} gateways: served {:?} after the outage, at copy {}",
+            ended.elapsed(),
+            asked - 24
+        );
+        // The answer is known at all gateways a little later.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for n in 0..gateway_count {
+            let answer = ask(100_000 * gateway_count + n).await;
+            let status = answer.map(|it| it.status);
+            expect_that!(
+                status,
+                some(eq(StatusCode::OK)),
+                "{kind}, gateway {n} of {gateway_count}"
+            );
+        }
+    }))
+    .await;
+}
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -356,6 +356,29 @@
     }
 }
 
+/// Guards against an input that stays suspect at other gateways since not all of its records go with
+/// an exchange.
+#[gtest]
+fn excuse_reaches_all_gateways_whatever_the_number_of_records() {
+    let mut one = TestTable::default();
+    let mut other = QuarantineTable::default();
+    for n in 0..60 {
+        one.end(&format!("i-{n}"), &["a", "b"]);
+        other.merge(one.table.reports(Moment(one.now)), Moment(one.now));
+        one.pass(MILLISECOND);
+    }
+    expect_that!(other.blocked_part(&parts(&["a", "b"])), some(anything()));
+    one.harmless(&["a", "b"]);
+    // Records of something else, which are newer.
+    for n in 0..4 {
+        one.pass(SECOND);
+        one.end(&format!("i-x{n}"), &["c", "d"]);
+    }
+    other.merge(one.table.reports(Moment(one.now)), Moment(one.now));
+    expect_that!(other.blocked_part(&parts(&["a", "b"])), none());
+    expect_that!(other.blocked_part(&parts(&["c", "d"])), some(anything()));
+}
+
 #[gtest]
 fn restarted_gateway_is_told() {
     let mut fleet = TestFleet::new(9, 4);
