Tell each decision on a retry and the number of gateways behind it

Change: the reducer returns a note for each retry that the budget allows or denies: request, service, how the attempt before ended, the balance left, the number of gateways, where it is known from and how old it is. A change of the number is one line, and a level (gateways.counted). The count moves into a type of its own. No decision changes.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -151,6 +151,7 @@
                     | RoutingEffect::Finished(_)
                     | RoutingEffect::Resume(_)
                     | RoutingEffect::AdmissionNoted(_)
+                    | RoutingEffect::RetryNoted(_)
                     | RoutingEffect::StateChanged(_)
                     | RoutingEffect::ShareRecords
                     | RoutingEffect::EndAttempt { .. }
@@ -167,6 +168,7 @@
                 | RoutingEffect::Wait(..)
                 | RoutingEffect::Resume(_)
                 | RoutingEffect::AdmissionNoted(_)
+                | RoutingEffect::RetryNoted(_)
                 | RoutingEffect::StateChanged(_)
                 | RoutingEffect::ShareRecords
                 | RoutingEffect::EndAttempt { .. }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -20,7 +20,7 @@
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
         AdmissionNote, AdmissionOutcome, AdmissionSettings, CatalogVersion, GatewayLocation,
-        PeerTable, ReaderMark, RequestNumber, RetryReason, RouteCatalog, RoutingChange,
+        PeerTable, ReaderMark, RequestNumber, RetryNote, RetryReason, RouteCatalog, RoutingChange,
         RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce, retry_after,
     },
     telemetry::MetricSink,
@@ -155,6 +155,7 @@
                     }
                 }
                 RoutingEffect::AdmissionNoted(note) => self.log_admission(&note),
+                RoutingEffect::RetryNoted(note) => self.log_retry(&note),
                 other => request_effect = Some(other),
             }
         }
@@ -201,8 +202,27 @@
         }
     }
 
+    fn log_retry(&self, note: &RetryNote) {
+        let RetryNote { request_id, service, reason, is_allowed, balance, gateways, .. } = note;
+        match is_allowed {
+            true => self.metrics.count(&format!("retries.{reason}")),
+            false => self.metrics.count("retries.denied"),
+        }
+        if note.is_logged {
+            log::info!(
+                request:% = request_id, service:% = service, reason:% = reason,
+                allowed = *is_allowed, balance = *balance, gateways = gateways.count,
+                gateways_source:% = gateways.source, gateways_age_ms = gateways.age.map(millis);
+                "retry decided"
+            );
+        }
+    }
+
     fn log_change(&self, change: &RoutingChange) {
         self.metrics.count("beliefs.changed");
+        if let RoutingChange::GatewaysCounted(gateways) = change {
+            self.metrics.gauge("gateways.counted", u64::from(gateways.count));
+        }
         if let RoutingChange::AccountShare { is_beyond: true, .. } = change {
             self.metrics.count("shares.beyond");
         }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -14,6 +14,7 @@
 mod catalog;
 mod demand;
 mod event;
+mod gateway_count;
 mod limits;
 mod load;
 mod memory;
@@ -42,9 +43,10 @@
 pub(crate) use event::join_parts;
 pub use event::{
     AdmissionNote, AdmissionOutcome, AttemptSpec, CatalogSource, LimitNotice, RequestNumber,
-    RequestSize, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, ServerNotice,
-    StopSchedule,
+    RequestSize, RetryNote, RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest,
+    ServerNotice, StopSchedule,
 };
+pub use gateway_count::{CountSource, GatewayCount};
 pub use limits::{LimitReport, LimitSource, LimitTable, LimitUpdate, SenderSet};
 pub use load::{LoadDetail, LoadReport, ServerLoad};
 pub use memory::{EndedHolder, HoldKind, HoldOutcome, HoldStage, MemoryLedger};
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -74,6 +74,11 @@
         self.balance.max(0.0) as usize
     }
 
+    /// Returns the balance, a part of a retry included.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
     /// Withdraws one retry. Returns `false` if none is left.
     #[must_use]
     pub fn withdraw(&mut self) -> bool {
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -6,9 +6,9 @@
 use smol_str::SmolStr;
 
 use super::{
-    AnswerProgress, AttemptResult, BlockedInput, CrashReport, DemandNews, GatewayLocation,
-    LimitReport, LimitSource, LoadDetail, LoadReport, RouteCatalog, RouteKind, ServerRecord,
-    SuspectInput,
+    AnswerProgress, AttemptResult, BlockedInput, CrashReport, DemandNews, GatewayCount,
+    GatewayLocation, LimitReport, LimitSource, LoadDetail, LoadReport, RouteCatalog, RouteKind,
+    ServerRecord, SuspectInput,
 };
 use crate::{
     core::Refusal,
@@ -332,6 +332,25 @@
     pub is_logged: bool,
 }
 
+/// A decision on another attempt of a request, for the log and the metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryNote {
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// Service whose budget bounds the retries.
+    pub service: ServiceName,
+    /// How the attempt before it ended.
+    pub reason: AttemptResult,
+    /// Whether the budget allows it.
+    pub is_allowed: bool,
+    /// Retries that this gateway has left for the service.
+    pub balance: f64,
+    /// The number of gateways that this gateway's share rests on.
+    pub gateways: GatewayCount,
+    /// Whether the decision is logged; the metrics count all.
+    pub is_logged: bool,
+}
+
 /// An output of the reducer, carried out by the gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RoutingEffect {
@@ -350,6 +369,8 @@
     Resume(RequestNumber),
     /// Log and count a decision on admission.
     AdmissionNoted(Box<AdmissionNote>),
+    /// Log and count a decision on another attempt.
+    RetryNoted(Box<RetryNote>),
     /// Refuse the request and end it.
     Refuse(RequestNumber, Refusal),
     /// End the request: no further attempt follows.
@@ -461,6 +482,8 @@
         /// Age of the newest sums of demand; `None` if this gateway knows only its own.
         sums_age: Option<Duration>,
     },
+    /// Limits over all gateways are divided by another number of gateways.
+    GatewaysCounted(GatewayCount),
     /// The platform's store cannot be read.
     StoreUnavailable,
     /// The platform's store can be read again.
@@ -546,6 +569,9 @@
                     None => f.write_str("own demand only"),
                 }
             }
+            Self::GatewaysCounted(GatewayCount { count, source, .. }) => {
+                write!(f, "limits are divided among {count} gateways, known from: {source}")
+            }
             Self::StoreUnavailable => f.write_str("platform store is unavailable"),
             Self::StoreRecovered => f.write_str("platform store is available again"),
             Self::StoreRewound => f.write_str("platform store came back from an older copy"),
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -8,6 +8,7 @@
 mod loads;
 mod pace;
 mod refusals;
+mod retries;
 mod room_shares;
 mod shares;
 mod silence;
@@ -27,11 +28,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    AdmissionOutcome, AdmissionSettings, AnswerProgress, AttemptBudget, AttemptSpec,
-    BudgetSettings, CatalogSource, ColdLimiter, KnownServer, LimitTable, PlacementChoice,
-    QuarantineTable, RankTraffic, RequestNumber, RequestSize, RouteCatalog, RouteRecord,
-    RoutingChange, RoutingEffect, RoutingEvent, RoutingRequest, RunTimes, SETTLED_EVENTS,
-    ServerLoad, ServerTable, ShareTable, StartModel, StopSchedule,
+    AdmissionOutcome, AdmissionSettings, AnswerProgress, AttemptSpec, BudgetSettings,
+    CatalogSource, ColdLimiter, KnownServer, LimitTable, PlacementChoice, QuarantineTable,
+    RankTraffic, RequestNumber, RequestSize, RouteCatalog, RouteRecord, RoutingChange,
+    RoutingEffect, RoutingEvent, RoutingRequest, RunTimes, SETTLED_EVENTS, ServerLoad, ServerTable,
+    ShareTable, StartModel, StopSchedule,
+    gateway_count::{DEFAULT_GATEWAY_COUNT, GatewayCounter},
 };
 use crate::{
     core::{Refusal, RefusalCode},
@@ -47,6 +49,7 @@
 use loads::load_reported;
 use pace::{answer_began, expect_first_event};
 use refusals::{refuse, refuse_until_rested};
+use retries::{RetryBudgets, deposit_retries};
 use room_shares::{RoomShares, use_share};
 use silence::{SilentAttempts, attempt_revived, silent_ended};
 use stalls::StallTable;
@@ -61,8 +64,6 @@
     wait_or_refuse, wait_or_refuse_full, wake,
 };
 
-/// Number of gateways assumed until an agent reports how many subscribe to it.
-const DEFAULT_GATEWAY_COUNT: u32 = 12;
 /// Fraction of the route's timeout that the caller's timeout must reach for the request to count as
 /// the caller's first try.
 const FIRST_TRY_MIN_FRACTION: f64 = 0.9;
@@ -148,9 +149,9 @@
     cold_limiters: BTreeMap<ServerId, ColdLimiter>,
     /// Limits that servers have named.
     limits: LimitTable,
-    budgets: BTreeMap<ServiceName, AttemptBudget>,
-    /// Largest number of gateways reported lately, and the time of that report.
-    reported_gateways: Option<(u32, Moment)>,
+    retries: RetryBudgets,
+    /// How many gateways there are.
+    gateways: GatewayCounter,
     /// Addresses of the gateways that were seen lately, this one included.
     known_gateways: Vec<SocketAddr>,
     requests: BTreeMap<RequestNumber, RequestState>,
@@ -188,8 +189,8 @@
             loads: HashMap::new(),
             cold_limiters: BTreeMap::new(),
             limits: LimitTable::new(settings.address, DEFAULT_GATEWAY_COUNT),
-            budgets: BTreeMap::new(),
-            reported_gateways: None,
+            retries: RetryBudgets::default(),
+            gateways: GatewayCounter::default(),
             known_gateways: Vec::new(),
             requests: BTreeMap::new(),
             waiting: WaitingQueue::default(),
@@ -258,7 +259,7 @@
 
     /// Returns the number of gateways, as agents report it or as assumed before any report.
     pub fn gateway_count(&self) -> u32 {
-        self.reported_gateways.map_or(DEFAULT_GATEWAY_COUNT, |it| it.0.max(1))
+        self.gateways.count()
     }
 }
 
@@ -270,6 +271,7 @@
     let scope = room_scope(state, &event);
     let own_effects = reduce_event(state, now, event);
     effects.extend(state.waiting.take_effects());
+    effects.extend(state.retries.take_effects());
     effects.extend(wake(state, scope, now));
     effects.extend(own_effects);
     effects
@@ -442,9 +444,7 @@
     };
     state.models.entry(request.service.clone()).or_default().record_rank(request.rank);
     request.work = shares::record_arrival(state, &request, caller_request.size, now);
-    let gateway_count = state.gateway_count();
-    let budget = budget_of(state, &request.service);
-    budget.0.deposit(&budget.1, gateway_count);
+    deposit_retries(state, &request.service);
     state.requests.insert(number, request);
     record_arrival(state, number, now);
     place_request(state, number, now)
@@ -465,18 +465,6 @@
     resolve_suspicion(state, number, now)
 }
 
-fn budget_of<'a>(
-    state: &'a mut RoutingState,
-    service: &ServiceName,
-) -> (&'a mut AttemptBudget, BudgetSettings) {
-    let (settings, gateway_count) = (state.settings.budget, state.gateway_count());
-    if !state.budgets.contains_key(service) {
-        state.budgets.insert(service.clone(), AttemptBudget::new(&settings, gateway_count));
-    }
-    let budget = state.budgets.entry(service.clone());
-    (budget.or_insert_with(|| AttemptBudget::new(&settings, gateway_count)), settings)
-}
-
 /// Chooses a server for a request in progress and starts an attempt, or makes it wait or refuses
 /// it.
 fn place_request(state: &mut RoutingState, number: RequestNumber, now: Moment) -> RoutingEffect {
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -5,9 +5,10 @@
 use rand::Rng;
 
 use super::{
-    RequestState, RoutingState, budget_of, change_effects,
+    RequestState, RoutingState, change_effects,
     pace::stream_ended,
     place_request, refuse,
+    retries::withdraw_retry,
     stopping::is_over,
     suspects::{
         PROBE_POLL_INTERVAL, Suspicion, answer_progressed, is_lost_at_beginning, is_suspect,
@@ -193,7 +194,7 @@
         }
         AttemptResult::NeverSent => place_request(state, number, now),
         AttemptResult::NotRun | AttemptResult::WrongServer => {
-            if has_time && has_attempts && withdraw_retry(state, number) {
+            if has_time && has_attempts && withdraw_retry(state, number, result, now) {
                 return place_request(state, number, now);
             }
             refuse(state, number, RefusalCode::Overloaded, now)
@@ -202,7 +203,7 @@
             if kind == RouteKind::Idempotent
                 && has_time
                 && has_attempts
-                && withdraw_retry(state, number)
+                && withdraw_retry(state, number, result, now)
             {
                 return place_request(state, number, now);
             }
@@ -222,7 +223,7 @@
                 let request = state.requests.get_mut(&number);
                 request.into_iter().for_each(|it| it.was_lost = true);
             }
-            fail_over(state, number, now)
+            fail_over(state, number, result, now)
         }
     }
 }
@@ -256,6 +257,7 @@
 pub(super) fn fail_over(
     state: &mut RoutingState,
     number: RequestNumber,
+    result: AttemptResult,
     now: Moment,
 ) -> RoutingEffect {
     let Some(request) = state.requests.get(&number) else {
@@ -264,7 +266,7 @@
     let has_time = now.after(MIN_ATTEMPT_TIME) < request.deadline;
     let has_attempts = request.attempts_sent < request.route.max_attempts.max(1);
     let may_repeat = request.route.kind.is_idempotent() && has_time && has_attempts;
-    if may_repeat && withdraw_retry(state, number) {
+    if may_repeat && withdraw_retry(state, number, result, now) {
         let request = state.requests.get_mut(&number);
         request.into_iter().for_each(|it| it.wait_deadline = now.after(FAILOVER_WAIT));
         return place_request(state, number, now);
@@ -275,11 +277,3 @@
     };
     refuse(state, number, code, now)
 }
-
-/// Withdraws one retry from the service's budget. Returns `false` if none is left.
-fn withdraw_retry(state: &mut RoutingState, number: RequestNumber) -> bool {
-    let Some(service) = state.requests.get(&number).map(|it| it.service.clone()) else {
-        return false;
-    };
-    budget_of(state, &service).0.withdraw()
-}
--- a/src/routing/state/limits.rs
+++ b/src/routing/state/limits.rs
@@ -28,7 +28,7 @@
 pub(super) fn share_limits(state: &mut RoutingState, gateways: Vec<GatewayLocation>, now: Moment) {
     let own = gateways.iter().find(|it| it.address == state.settings.address).cloned();
     // Until an agent has reported, nobody knows how many others there are.
-    let own = own.filter(|_| state.reported_gateways.is_some());
+    let own = own.filter(|_| state.gateways.is_known());
     let senders = SenderSet { gateways, own, count: state.gateway_count() };
     let servers = &state.servers;
     let domain_of = |it: &Incarnation| servers.server(&it.0).map(|it| &it.record.failure_domain);
--- a/src/routing/state/loads.rs
+++ b/src/routing/state/loads.rs
@@ -4,13 +4,10 @@
 
 use super::{RoutingState, room_shares::draw_share, stalls::progress_reported};
 use crate::{
-    routing::{LoadDetail, LoadReport, RoutingEffect},
+    routing::{LoadDetail, LoadReport, RoutingChange, RoutingEffect},
     units::Moment,
 };
 
-/// Time for which the largest reported number of gateways stays in use.
-const GATEWAY_COUNT_WINDOW: Duration = Duration::from_secs(10);
-
 pub(super) fn load_reported(
     state: &mut RoutingState,
     address: SocketAddr,
@@ -23,15 +20,17 @@
     load.record_report(report, detail, now);
     gap_objective.into_iter().for_each(|it| load.record_pace(it, now));
     draw_share(state, address, now);
-    let is_expired =
-        state.reported_gateways.is_none_or(|(_, at)| now.since(at) > GATEWAY_COUNT_WINDOW);
-    if is_expired || state.reported_gateways.is_some_and(|(max, _)| gateway_count >= max) {
-        state.reported_gateways = Some((gateway_count, now));
-    }
-    match detail {
+    let counted = state.gateways.belief(now);
+    state.gateways.record_report(gateway_count, now);
+    let mut effects = match detail {
         Some(_) => progress_reported(state, address, report, now),
         None => Vec::new(),
+    };
+    let counted_now = state.gateways.belief(now);
+    if (counted_now.count, counted_now.source) != (counted.count, counted.source) {
+        effects.push(RoutingEffect::StateChanged(RoutingChange::GatewaysCounted(counted_now)));
     }
+    effects
 }
 
 /// Returns the longest pause that streams of the server at this address may have.
--- a/src/routing/state/silence.rs
+++ b/src/routing/state/silence.rs
@@ -6,7 +6,7 @@
 
 use super::{CurrentAttempt, RoutingState, attempts::fail_over, choose_server, stopping::is_over};
 use crate::{
-    routing::{PlacementChoice, RequestNumber, RoutingEffect},
+    routing::{AttemptResult, PlacementChoice, RequestNumber, RoutingEffect},
     units::Moment,
 };
 
@@ -74,7 +74,7 @@
     let choice = state.requests.get(&number).map(|it| choose_server(state, it, now).0);
     let has_server = matches!(choice, Some(PlacementChoice::Server(_)));
     let waits = if has_server { None } else { rely_on_silent(state, number, now) };
-    waits.unwrap_or_else(|| fail_over(state, number, now))
+    waits.unwrap_or_else(|| fail_over(state, number, AttemptResult::Stalled, now))
 }
 
 /// Goes back to a silent attempt whose server has gone on.
@@ -111,5 +111,5 @@
         return Vec::new();
     }
     request.silent.is_relied_on = false;
-    vec![fail_over(state, number, now)]
+    vec![fail_over(state, number, AttemptResult::Stalled, now)]
 }
--- a/src/routing/state/stalls.rs
+++ b/src/routing/state/stalls.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use super::{RequestState, RoutingState, attempts::MIN_ATTEMPT_TIME, budget_of};
+use super::{RequestState, RoutingState, attempts::MIN_ATTEMPT_TIME, retries::available_retries};
 use crate::{
     routing::{KnownServer, LoadDetail, LoadReport, RequestNumber, RoutingEffect},
     units::{GroupName, Moment, ServiceName},
@@ -143,7 +143,7 @@
         .map(|(number, it)| (it.current_attempt.as_ref().is_some_and(|it| it.has_begun), *number))
         .collect();
     numbers.sort_unstable();
-    let available = budget_of(state, service).0.available().saturating_sub(ending);
+    let available = available_retries(state, service).saturating_sub(ending);
     numbers.truncate(available);
     let mut effects = Vec::new();
     for (_, number) in numbers {
--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -221,7 +221,7 @@
         }
         Suspicion::ServerRuns => {
             request.suspicion = Suspicion::None;
-            fail_over(state, number, now)
+            fail_over(state, number, AttemptResult::Lost, now)
         }
     }
 }
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -432,6 +432,7 @@
             }
             RoutingEffect::StateChanged(_)
             | RoutingEffect::AdmissionNoted(_)
+            | RoutingEffect::RetryNoted(_)
             | RoutingEffect::ShareRecords
             | RoutingEffect::EndAttempt { .. }
             | RoutingEffect::ProbeServer { .. } => {}
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -443,7 +443,9 @@
     }
     let (_, effect) = gateway.arrive();
     expect_that!(refusal_of(&effect), some(eq((RefusalCode::Overloaded, RunOutcome::NotRun))));
-    let RoutingEffect::Refuse(_, refusal) = effect else { return };
+    let RoutingEffect::Refuse(_, refusal) = effect else {
+        return;
+    };
     let wait = refusal.retry_after.unwrap();
     expect_that!(wait, le(Duration::from_secs(8) / 3));
     expect_that!(wait, gt(Duration::from_millis(500)));
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -38,6 +38,7 @@
 mod reducer_replay;
 mod request_quarantine;
 mod retry_budget;
+mod retry_notes;
 mod resumed_errors;
 mod revoked_keys;
 mod run_once;
