Accept budgets of more than one retry for each request

A route may allow more than two attempts, so a request may earn more than one retry; up to 10 are accepted.

--- a/src/options/direct.rs
+++ b/src/options/direct.rs
@@ -11,6 +11,9 @@
     units::ServiceName,
 };
 
+/// Largest number of retries that one request may earn.
+const MAX_RETRY_RATIO: f64 = 10.0;
+
 /// Settings file of a gateway or a rank agent.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -136,11 +139,11 @@
         }
         let DirectRole::Gateway(gateway) = &self.role else { return Ok(()) };
         let ratio = gateway.budget.retry_ratio;
-        if !(0.0..=1.0).contains(&ratio) {
+        if !(0.0..=MAX_RETRY_RATIO).contains(&ratio) {
             return Err(SettingsError::OutOfBounds {
                 field: "role.gateway.budget.retry_ratio",
                 value: ratio.to_string().into(),
-                allowed: "between 0 and 1",
+                allowed: "between 0 and 10",
             });
         }
         if !(gateway.memory_mb.is_finite() && gateway.memory_mb >= MIN_MEMORY_MB) {
