Start each process without a budget of retries

Cause: a started process had 0.3 of its part of the burst at once, and a service's budget is created at its first request. Each start within one window added that again; and gateways that all start together divide the burst by 12, or by the few that have subscribed to the first agent that reports, instead of by their number. The fault's class: a bound on a sum that rests on what a process cannot know yet.

Change: the budget is empty at first and is only earned, by requests. What is earned within a window is within the ratio whatever a process believes and however often it starts.

Result: tests/budget_exploration.rs (new) plays 2 to 299 reducers with their agents in one seeded simulation and checks the rule at each arrival.

--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -15,9 +15,6 @@
 /// Fraction of a limit that is used. Requests are counted where they arrive, later than gateways
 /// send them, so a window of arrivals may hold more than a window of sends.
 const SAFETY_FACTOR: f64 = 0.8;
-/// Fraction of the burst available at process start. A process may start several times within one
-/// window, each time with a new budget.
-const INITIAL_BURST_FRACTION: f64 = 0.3;
 /// Window over which the requests to a cold server are limited.
 const COLD_RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -48,20 +45,16 @@
 }
 
 /// This gateway's budget of retries at one service, a token bucket filled by caller requests.
-#[derive(Clone, Debug, PartialEq)]
+///
+/// It is empty at first: a process may start any number of times within one window, and knows little
+/// of the other gateways then.
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct AttemptBudget {
     balance: f64,
 }
 
 impl AttemptBudget {
-    /// Creates the budget of a process that has just started.
-    pub fn new(settings: &BudgetSettings, gateway_count: u32) -> Self {
-        Self {
-            balance: gateway_share(settings.retry_burst, gateway_count) * INITIAL_BURST_FRACTION,
-        }
-    }
-
     /// Adds the retries that one caller request earns. The balance is capped at this gateway's
     /// share of the burst, but at no less than one retry.
     pub fn deposit(&mut self, settings: &BudgetSettings, gateway_count: u32) {
--- a/src/routing/state/retries.rs
+++ b/src/routing/state/retries.rs
@@ -4,9 +4,7 @@
 
 use super::RoutingState;
 use crate::{
-    routing::{
-        AttemptBudget, AttemptResult, BudgetSettings, RequestNumber, RetryNote, RoutingEffect,
-    },
+    routing::{AttemptBudget, AttemptResult, RequestNumber, RetryNote, RoutingEffect},
     units::{Moment, ServiceName},
 };
 
@@ -30,17 +28,8 @@
         std::mem::take(&mut self.notes)
     }
 
-    fn budget(
-        &mut self,
-        service: &ServiceName,
-        settings: &BudgetSettings,
-        gateway_count: u32,
-    ) -> &mut AttemptBudget {
-        if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.clone(), AttemptBudget::new(settings, gateway_count));
-        }
-        let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| AttemptBudget::new(settings, gateway_count))
+    fn budget(&mut self, service: &ServiceName) -> &mut AttemptBudget {
+        self.budgets.entry(service.clone()).or_default()
     }
 
     fn is_logged(&mut self, is_allowed: bool, now: Moment) -> bool {
@@ -59,13 +48,12 @@
 /// Adds what a caller's request earns.
 pub(super) fn deposit_retries(state: &mut RoutingState, service: &ServiceName) {
     let (settings, gateway_count) = (state.settings.budget, state.gateway_count());
-    state.retries.budget(service, &settings, gateway_count).deposit(&settings, gateway_count);
+    state.retries.budget(service).deposit(&settings, gateway_count);
 }
 
 /// Returns the number of retries that are left.
 pub(super) fn available_retries(state: &mut RoutingState, service: &ServiceName) -> usize {
-    let (settings, gateway_count) = (state.settings.budget, state.gateway_count());
-    state.retries.budget(service, &settings, gateway_count).available()
+    state.retries.budget(service).available()
 }
 
 /// Withdraws one retry from the service's budget, given how the attempt before it ended. Returns
@@ -78,8 +66,8 @@
 ) -> bool {
     let Some(request) = state.requests.get(&number) else { return false };
     let (request_id, service) = (request.request_id.clone(), request.service.clone());
-    let (settings, gateways) = (state.settings.budget, state.gateways.belief(now));
-    let budget = state.retries.budget(&service, &settings, gateways.count);
+    let gateways = state.gateways.belief(now);
+    let budget = state.retries.budget(&service);
     let is_allowed = budget.withdraw();
     let balance = budget.balance();
     let is_logged = state.retries.is_logged(is_allowed, now);
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -9,6 +9,7 @@
 mod admission_order;
 mod bad_input;
 mod broken_heads;
+mod budget_exploration;
 mod cold_server;
 mod config_race;
 mod crashing_prompts;
