Draw parts of a retry at random instead of giving each gateway one

What callers saw: with many gateways and a small burst, a quiet time and then a rush of failures let each gateway send one retry that it had saved up, more together than the deployment allows.

Cause: a gateway's part of the burst was raised to one whole retry, so the parts of many gateways added up to more than what they were parts of. The fault's class: rounding up each part of a bound on a sum.

Change: no floor. A balance below one becomes a whole retry or none, drawn with the balance as probability, and is empty then. So the sum over gateways is what their parts add up to, and what requests earn is still used where the parts are small. Weighed: time slots that each gateway draws (as for servers' limits) need clocks, overlap a sliding window twice, and lose what is earned outside them.

--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use rand::{Rng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
 use crate::units::Moment;
@@ -56,9 +57,9 @@
 
 impl AttemptBudget {
     /// Adds the retries that one caller request earns. The balance is capped at this gateway's
-    /// share of the burst, but at no less than one retry.
+    /// share of the burst, which may be less than one retry.
     pub fn deposit(&mut self, settings: &BudgetSettings, gateway_count: u32) {
-        let cap = gateway_share(settings.retry_burst, gateway_count).max(1.0);
+        let cap = gateway_share(settings.retry_burst, gateway_count);
         self.balance = (self.balance + settings.retry_ratio * SAFETY_FACTOR).min(cap);
     }
 
@@ -73,13 +74,17 @@
     }
 
     /// Withdraws one retry. Returns `false` if none is left.
+    ///
+    /// A part of a retry becomes a whole one or none, drawn at random, so that all gateways together
+    /// use what their parts add up to.
     #[must_use]
-    pub fn withdraw(&mut self) -> bool {
-        if self.balance < 1.0 {
-            return false;
+    pub fn withdraw(&mut self, rng: &mut SmallRng) -> bool {
+        if self.balance >= 1.0 {
+            self.balance -= 1.0;
+            return true;
         }
-        self.balance -= 1.0;
-        true
+        let part = std::mem::take(&mut self.balance);
+        rng.random_bool(part.clamp(0.0, 1.0))
     }
 }
 
--- a/src/routing/state/retries.rs
+++ b/src/routing/state/retries.rs
@@ -68,7 +68,7 @@
     let (request_id, service) = (request.request_id.clone(), request.service.clone());
     let gateways = state.gateways.belief(now);
     let budget = state.retries.budget(&service);
-    let is_allowed = budget.withdraw();
+    let is_allowed = budget.withdraw(&mut state.rng);
     let balance = budget.balance();
     let is_logged = state.retries.is_logged(is_allowed, now);
     let note = RetryNote { request_id, service, reason, is_allowed, balance, gateways, is_logged };
--- a/tests/budget_exploration.rs
+++ b/tests/budget_exploration.rs
@@ -554,3 +554,37 @@
 fn too_large_counts_still_allow_retries() {
     explore(Disturbance::LargeCounts, 60 * SECOND_US);
 }
+
+/// Parts of less than one retry, saved up by each of many gateways.
+#[gtest]
+fn small_parts_of_many_gateways_make_no_rush() {
+    for (size, slack, seed) in [(99, 20.0, 1), (380, 94.0, 2), (380, 20.0, 3)] {
+        let deployment = Deployment { size, domains: 3, slack };
+        let mut simulation = Simulation::new(deployment, seed, Disturbance::None);
+        simulation.report();
+        let fail_each = |simulation: &mut Simulation, result| {
+            let mut retries = 0;
+            for n in 0..size {
+                let gateway = simulation.gateway(n);
+                let (number, effect) = gateway.arrive();
+                let mut effect = server_of(&effect).map(|_| gateway.end_attempt(number, result));
+                while effect.as_ref().and_then(server_of).is_some() {
+                    retries += 1;
+                    effect = Some(gateway.end_attempt(number, result));
+                }
+                gateway.dispatch(RoutingEvent::RequestEnded(number));
+            }
+            retries
+        };
+        for _ in 0..20 {
+            simulation.now += SECOND_US;
+            fail_each(&mut simulation, AttemptResult::Answered);
+        }
+        simulation.now += 3 * WINDOW;
+        let retries = fail_each(&mut simulation, AttemptResult::Lost);
+        let bound = RETRY_RATIO * size as f64 + slack;
+        println!("{size} gateways, slack {slack}: {retries} retries, bound {bound:.0}");
+        expect_that!(f64::from(retries), le(bound), "{size} gateways, slack {slack}");
+        expect_that!(f64::from(retries), ge(bound * 0.2), "{size} gateways, slack {slack}");
+    }
+}
