Tell other weights from another server in a 421

Cause: a 421 was read as "another server has the address", for as long as the server lived. Class: a belief of one answer, wider than what the answer says, without an end.

Change: where the caller's expected version was passed on and the answer names no other server, the attempt ends as other_weights. A reused address is left at once, as before, for 10 s. Two lines in the log tell when a server is left for another one at its address, and used again.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -277,6 +277,7 @@
     NoServer = "no_server", 503, "no backend server of this model or service can be reached";
     Overloaded = "overloaded", 503, "all backend servers of this model or service are busy";
     OutOfMemory = "out_of_memory", 503, "this process holds all the memory that it may; the request was not run";
+    OtherWeights = "other_weights", 421, "no backend server has the weights that the request expects; it was not run";
     ShuttingDown = "shutting_down", 503, "this process takes no request that it may not complete; ask another";
     NoConfiguration = "no_configuration", 503, "this entry has not learned the configuration yet";
     ClaimsUnavailable = "claims_unavailable", 503, "keys cannot be claimed now, so nothing was run";
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -192,6 +192,7 @@
         shared_parts: request.headers.shared_parts.clone(),
         content: request.content,
         size: request.headers.size,
+        weight_version: request.headers.weight_version,
     }
 }
 
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -344,7 +344,8 @@
     /// Checks the head of a response, and passes on the whole response if it is no stream.
     async fn accept_head(&mut self, call: &mut AttemptCall) -> Option<AttemptResult> {
         let head = call.head()?;
-        let kind = classify_response(head.status, &head.headers, &self.request.head.headers);
+        let request = &self.request.head.headers;
+        let kind = classify_response(head.status, &head.headers, request, &call.spec.server);
         let is_stream = call.spec.kind.is_stream() && head.status == StatusCode::OK;
         let continues = self.continues_stream(head);
         match kind {
@@ -352,11 +353,12 @@
                 call.server_limit = self.record_notice(head);
             }
             // Another server's word, or nobody's, says nothing about this one.
-            ResponseKind::WrongServer | ResponseKind::Foreign => {}
+            ResponseKind::WrongServer | ResponseKind::OtherWeights | ResponseKind::Foreign => {}
         }
         match kind {
             ResponseKind::NotRun => Some(AttemptResult::NotRun),
             ResponseKind::WrongServer => Some(AttemptResult::WrongServer),
+            ResponseKind::OtherWeights => Some(AttemptResult::OtherWeights),
             ResponseKind::Foreign => Some(AttemptResult::Lost),
             // What is no rest of the stream must not reach a caller that has its beginning.
             ResponseKind::Genuine if !continues => Some(AttemptResult::Lost),
--- a/src/gateway/requests/call.rs
+++ b/src/gateway/requests/call.rs
@@ -120,7 +120,7 @@
     /// Whether the head of the response begins a success of this server to this request.
     pub(super) fn has_usable_head(&self, request: &HeaderMap) -> bool {
         self.head().is_some_and(|head| {
-            let kind = classify_response(head.status, &head.headers, request);
+            let kind = classify_response(head.status, &head.headers, request, &self.spec.server);
             kind == ResponseKind::Genuine
                 && match self.spec.kind.is_stream() {
                     true => head.status == StatusCode::OK,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     routing::{LimitNotice, RequestSize, ServerNotice},
-    units::{ClientAccount, RequestId, RequestRate, ServerId, TokenCount, UrgencyRank},
+    units::{
+        ClientAccount, RequestId, RequestRate, ServerId, TokenCount, UrgencyRank, WeightVersion,
+    },
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -18,6 +20,13 @@
 const ACCOUNT: HeaderName = HeaderName::from_static("tenant");
 // Id of the only server that may run the request; another server refuses it with status 421.
 const EXPECTED_SERVER: HeaderName = HeaderName::from_static("expect-instance");
+// Version of the weights that the caller expects; a server with others refuses with status 421.
+const EXPECTED_WEIGHTS: HeaderName = HeaderName::from_static("expect-version");
+// Version of the weights of the server that responds.
+const WEIGHT_VERSION: HeaderName = HeaderName::from_static("weight-versions");
+// Ids of the server that responds, and of the one at fault.
+const SERVER_NAMES: [HeaderName; 2] =
+    [HeaderName::from_static("instance-id"), HeaderName::from_static("at-server")];
 // Urgency of the request in the server's queue, 0 to 9; 0 is the most urgent.
 const REQUEST_PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 // Number of prompt tokens and maximum number of output tokens, separated by a comma.
@@ -80,6 +89,8 @@
     pub shared_parts: Vec<SmolStr>,
     /// Size of the request in tokens, as the caller states it.
     pub size: Option<RequestSize>,
+    /// Version of the weights that the caller expects of the server.
+    pub weight_version: Option<WeightVersion>,
 }
 
 impl CallerHeaders {
@@ -103,6 +114,7 @@
             resume_after: text(&RESUME_AFTER).map(SmolStr::new),
             shared_parts: text(&PROMPT_PARTS).map(decode_shared_parts).unwrap_or_default(),
             size: text(&TOKEN_COUNTS).and_then(|it| decode_size(it, text(&LENGTH_HINT))),
+            weight_version: text(&EXPECTED_WEIGHTS).and_then(|it| it.trim().parse().ok()),
         }
     }
 }
@@ -199,27 +211,33 @@
     NotRun,
     /// Another server has the address now; nothing ran.
     WrongServer,
+    /// The server has other weights than the caller expects; nothing ran.
+    OtherWeights,
     /// A response to another request, or one that does not come from a server of the platform: it
     /// echoes another request id, a refusal echoes none, a success has no signature, or the body has a
     /// content encoding.
     Foreign,
 }
 
-/// Classifies a response by its status and headers, given the headers of its request.
+/// Classifies a response by its status and headers, given the headers of the caller's request and the
+/// server that it was sent to.
 ///
 /// ```
 /// use alderbay::platform::{ResponseKind, classify_response};
 /// use http::{HeaderMap, StatusCode};
-/// let kind = classify_response(StatusCode::OK, &HeaderMap::new(), &HeaderMap::new());
+/// let server = "i-1".parse()?;
+/// let kind = classify_response(StatusCode::OK, &HeaderMap::new(), &HeaderMap::new(), &server);
 /// assert_eq!(kind, ResponseKind::Foreign, "a success without a signature");
+/// # Ok::<(), alderbay::units::IdError>(())
 /// ```
 pub fn classify_response(
     status: StatusCode,
     headers: &HeaderMap,
     request: &HeaderMap,
+    server: &ServerId,
 ) -> ResponseKind {
-    let is_wrong_server = status == StatusCode::MISDIRECTED_REQUEST;
-    let is_refusal = is_wrong_server || headers.contains_key(NOT_RUN);
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    let is_refusal = is_misdirected || headers.contains_key(NOT_RUN);
     // A faulty server may write a refusal once more, for a request that it runs. Only the id tells
     // that it belongs to this one.
     let is_echoed = match headers.get(REQUEST_ID) {
@@ -229,8 +247,11 @@
     if !is_echoed {
         return ResponseKind::Foreign;
     }
-    if is_wrong_server {
-        return ResponseKind::WrongServer;
+    if is_misdirected {
+        return match may_lack_weights(headers, request, server) {
+            true => ResponseKind::OtherWeights,
+            false => ResponseKind::WrongServer,
+        };
     }
     if is_refusal {
         return ResponseKind::NotRun;
@@ -242,6 +263,16 @@
     ResponseKind::Genuine
 }
 
+/// Whether the weights that the caller expects may be the reason of a 421, which also comes from another
+/// server at the address. A server that names itself decides; without a name, the next request that
+/// expects no weights does.
+fn may_lack_weights(headers: &HeaderMap, request: &HeaderMap, server: &ServerId) -> bool {
+    let Some(expected) = request.get(EXPECTED_WEIGHTS) else { return false };
+    let named = SERVER_NAMES.iter().find_map(|it| headers.get(it));
+    let is_this_server = named.is_none_or(|it| it.as_bytes() == server.as_str().as_bytes());
+    is_this_server && headers.get(WEIGHT_VERSION) != Some(expected)
+}
+
 /// Decodes what a server says about itself in the head of a response, whatever the response is.
 ///
 /// `Retry-After` counts only with status 503, in seconds that may have a fraction. A negative or
@@ -421,11 +452,39 @@
     #[gtest]
     fn response_to_another_request_is_foreign() {
         let request = headers(&[("request-id", "a")]);
+        let server = "i-1".parse().unwrap();
         let swapped = headers(&[("request-id", "b"), ("response-stamp", "s")]);
-        let kind = classify_response(StatusCode::OK, &swapped, &request);
+        let kind = classify_response(StatusCode::OK, &swapped, &request, &server);
         assert_that!(kind, eq(ResponseKind::Foreign));
         let unsigned = headers(&[("request-id", "a")]);
-        let kind = classify_response(StatusCode::OK, &unsigned, &request);
+        let kind = classify_response(StatusCode::OK, &unsigned, &request, &server);
         assert_that!(kind, eq(ResponseKind::Foreign));
     }
+
+    #[gtest]
+    fn misdirected_request_tells_other_weights_from_another_server() {
+        let server = "i-1".parse().unwrap();
+        let kind_of = |expected: Option<&'static str>, named: &[(&'static str, &'static str)]| {
+            let mut request = headers(&[("request-id", "a")]);
+            request.extend(headers(
+                &expected.map(|it| ("expect-version", it)).into_iter().collect::<Vec<_>>(),
+            ));
+            let mut answer = headers(&[("request-id", "a")]);
+            answer.extend(headers(named));
+            classify_response(StatusCode::MISDIRECTED_REQUEST, &answer, &request, &server)
+        };
+        let (replaced, weights) = (ResponseKind::WrongServer, ResponseKind::OtherWeights);
+        for named in [&[][..], &[("instance-id", "i-1")], &[("at-server", "i-1")]] {
+            expect_that!(kind_of(Some("1"), named), eq(weights), "{named:?}");
+            expect_that!(kind_of(None, named), eq(replaced), "{named:?}");
+        }
+        for named in [
+            &[("instance-id", "i-2")][..],
+            &[("at-server", "i-2")],
+            &[("instance-id", "i-2"), ("at-server", "i-1")],
+            &[("instance-id", "i-1"), ("weight-versions", "1")],
+        ] {
+            expect_that!(kind_of(Some("1"), named), eq(replaced), "{named:?}");
+        }
+    }
 }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -5,7 +5,7 @@
 //! (`catalog`), server eligibility (`servers`), load estimates and health (`load`), the pace of servers
 //! (`pace`, `start`), the times of requests (`run_times`), server choice (`placement`), overload refusals (`admission`), limits of load by
 //! rank (`urgency`), retry and cold-server budgets (`budget`), inputs that end servers (`quarantine`),
-//! limits that servers name (`limits`), the memory that requests hold (`memory`), the other gateways
+//! limits that servers name (`limits`), weights that they do not have (`weights`), the memory that requests hold (`memory`), the other gateways
 //! (`peers`), the servers that one gateway uses (`subset`), and the demands and shares of client accounts
 //! (`demand`, `shares`).
 
@@ -32,6 +32,7 @@
 mod subset;
 mod urgency;
 mod views;
+mod weights;
 
 pub use admission::{AdmissionSettings, RetryReason, ShareScope, retry_after};
 pub use budget::{AttemptBudget, BudgetSettings, ColdLimiter};
@@ -69,3 +70,4 @@
     DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange, OperatorTable, OperatorView,
     ReadKind,
 };
+pub use weights::WeightTable;
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -14,7 +14,7 @@
     core::Refusal,
     units::{
         ClientAccount, ContentHash, FailureDomain, InputDigest, Moment, RequestId, RequestRate,
-        RouteName, ServerId, ServiceName, TokenCount, UrgencyRank,
+        RouteName, ServerId, ServiceName, TokenCount, UrgencyRank, WeightVersion,
     },
 };
 
@@ -83,6 +83,9 @@
     /// Size in tokens; `None` if the caller states none.
     #[serde(default)]
     pub size: Option<RequestSize>,
+    /// Version of the weights that the server must have; `None` for any.
+    #[serde(default)]
+    pub weight_version: Option<WeightVersion>,
 }
 
 /// What a response says about the number of requests that its server takes.
@@ -429,6 +432,15 @@
     },
     /// A server names a limit that cannot be read.
     ServerLimitUnreadable(ServerId),
+    /// Another server responded at a server's address.
+    ServerReplaced {
+        /// The server that is not used.
+        server: ServerId,
+        /// Time for which it is not used.
+        pause: Duration,
+    },
+    /// A server is used again at whose address another one responded a while ago.
+    ServerTriedAgain(ServerId),
     /// A server was removed from the table.
     ServerRemoved(ServerId),
     /// A server's group opened or broke, or the server joined or left a group.
@@ -523,6 +535,17 @@
             Self::ServerLimitUnreadable(id) => {
                 write!(f, "server {id} names a limit that cannot be read, ignored")
             }
+            Self::ServerReplaced { server, pause } => {
+                let pause_ms = pause.as_millis();
+                write!(f, "server {server} gets no requests for {pause_ms} ms: ")?;
+                f.write_str("another server responded at its address")
+            }
+            Self::ServerTriedAgain(id) => {
+                write!(
+                    f,
+                    "server {id} gets requests again, another server responded at its address"
+                )
+            }
             Self::ServerRemoved(id) => write!(f, "server {id} is removed"),
             Self::GroupChanged { server, is_open } => {
                 let state = if *is_open { "open" } else { "broken" };
--- a/src/routing/outcome.rs
+++ b/src/routing/outcome.rs
@@ -19,6 +19,8 @@
     NotRun,
     /// Another server uses the address; nothing ran.
     WrongServer,
+    /// The server has other weights than the caller expects; nothing ran.
+    OtherWeights,
     /// The request was sent, and the connection ended without a usable response.
     Lost,
     /// The request was sent, and no further data arrives. The call stays open until another attempt
@@ -85,7 +87,7 @@
             Self::Answered | Self::ServerError | Self::Lost | Self::Stalled | Self::Abandoned => {
                 true
             }
-            Self::NeverSent | Self::NotRun | Self::WrongServer => false,
+            Self::NeverSent | Self::NotRun | Self::WrongServer | Self::OtherWeights => false,
         }
     }
 }
@@ -98,6 +100,7 @@
             Self::NeverSent => "never_sent",
             Self::NotRun => "not_run",
             Self::WrongServer => "wrong_server",
+            Self::OtherWeights => "other_weights",
             Self::Lost => "lost",
             Self::Stalled => "stalled",
             Self::Abandoned => "abandoned",
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -20,6 +20,9 @@
 const REWIND_GRACE: Duration = Duration::from_millis(4_800);
 /// Time for which a removed server is remembered, longer than a copy is old.
 const REMOVED_TTL: Duration = Duration::from_secs(60);
+/// Time for which a server is not used after another one has responded at its address. An entry expires
+/// within it, except during an outage of the store.
+const REPLACED_TTL: Duration = Duration::from_secs(10);
 /// Longest time from a server's start until the directory shows that it is cold: its heartbeat
 /// interval plus the propagation delay of the directory.
 const DIRECTORY_LAG: Duration = Duration::from_millis(2_000);
@@ -75,8 +78,9 @@
     /// Time at which the server is removed unless its entry, which expired during an outage of the
     /// store, comes back; `None` while the directory lists it.
     pub lapses_at: Option<Moment>,
-    /// Whether another server runs at this address, so that the entry has outlived its server.
-    pub is_replaced: bool,
+    /// Another server has responded at this address, so that the entry has outlived its server: it is
+    /// not used until this time.
+    pub replaced_until: Option<Moment>,
     /// Whether the directory lists a server at this address that started later.
     #[serde(default)]
     pub is_outlived: bool,
@@ -208,11 +212,19 @@
         changes
     }
 
-    /// Records that another server responded at this server's address.
-    pub fn mark_replaced(&mut self, id: &ServerId) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.is_replaced = true;
+    /// Records that another server responded at this server's address. Returns a change if this is news.
+    pub fn mark_replaced(
+        &mut self,
+        incarnation: &Incarnation,
+        now: Moment,
+    ) -> Option<RoutingChange> {
+        let server = self.servers.get_mut(&incarnation.0)?;
+        if server.record.started_ms != incarnation.1 {
+            return None;
         }
+        let is_news = server.replaced_until.replace(now.after(REPLACED_TTL)).is_none();
+        let id = incarnation.0.clone();
+        is_news.then_some(RoutingChange::ServerReplaced { server: id, pause: REPLACED_TTL })
     }
 
     /// Records that a server said that it leaves: it gets no new work, whatever the directory says.
@@ -262,7 +274,8 @@
         }
     }
 
-    /// Removes servers whose expired entries did not come back in time.
+    /// Removes servers whose expired entries did not come back in time, and uses those again at whose
+    /// addresses others responded a while ago.
     pub fn expire(&mut self, now: Moment) -> Vec<RoutingChange> {
         let expired: Vec<ServerId> = self
             .servers
@@ -275,7 +288,15 @@
                 self.removed.insert((id.clone(), server.record.started_ms), now);
             }
         }
-        expired.into_iter().map(RoutingChange::ServerRemoved).collect()
+        let mut changes: Vec<RoutingChange> =
+            expired.into_iter().map(RoutingChange::ServerRemoved).collect();
+        for server in self.servers.values_mut() {
+            if server.replaced_until.is_some_and(|end| end <= now) {
+                server.replaced_until = None;
+                changes.push(RoutingChange::ServerTriedAgain(server.record.id.clone()));
+            }
+        }
+        changes
     }
 
     /// Returns the time at which a server that the directory no longer lists is removed, or `None`
@@ -303,7 +324,7 @@
             let record = &it.record;
             record.service == *service
                 && !self.is_leaving(it)
-                && !it.is_replaced
+                && it.replaced_until.is_none()
                 && !it.is_outlived
                 && !self.evacuated.contains(&record.failure_domain)
         })
@@ -329,7 +350,8 @@
         .as_ref()
         .is_some_and(|it| it.record.started_ms == record.started_ms && it.record.id == record.id);
     let warm_up_end = now.after(record.warm_up_left);
-    let is_replaced = is_same_incarnation && known.as_ref().is_some_and(|it| it.is_replaced);
+    let replaced_until =
+        known.as_ref().filter(|_| is_same_incarnation).and_then(|it| it.replaced_until);
     let cold_until = match known {
         // Reading an unchanged entry again must not restart the warm-up.
         Some(known) if is_same_incarnation && known.record == record => known.cold_until,
@@ -342,5 +364,5 @@
         }
         Some(_) | None => warm_up_end.max(now.after(DIRECTORY_LAG)),
     };
-    KnownServer { record, cold_until, lapses_at: None, is_replaced, is_outlived: false }
+    KnownServer { record, cold_until, lapses_at: None, replaced_until, is_outlived: false }
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -32,19 +32,19 @@
     CatalogSource, ColdLimiter, KnownServer, LimitTable, PlacementChoice, QuarantineTable,
     RankTraffic, RequestNumber, RequestSize, RouteCatalog, RouteRecord, RoutingChange,
     RoutingEffect, RoutingEvent, RoutingRequest, RunTimes, SETTLED_EVENTS, ServerLoad, ServerTable,
-    ShareTable, StartModel, StopSchedule,
+    ShareTable, StartModel, StopSchedule, WeightTable,
     gateway_count::{DEFAULT_GATEWAY_COUNT, GatewayCounter},
 };
 use crate::{
     core::{Refusal, RefusalCode},
     units::{
         ClientAccount, FailureDomain, GroupName, InputDigest, Moment, RequestId, ServerId,
-        ServiceName, TokenCount, UrgencyRank,
+        ServiceName, TokenCount, UrgencyRank, WeightVersion,
     },
 };
 use attempts::{AttemptTiming, CurrentAttempt, attempt_ended, server_noticed};
 use directory::{prune_servers, update_subset};
-use eligibility::{choose_server, has_usable, is_isolated};
+use eligibility::{choose_server, has_usable, is_isolated, lacks_weights};
 use limits::{limits_read, share_limits};
 use loads::load_reported;
 use pace::{answer_began, expect_first_event};
@@ -106,6 +106,8 @@
     deadline: Moment,
     /// Size in tokens; `None` if the caller states none.
     size: Option<RequestSize>,
+    /// Version of the weights that the server must have; `None` for any.
+    weight_version: Option<WeightVersion>,
     /// Work that counts as its account's demand.
     work: TokenCount,
     /// Servers already attempted, unreachable ones included.
@@ -149,6 +151,8 @@
     cold_limiters: BTreeMap<ServerId, ColdLimiter>,
     /// Limits that servers have named.
     limits: LimitTable,
+    /// Weights that servers do not have.
+    weights: WeightTable,
     retries: RetryBudgets,
     /// How many gateways there are.
     gateways: GatewayCounter,
@@ -189,6 +193,7 @@
             loads: HashMap::new(),
             cold_limiters: BTreeMap::new(),
             limits: LimitTable::new(settings.address, DEFAULT_GATEWAY_COUNT),
+            weights: WeightTable::default(),
             retries: RetryBudgets::default(),
             gateways: GatewayCounter::default(),
             known_gateways: Vec::new(),
@@ -427,6 +432,7 @@
         shared_parts,
         content,
         size: caller_request.size,
+        weight_version: caller_request.weight_version,
         tried_servers: Vec::new(),
         failed_groups: Vec::new(),
         attempts_sent: 0,
@@ -488,6 +494,9 @@
     if is_held_by_trial(state, number, now) {
         return refuse(state, number, RefusalCode::InputOnTrial, now);
     }
+    if lacks_weights(state, request, now) {
+        return refuse(state, number, RefusalCode::OtherWeights, now);
+    }
     if has_expired(state, number, now) {
         return refuse(state, number, RefusalCode::Overloaded, now);
     }
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -6,6 +6,7 @@
 
 use super::{
     RequestState, RoutingState, change_effects,
+    eligibility::lacks_weights,
     pace::stream_ended,
     place_request, refuse,
     retries::withdraw_retry,
@@ -22,7 +23,7 @@
         AnswerProgress, AttemptResult, Incarnation, LimitUpdate, RequestNumber, RouteKind,
         RoutingChange, RoutingEffect, ServerNotice,
     },
-    units::{Moment, ServerId},
+    units::Moment,
 };
 
 /// Number of failed connection attempts after which a request is refused.
@@ -74,7 +75,13 @@
     if result == AttemptResult::Stalled {
         request.silent.push(attempt.clone());
     }
-    let CurrentAttempt { incarnation: (id, _), address, began_at, timing, .. } = attempt;
+    let CurrentAttempt { incarnation, address, began_at, timing, .. } = attempt;
+    let id = incarnation.0.clone();
+    if result == AttemptResult::OtherWeights
+        && let Some(version) = request.weight_version
+    {
+        state.weights.record_refusal(incarnation.clone(), version, now);
+    }
     // Failures are often quick.
     if result == AttemptResult::Answered && progress == AnswerProgress::Whole {
         state.run_times.record(&request.route.name, now.since(request.received_at));
@@ -94,9 +101,10 @@
         AttemptResult::Answered
         | AttemptResult::ServerError
         | AttemptResult::WrongServer
+        | AttemptResult::OtherWeights
         | AttemptResult::Abandoned => request.attempts_sent += 1,
     }
-    let mut effects: Vec<RoutingEffect> = update_health(state, &id, address, result, now)
+    let mut effects: Vec<RoutingEffect> = update_health(state, &incarnation, address, result, now)
         .map(RoutingEffect::StateChanged)
         .into_iter()
         .collect();
@@ -115,7 +123,7 @@
 /// Records an attempt's result in the server's health. Returns a change if the server is paused.
 fn update_health(
     state: &mut RoutingState,
-    id: &ServerId,
+    incarnation: &Incarnation,
     address: SocketAddr,
     result: AttemptResult,
     now: Moment,
@@ -130,13 +138,10 @@
         AttemptResult::Lost | AttemptResult::Stalled => load.record_outcome(true, now),
         AttemptResult::ServerError | AttemptResult::NotRun => load.record_outcome(true, now),
         AttemptResult::Answered => load.record_outcome(false, now),
-        AttemptResult::WrongServer => {
-            state.servers.mark_replaced(id);
-            false
-        }
-        AttemptResult::Abandoned => false,
+        AttemptResult::WrongServer => return state.servers.mark_replaced(incarnation, now),
+        AttemptResult::OtherWeights | AttemptResult::Abandoned => false,
     };
-    is_paused.then(|| RoutingChange::ServerPaused { server: id.clone(), result })
+    is_paused.then(|| RoutingChange::ServerPaused { server: incarnation.0.clone(), result })
 }
 
 /// Records what a server said about itself with a response.
@@ -199,6 +204,15 @@
             }
             refuse(state, number, RefusalCode::Overloaded, now)
         }
+        AttemptResult::OtherWeights => {
+            if lacks_weights(state, request, now) {
+                return refuse(state, number, RefusalCode::OtherWeights, now);
+            }
+            if has_time && has_attempts && withdraw_retry(state, number, result, now) {
+                return place_request(state, number, now);
+            }
+            refuse(state, number, RefusalCode::Overloaded, now)
+        }
         AttemptResult::ServerError => {
             if kind == RouteKind::Idempotent
                 && has_time
--- a/src/routing/state/directory.rs
+++ b/src/routing/state/directory.rs
@@ -14,6 +14,7 @@
         servers.server(id).is_some_and(|it| it.record.started_ms == *started_ms)
     };
     state.limits.prune(is_listed, now);
+    state.weights.prune(is_listed, now);
     state.cold_limiters.retain(|id, _| servers.server(id).is_some());
     let listed: Vec<SocketAddr> = servers.servers().map(|it| it.record.address).collect();
     state.loads.retain(|address, load| load.outstanding > 0 || listed.contains(address));
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -33,7 +33,7 @@
         .servers
         .usable(&request.service)
         .filter(|it| !request.tried_servers.contains(&it.record.id))
-        .filter(|it| can_accept(state, it, now))
+        .filter(|it| can_accept(state, it, now) && has_weights(state, it, request, now))
         .collect();
     let rest_ends: Vec<Moment> = usable.iter().filter_map(|it| next_send(state, it, now)).collect();
     if let Some(first_end) = rest_ends.iter().min().filter(|_| rest_ends.len() == usable.len()) {
@@ -127,6 +127,23 @@
     rest_end.max(next_send)
 }
 
+/// Whether all servers of the service have refused the weights that the request expects.
+pub(super) fn lacks_weights(state: &RoutingState, request: &RequestState, now: Moment) -> bool {
+    let mut usable = state.servers.usable(&request.service).peekable();
+    usable.peek().is_some() && !usable.any(|it| has_weights(state, it, request, now))
+}
+
+/// Whether the server may have the weights that the request expects.
+fn has_weights(
+    state: &RoutingState,
+    server: &KnownServer,
+    request: &RequestState,
+    now: Moment,
+) -> bool {
+    let expected = request.weight_version;
+    expected.is_none_or(|it| !state.weights.has_refused(&server.incarnation(), it, now))
+}
+
 /// Whether all other failure domains count as unreachable.
 pub(super) fn is_isolated(state: &RoutingState, now: Moment) -> bool {
     let own = &state.settings.failure_domain;
--- a/src/units.rs
+++ b/src/units.rs
@@ -14,5 +14,5 @@
 pub use quantities::{
     ByteCount, ConcurrencyLimit, ConfigDigest, ConfigVersion, IncarnationId, LogOffset, Moment,
     PriorityLevel, QuantityError, RequestRate, StoreEra, StorePosition, TokenCount, TokenRate,
-    UrgencyRank,
+    UrgencyRank, WeightVersion,
 };
--- a/src/units/quantities.rs
+++ b/src/units/quantities.rs
@@ -74,6 +74,8 @@
     PriorityLevel(u8);
     /// Rank of a request in the order of urgency; 0 is the most urgent.
     UrgencyRank(u8);
+    /// Version of the weights that a model server runs.
+    WeightVersion(u64);
     /// Identifies one run of a process; drawn at random when it starts.
     IncarnationId(u64);
     /// Point in time, in microseconds of the runtime's clock since the process started.
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -381,6 +381,7 @@
             | AttemptResult::NeverSent
             | AttemptResult::NotRun
             | AttemptResult::WrongServer
+            | AttemptResult::OtherWeights
             | AttemptResult::Stalled
             | AttemptResult::Abandoned => AnswerProgress::Nothing,
         };
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -95,6 +95,7 @@
         shared_parts: Vec::new(),
         content: ContentHash::default(),
         size: None,
+        weight_version: None,
     }
 }
 
@@ -168,7 +169,7 @@
     }
 
     /// Runs a request that is answered at once. Returns the effect of its arrival.
-    fn run_request(&mut self) -> RoutingEffect {
+    pub(crate) fn run_request(&mut self) -> RoutingEffect {
         let (number, effect) = self.arrive();
         if server_of(&effect).is_some() {
             self.end_attempt(number, AttemptResult::Answered);
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -32,6 +32,7 @@
 mod naive_router;
 mod odd_entries;
 mod operator_tool;
+mod other_weights;
 mod plan_limits;
 mod planned_stop;
 mod popularity_shift;
