Leave silent connections to the store, and read over a new one

Servers saw: requests up to 4.6 s after their removal (bound 2 s) where the gateway's open connections to the store had fallen silent shortly before.

Cause: each silent connection of the pool cost a read 0.9 s and a pause of 0.3 s; a read that failed then counted as an outage of the store, in which removed servers stay for 2.3 s. Class: a time-out of one connection taken for the state of what is behind it.

Change: a read without a response after 0.3 s (a long poll: after its wait too) is also sent over a new connection, the first response counts, and all other connections are given up. Not while the store itself is slow. Entries can expire in an outage only from 2 s without a directory on.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,13 +3,25 @@
 //!
 //! The client only reads; operators and backend servers write.
 
-use std::{cmp::Ordering, net::SocketAddr, time::Duration};
+use std::{
+    cmp::Ordering,
+    net::SocketAddr,
+    pin::pin,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
+    time::Duration,
+};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::{Buf, Bytes};
+use futures_util::future::{Either, select};
+use http::response::Parts;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 use smol_str::SmolStr;
+use tokio::time::{Instant, timeout};
 use volo_http::client::Client;
 
 use super::{PlatformError, fetch};
@@ -18,6 +30,9 @@
 /// Timeout of one request to the store; a long poll adds its wait. It is below the shortest time
 /// within which a change must reach the gateways.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time without a response after which the request is sent over a new connection too, since the one in
+/// use may have fallen silent; a long poll adds its wait.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Size of the header of a page, which holds two offsets.
 const PAGE_HEADER_BYTES: usize = 16;
 
@@ -69,11 +84,18 @@
     Rewound(StoreEra),
 }
 
-/// HTTP client of the store.
+/// HTTP client of the store. Clones share their connections.
 #[derive(Clone)]
 pub struct StoreClient {
-    client: Client,
     address: SocketAddr,
+    connections: Arc<StoreConnections>,
+}
+
+struct StoreConnections {
+    /// Replaced, with all its connections, when one of them is silent.
+    client: Mutex<Client>,
+    /// Whether the store itself was slow lately, so that a second request would only add to its load.
+    is_slow: AtomicBool,
 }
 
 #[derive(Deserialize)]
@@ -99,8 +121,9 @@
     ///
     /// The HTTP client cannot be built.
     pub fn new(address: SocketAddr) -> Result<Self, PlatformError> {
-        let client = Client::builder().build().map_err(PlatformError::Client)?;
-        Ok(Self { client, address })
+        let connections =
+            StoreConnections { client: Mutex::new(new_client()?), is_slow: AtomicBool::new(false) };
+        Ok(Self { address, connections: Arc::new(connections) })
     }
 
     /// Reads the newest record of each key, and returns them with the position from which to read
@@ -139,7 +162,7 @@
         &self,
         uri: String,
     ) -> Result<(NewestPage, StoreEra), PlatformError> {
-        let (parts, body) = fetch(self.client.get(uri), STORE_TIMEOUT).await?;
+        let (parts, body) = self.fetch(&uri, &uri, Duration::ZERO).await?;
         if parts.status != http::StatusCode::OK {
             return Err(PlatformError::Status(parts.status.as_u16()));
         }
@@ -158,11 +181,14 @@
         wait: Duration,
     ) -> Result<KeyedRead, PlatformError> {
         let offset = from.offset;
-        let (address, topic, wait_ms) = (self.address, stream.topic(), wait.as_millis());
-        let uri = format!(
-            "http://{address}/v1/log-read?topic={topic}&part=0&range-start={offset}&wait-ms={wait_ms}"
-        );
-        let (parts, body) = fetch(self.client.get(uri), STORE_TIMEOUT + wait).await?;
+        let (address, topic) = (self.address, stream.topic());
+        let uri = |wait: Duration| {
+            let wait_ms = wait.as_millis();
+            format!(
+                "http://{address}/v1/log-read?topic={topic}&part=0&range-start={offset}&wait-ms={wait_ms}"
+            )
+        };
+        let (parts, body) = self.fetch(&uri(wait), &uri(Duration::ZERO), wait).await?;
         // A later era is told apart by any response, since its offsets may seem to continue. Errors
         // of the network between may lack the header.
         let is_answer = matches!(parts.status, http::StatusCode::OK | http::StatusCode::GONE);
@@ -177,6 +203,61 @@
             Ordering::Equal => decode_page(body, from),
         }
     }
+
+    /// Fetches `uri`, whose response may take as long as `wait` by intent. Without one in time,
+    /// `second_uri` is fetched over a new connection, and the first response counts.
+    async fn fetch(
+        &self,
+        uri: &str,
+        second_uri: &str,
+        wait: Duration,
+    ) -> Result<(Parts, Bytes), PlatformError> {
+        let (client, started) = (self.client(), Instant::now());
+        let mut first = pin!(fetch(client.get(uri), STORE_TIMEOUT + wait));
+        let silence_timeout = wait + SILENCE_TIMEOUT;
+        if self.connections.is_slow.load(Relaxed) {
+            let result = first.await;
+            let is_slow = started.elapsed() >= silence_timeout;
+            self.connections.is_slow.store(is_slow, Relaxed);
+            if result.is_err() {
+                self.replace_client()?;
+            }
+            return result;
+        }
+        if let Ok(result) = timeout(silence_timeout, first.as_mut()).await {
+            return result;
+        }
+        let (client, started) = (self.replace_client()?, Instant::now());
+        let second = pin!(fetch(client.get(second_uri), STORE_TIMEOUT));
+        let result = match select(first, second).await {
+            Either::Left((Ok(response), _)) => Ok(response),
+            Either::Left((Err(_), second)) => second.await,
+            Either::Right((Ok(response), _)) => {
+                log::info!("connection to the store was silent, using a new one");
+                Ok(response)
+            }
+            Either::Right((Err(_), first)) => first.await,
+        };
+        let is_slow = started.elapsed() >= SILENCE_TIMEOUT;
+        self.connections.is_slow.store(is_slow, Relaxed);
+        result
+    }
+
+    fn client(&self) -> Client {
+        self.connections.client.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Gives up all connections that are not in use. Returns a client without any.
+    fn replace_client(&self) -> Result<Client, PlatformError> {
+        let client = new_client()?;
+        let mut current = self.connections.client.lock().unwrap_or_else(PoisonError::into_inner);
+        current.clone_from(&client);
+        Ok(client)
+    }
+}
+
+fn new_client() -> Result<Client, PlatformError> {
+    Client::builder().build().map_err(PlatformError::Client)
 }
 
 /// Returns the store's era. A store without eras does not send the header and stays in the first.
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -15,6 +15,9 @@
 /// Time after an outage of the store in which an entry that expired during the outage may come
 /// back. The platform promises about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+/// Shortest time without the store in which entries can expire. An entry expires after three heartbeat
+/// intervals without one, of which one may have passed before.
+const MIN_LAPSE_OUTAGE: Duration = Duration::from_millis(2_000);
 /// Time after the store has come back from a copy within which each living server has written its
 /// entry again, and the entries of others have expired: four heartbeats.
 const REWIND_GRACE: Duration = Duration::from_millis(4_800);
@@ -99,9 +102,13 @@
 pub struct ServerTable {
     servers: BTreeMap<ServerId, KnownServer>,
     evacuated: BTreeSet<FailureDomain>,
-    /// Start of the current outage of the store; `None` while the store is readable.
+    /// Time of the latest directory that was read while the store was readable.
+    #[serde(default)]
+    read_at: Option<Moment>,
+    /// Time of the last directory before the current outage of the store; `None` while the store is
+    /// readable.
     outage_since: Option<Moment>,
-    /// End of the latest outage of the store; `None` if there was none.
+    /// End of the latest outage of the store in which entries may have expired; `None` if there was none.
     returned_at: Option<Moment>,
     /// When the store last came back from a copy; `None` if it never did.
     rewound_at: Option<Moment>,
@@ -150,12 +157,13 @@
 
     /// Records that an outage of the store began; repeated calls keep the first time.
     pub fn mark_store_unavailable(&mut self, now: Moment) {
-        self.outage_since.get_or_insert(now);
+        self.outage_since.get_or_insert(self.read_at.unwrap_or(now));
     }
 
     /// Records the end of an outage of the store.
     pub fn mark_store_recovered(&mut self, now: Moment) {
-        if self.outage_since.take().is_some() {
+        let outage_since = self.outage_since.take();
+        if outage_since.is_some_and(|it| now.since(it) >= MIN_LAPSE_OUTAGE) {
             self.returned_at = Some(now);
         }
     }
@@ -178,6 +186,9 @@
     /// Replaces the table by a full directory. Entries that disappear because of an outage of the
     /// store stay for a while (see `removal_time`).
     pub fn apply_directory(&mut self, list: Vec<ServerRecord>, now: Moment) -> Vec<RoutingChange> {
+        if self.outage_since.is_none() {
+            self.read_at = Some(now);
+        }
         let mut changes = Vec::new();
         let mut previous = std::mem::take(&mut self.servers);
         let is_recovering_copy = self.is_recovering_copy(now);
@@ -308,7 +319,7 @@
         if let Some(end) = server.lapses_at {
             return Some(end);
         }
-        if self.outage_since.is_some() {
+        if self.outage_since.is_some_and(|it| now.since(it) >= MIN_LAPSE_OUTAGE) {
             return Some(now.after(LAPSE_GRACE));
         }
         self.returned_at.map(|it| it.after(LAPSE_GRACE))
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -257,6 +257,22 @@
     expect_that!(effects.iter().find_map(refusal_of), refused);
 }
 
+/// Guards against requests to a server that was removed while a connection to the store was silent.
+#[gtest]
+fn moment_without_the_store_delays_no_removal() {
+    let servers = vec![server(1, "a"), server(2, "a")];
+    let mut gateway = TestGateway::new(RouteKind::Idempotent, servers.clone());
+    gateway.dispatch(RoutingEvent::DirectoryRead(servers));
+    gateway.now += SECOND_US;
+    gateway.dispatch(RoutingEvent::StoreUnavailable);
+    gateway.now += SECOND_US / 2;
+    gateway.dispatch(RoutingEvent::StoreRecovered);
+    gateway.dispatch(RoutingEvent::DirectoryRead(vec![server(2, "a")]));
+    for _ in 0..20 {
+        expect_that!(server_of(&gateway.run_request()), some(eq("i-2")));
+    }
+}
+
 #[gtest]
 fn removed_servers_are_unused() {
     let mut gateway = TestGateway::new(RouteKind::Idempotent, vec![server(1, "a"), server(2, "a")]);
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -49,6 +49,7 @@
 mod shift_rollout;
 mod server_pace;
 mod silent_servers;
+mod silent_store;
 mod slow_caller;
 mod stalled_groups;
 mod stale_refusals;
