Count a server as cold whose address refuses connections

Cause: cold was told from the directory alone, which still shows the run before. Class: a belief that outlives the evidence against it.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -4,7 +4,7 @@
 mod answers;
 mod call;
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{io::ErrorKind, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header, response::Parts, uri::PathAndQuery};
@@ -485,7 +485,10 @@
             })?;
             let stream = connect(address, CONNECT_TIMEOUT).await.map_err(|error| {
                 log::info!(server:% = server, error:% = error; "cannot connect to server");
-                failed(AttemptResult::NeverSent)
+                failed(match error.kind() {
+                    ErrorKind::ConnectionRefused => AttemptResult::NoListener,
+                    _ => AttemptResult::NeverSent,
+                })
             })?;
             start_call(stream, request).await.map_err(|error| {
                 log::info!(
--- a/src/routing/outcome.rs
+++ b/src/routing/outcome.rs
@@ -15,6 +15,8 @@
     ServerError,
     /// Nothing was sent, usually because no connection was established.
     NeverSent,
+    /// Nothing was sent: the server's address refuses connections, so the server has ended.
+    NoListener,
     /// The server states that it did not run the request.
     NotRun,
     /// Another server uses the address; nothing ran.
@@ -87,7 +89,11 @@
             Self::Answered | Self::ServerError | Self::Lost | Self::Stalled | Self::Abandoned => {
                 true
             }
-            Self::NeverSent | Self::NotRun | Self::WrongServer | Self::OtherWeights => false,
+            Self::NeverSent
+            | Self::NoListener
+            | Self::NotRun
+            | Self::WrongServer
+            | Self::OtherWeights => false,
         }
     }
 }
@@ -98,6 +104,7 @@
             Self::Answered => "answered",
             Self::ServerError => "server_error",
             Self::NeverSent => "never_sent",
+            Self::NoListener => "no_listener",
             Self::NotRun => "not_run",
             Self::WrongServer => "wrong_server",
             Self::OtherWeights => "other_weights",
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -70,6 +70,10 @@
     pub group_size: u16,
 }
 
+/// Longest time from a refused connection until the directory shows that the server has started again:
+/// the longest pause of a server that accepts no connections, and the directory's lag.
+const RESTART_LAG: Duration = Duration::from_millis(5_200);
+
 /// A listed server and the state that this gateway keeps for it.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -238,6 +242,15 @@
         is_news.then_some(RoutingChange::ServerReplaced { server: id, pause: REPLACED_TTL })
     }
 
+    /// Records that a server's address refuses connections. The server may start again under its id, and
+    /// counts as cold until the directory shows whether it has.
+    pub fn mark_ended(&mut self, incarnation: &Incarnation, now: Moment) {
+        let server = self.servers.get_mut(&incarnation.0);
+        if let Some(server) = server.filter(|it| it.record.started_ms == incarnation.1) {
+            server.cold_until = server.cold_until.max(now.after(RESTART_LAG));
+        }
+    }
+
     /// Records that a server said that it leaves: it gets no new work, whatever the directory says.
     /// Returns whether this is news.
     pub fn mark_leaving(&mut self, incarnation: Incarnation, now: Moment) -> bool {
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -93,7 +93,7 @@
     request.may_have_run |= result.may_have_run();
     let group = state.servers.server(&id).and_then(|it| it.record.group.as_ref());
     match result {
-        AttemptResult::NeverSent => request.connect_failures += 1,
+        AttemptResult::NeverSent | AttemptResult::NoListener => request.connect_failures += 1,
         AttemptResult::Lost | AttemptResult::Stalled | AttemptResult::NotRun => {
             request.attempts_sent += 1;
             request.failed_groups.extend(group.map(|it| it.name.clone()));
@@ -135,6 +135,11 @@
             load.record_connect_failure(now);
             true
         }
+        AttemptResult::NoListener => {
+            load.record_connect_failure(now);
+            state.servers.mark_ended(incarnation, now);
+            true
+        }
         AttemptResult::Lost | AttemptResult::Stalled => load.record_outcome(true, now),
         AttemptResult::ServerError | AttemptResult::NotRun => load.record_outcome(true, now),
         AttemptResult::Answered => load.record_outcome(false, now),
@@ -191,13 +196,15 @@
             refuse(state, number, RefusalCode::ShuttingDown, now)
         }
         AttemptResult::Answered | AttemptResult::Abandoned => RoutingEffect::Finished(number),
-        AttemptResult::NeverSent if !has_time => {
+        AttemptResult::NeverSent | AttemptResult::NoListener if !has_time => {
             refuse(state, number, RefusalCode::DeadlinePassed, now)
         }
-        AttemptResult::NeverSent if request.connect_failures >= MAX_CONNECT_FAILURES => {
+        AttemptResult::NeverSent | AttemptResult::NoListener
+            if request.connect_failures >= MAX_CONNECT_FAILURES =>
+        {
             refuse(state, number, RefusalCode::NoServer, now)
         }
-        AttemptResult::NeverSent => place_request(state, number, now),
+        AttemptResult::NeverSent | AttemptResult::NoListener => place_request(state, number, now),
         AttemptResult::NotRun | AttemptResult::WrongServer => {
             if has_time && has_attempts && withdraw_retry(state, number, result, now) {
                 return place_request(state, number, now);
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -379,6 +379,7 @@
             AttemptResult::Lost => AnswerProgress::Events(9),
             AttemptResult::ServerError
             | AttemptResult::NeverSent
+            | AttemptResult::NoListener
             | AttemptResult::NotRun
             | AttemptResult::WrongServer
             | AttemptResult::OtherWeights
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -316,8 +316,10 @@
 fn refusals_state_true_outcome() {
     let results = [
         AttemptResult::NeverSent,
+        AttemptResult::NoListener,
         AttemptResult::NotRun,
         AttemptResult::WrongServer,
+        AttemptResult::OtherWeights,
         AttemptResult::Lost,
         AttemptResult::Stalled,
         AttemptResult::ServerError,
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -39,6 +39,7 @@
 mod prompt_quarantine;
 mod reducer_replay;
 mod request_quarantine;
+mod restarted_servers;
 mod retry_budget;
 mod retry_notes;
 mod resumed_errors;
