--- a/src/routing/state/suspects.rs
+++ b/src/routing/state/suspects.rs
@@ -12,8 +12,8 @@
 use crate::{
     core::RefusalCode,
     routing::{
-        AnswerProgress, AttemptResult, CrashReport, KnownServer, QuarantineUpdate, RequestNumber,
-        RoutingChange, RoutingEffect, SETTLED_EVENTS, SuspectInput,
+        AnswerProgress, AttemptResult, CrashReport, QuarantineUpdate, RequestNumber, RoutingChange,
+        RoutingEffect, SETTLED_EVENTS, SuspectInput,
     },
     units::{InputDigest, Moment, RequestId, ServerId},
 };
@@ -138,11 +138,6 @@
     let Some(ending) = state.ending_servers.remove(server) else { return Vec::new() };
     let is_leaving = state.servers.server(server).is_some_and(|it| state.servers.is_leaving(it));
     let is_crash = has_ended && !is_leaving;
-    if has_ended
-        && let Some(incarnation) = state.servers.server(server).map(KnownServer::incarnation)
-    {
-        state.servers.mark_ended(&incarnation, now);
-    }
     let verdict = if is_crash { Suspicion::ServerEnded } else { Suspicion::ServerRuns };
     for suspect in &ending.suspects {
         let request = state.requests.get_mut(&suspect.number);
