Divide limits by the gateways that may exist, not by those heard now

Cause: each gateway divides the bounds by the number of gateways that it hears of: 12 until an agent reports, for good where none does; and only its own side 10 to 20 s after failure domains have lost each other. The fault's class: a bound on a sum that rests on a belief about others, kept for a shorter time than what makes it wrong.

Change: the count is kept by failure domain. Before any report limits are divided by 400, the most that are supported. Estimates of load and shares of room go on with what is heard now. The settings gain failure_domains (optional), filled in from the users' table of zones.

--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -98,6 +98,7 @@
         let state = RoutingState::new(RoutingSettings {
             address: gateway.peer_listen,
             failure_domain: settings.identity.failure_domain.clone(),
+            failure_domains: gateway.failure_domains.clone(),
             budget: gateway.budget,
             admission: gateway.admission,
             default_timeout: DEFAULT_CALLER_TIMEOUT,
--- a/src/options/direct.rs
+++ b/src/options/direct.rs
@@ -1,14 +1,14 @@
 //! Settings of the roles that run on the users' platform, without a log service or a VM list:
 //! gateways, which call backend servers directly, and rank agents.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path::Path, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use super::{HttpLimits, IdentitySettings, SettingsError, TelemetrySettings, read_json_file};
 use crate::{
     routing::{AdmissionSettings, BudgetSettings},
-    units::ServiceName,
+    units::{FailureDomain, ServiceName},
 };
 
 /// Largest number of retries that one request may earn.
@@ -60,6 +60,10 @@
     /// Peer addresses of some other gateways, for discovery. They may be stale.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// The failure domains of the deployment that may have gateways. A process that starts while it is
+    /// cut off from some of them divides limits among their gateways too.
+    #[serde(default)]
+    pub failure_domains: BTreeSet<FailureDomain>,
     /// Address of the platform's metadata store.
     pub store: SocketAddr,
     /// Time in milliseconds within which a draining server must no longer receive new work. The
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -45,8 +45,8 @@
 use attempts::{AttemptTiming, CurrentAttempt, attempt_ended, server_noticed};
 use directory::{prune_servers, update_subset};
 use eligibility::{choose_server, has_usable, is_isolated, lacks_weights};
-use limits::{limits_read, share_limits};
-use loads::load_reported;
+use limits::limits_read;
+use loads::{gateways_seen, load_reported};
 use pace::{answer_began, expect_first_event};
 use refusals::{refuse, refuse_until_rested};
 use retries::{RetryBudgets, deposit_retries};
@@ -79,6 +79,9 @@
     pub address: SocketAddr,
     /// The gateway's own failure domain.
     pub failure_domain: FailureDomain,
+    /// The failure domains of the deployment that may have gateways; empty if they are not known.
+    #[serde(default)]
+    pub failure_domains: BTreeSet<FailureDomain>,
     /// Limits on retries and on requests to cold servers.
     pub budget: BudgetSettings,
     /// Limits on server load, and the delays given to refused callers.
@@ -195,7 +198,7 @@
             limits: LimitTable::new(settings.address, DEFAULT_GATEWAY_COUNT),
             weights: WeightTable::default(),
             retries: RetryBudgets::default(),
-            gateways: GatewayCounter::default(),
+            gateways: GatewayCounter::new(settings.failure_domains.clone()),
             known_gateways: Vec::new(),
             requests: BTreeMap::new(),
             waiting: WaitingQueue::default(),
@@ -262,9 +265,10 @@
         self.waiting.len()
     }
 
-    /// Returns the number of gateways, as agents report it or as assumed before any report.
+    /// Returns the number of gateways that send now, as agents report it or as assumed before any
+    /// report.
     pub fn gateway_count(&self) -> u32 {
-        self.gateways.count()
+        self.gateways.recent()
     }
 }
 
@@ -352,11 +356,7 @@
         }
         RoutingEvent::QuarantineRead(reports) => quarantine_read(state, reports, now),
         RoutingEvent::LimitsRead(reports) => limits_read(state, reports, now),
-        RoutingEvent::GatewaysSeen(gateways) => {
-            state.known_gateways = gateways.iter().map(|it| it.address).collect();
-            share_limits(state, gateways, now);
-            Vec::new()
-        }
+        RoutingEvent::GatewaysSeen(gateways) => gateways_seen(state, gateways, now),
         RoutingEvent::InputLifted(input) => update_effects(state.quarantine.lift(input)),
         RoutingEvent::RequestEnded(number) => request_ended(state, number, now),
         RoutingEvent::StopRequested(schedule) => stop_requested(state, schedule),
@@ -450,7 +450,7 @@
     };
     state.models.entry(request.service.clone()).or_default().record_rank(request.rank);
     request.work = shares::record_arrival(state, &request, caller_request.size, now);
-    deposit_retries(state, &request.service);
+    deposit_retries(state, &request.service, now);
     state.requests.insert(number, request);
     record_arrival(state, number, now);
     place_request(state, number, now)
--- a/src/routing/state/eligibility.rs
+++ b/src/routing/state/eligibility.rs
@@ -12,7 +12,10 @@
     waiting::request_admission,
 };
 use crate::{
-    routing::{Candidate, KnownServer, PlacementChoice, choose_candidate},
+    routing::{
+        Candidate, KnownServer, PlacementChoice, choose_candidate,
+        gateway_count::DEFAULT_GATEWAY_COUNT,
+    },
     units::{FailureDomain, GroupName, Moment, ServiceName},
 };
 
@@ -216,7 +219,8 @@
         return true;
     }
     let mut limiter = state.cold_limiters.get(&record.id).cloned().unwrap_or_default();
-    limiter.has_capacity(&state.settings.budget, cold_rate, state.gateway_count(), now)
+    let gateway_count = state.gateways.possible(now).unwrap_or(DEFAULT_GATEWAY_COUNT);
+    limiter.has_capacity(&state.settings.budget, cold_rate, gateway_count, now)
 }
 
 /// Whether servers of the service can be expected soon: all agents of one of its groups report, so
--- a/src/routing/state/retries.rs
+++ b/src/routing/state/retries.rs
@@ -46,9 +46,9 @@
 }
 
 /// Adds what a caller's request earns.
-pub(super) fn deposit_retries(state: &mut RoutingState, service: &ServiceName) {
-    let (settings, gateway_count) = (state.settings.budget, state.gateway_count());
-    state.retries.budget(service).deposit(&settings, gateway_count);
+pub(super) fn deposit_retries(state: &mut RoutingState, service: &ServiceName, now: Moment) {
+    let (settings, gateways) = (state.settings.budget, state.gateways.belief(now));
+    state.retries.budget(service).deposit(&settings, gateways.count);
 }
 
 /// Returns the number of retries that are left.
--- a/src/routing/state/trials.rs
+++ b/src/routing/state/trials.rs
@@ -36,7 +36,7 @@
     let seed = xxh3_64_with_seed(trial.input.to_string().as_bytes(), slot);
     let draw = |it: &SocketAddr| xxh3_64_with_seed(it.to_string().as_bytes(), seed);
     let (own, known) = (draw(&state.settings.address), &state.known_gateways);
-    let count = if state.gateways.is_known() { state.gateways.count() } else { 0 };
+    let count = if state.gateways.is_known() { state.gateways.recent() } else { 0 };
     if (known.len() as f64) < f64::from(count) * MIN_KNOWN_FRACTION {
         // Nobody knows who draws lower, but how many would.
         return (own as f64) < u64::MAX as f64 * TRIAL_GATEWAYS as f64 / f64::from(count);
--- a/tests/budget_exploration.rs
+++ b/tests/budget_exploration.rs
@@ -18,7 +18,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::gateway_routing::{
-    SECOND_US, TestGateway, address, request, server, server_of, settings,
+    COLD_RATE, SECOND_US, TestGateway, address, request, server, server_of, settings,
 };
 
 const MILLISECOND: u64 = SECOND_US / 1_000;
@@ -46,12 +46,16 @@
     None,
     /// Failure domains lose each other for up to half a minute.
     Cuts,
+    /// Each domain is cut off from the others for minutes, and some gateways start again meanwhile.
+    StartsInCuts,
     /// Each gateway loses all others and all agents.
     Isolation,
     /// All gateways and agents start again at once, several times.
     StartsAtOnce,
     /// Gateways start again one after the other.
     Restarts,
+    /// No agents tell gateways how many there are.
+    NoAgents,
     /// Agents say that there are far more gateways.
     LargeCounts,
 }
@@ -189,11 +193,16 @@
         let rush = simulation.rng.random_range(15..60) * SECOND_US;
         simulation.schedule(rush, Action::RushBegins { is_repeated: true });
         match disturbance {
-            Disturbance::None | Disturbance::LargeCounts => {}
+            Disturbance::None | Disturbance::NoAgents | Disturbance::LargeCounts => {}
             Disturbance::Cuts => {
                 let length = simulation.rng.random_range(0..30) * SECOND_US;
                 simulation.schedule(7 * SECOND_US, Action::CutBegins { length });
             }
+            Disturbance::StartsInCuts => {
+                let length = simulation.rng.random_range(60..150) * SECOND_US;
+                simulation.schedule(7 * SECOND_US, Action::CutBegins { length });
+                simulation.schedule(9 * SECOND_US, Action::GatewayStarts);
+            }
             Disturbance::Isolation => {
                 let length = simulation.rng.random_range(20..60) * SECOND_US;
                 simulation.schedule(7 * SECOND_US, Action::CutBegins { length });
@@ -237,6 +246,9 @@
         let settings = RoutingSettings {
             address: own.address,
             failure_domain: own.failure_domain.clone(),
+            failure_domains: (0..self.deployment.domains)
+                .map(|it| Self::domain_name(it).parse().unwrap())
+                .collect(),
             ..settings(budget, self.seed * 100_000 + n as u64 + 1_000 * start)
         };
         let gateway = TestGateway::with(settings, RouteKind::Idempotent, self.directory());
@@ -283,10 +295,11 @@
         let is_same = self.domain(gateway) == self.domain(server);
         match self.disturbance {
             Disturbance::Isolation => !self.is_cut,
-            Disturbance::Cuts => !self.is_cut || is_same,
+            Disturbance::Cuts | Disturbance::StartsInCuts => !self.is_cut || is_same,
             Disturbance::None
             | Disturbance::StartsAtOnce
             | Disturbance::Restarts
+            | Disturbance::NoAgents
             | Disturbance::LargeCounts => true,
         }
     }
@@ -386,6 +399,9 @@
 
     /// Agents report to the gateways that subscribe to them, and list these.
     fn report(&mut self) {
+        if self.disturbance == Disturbance::NoAgents {
+            return;
+        }
         for agent in 0..usize::from(AGENT_COUNT) {
             for gateway in 0..self.deployment.size {
                 if self.is_reachable(gateway, agent) {
@@ -535,6 +551,11 @@
     explore(Disturbance::Cuts, 120 * SECOND_US);
 }
 
+#[gtest]
+fn gateways_that_start_in_a_cut_keep_the_common_bound() {
+    explore(Disturbance::StartsInCuts, 120 * SECOND_US);
+}
+
 #[gtest]
 fn lone_gateways_keep_the_common_bound() {
     explore(Disturbance::Isolation, 120 * SECOND_US);
@@ -550,6 +571,11 @@
     explore(Disturbance::Restarts, 120 * SECOND_US);
 }
 
+#[gtest]
+fn gateways_without_agents_keep_the_common_bound() {
+    explore(Disturbance::NoAgents, 120 * SECOND_US);
+}
+
 #[gtest]
 fn too_large_counts_still_allow_retries() {
     explore(Disturbance::LargeCounts, 60 * SECOND_US);
@@ -588,3 +614,31 @@
         expect_that!(f64::from(retries), ge(bound * 0.2), "{size} gateways, slack {slack}");
     }
 }
+
+/// Cold servers are limited in the same way.
+#[gtest]
+fn separated_domains_keep_the_cold_limit() {
+    for (size, domains) in [(9, 3), (37, 3), (99, 6)] {
+        let deployment = Deployment { size, domains, slack: 94.0 };
+        let mut simulation = Simulation::new(deployment, 1, Disturbance::Cuts);
+        for is_cut in [false, true] {
+            simulation.is_cut = is_cut;
+            for _ in 0..30 {
+                simulation.now += SECOND_US;
+                simulation.report();
+            }
+        }
+        let mut sent = 0;
+        for n in 0..size {
+            let cold = ServerRecord { warm_up_left: Duration::from_secs(60), ..server(1, "a") };
+            let gateway = simulation.gateway(n);
+            gateway.dispatch(RoutingEvent::DirectoryRead(vec![cold]));
+            while server_of(&gateway.arrive().1).is_some() {
+                sent += 1;
+            }
+        }
+        let bound = COLD_RATE * 1.5 + 5.0;
+        println!("{size} gateways: {sent} requests to a cold server, bound {bound}");
+        expect_that!(f64::from(sent), le(bound), "{size} gateways");
+    }
+}
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -22,7 +22,7 @@
 
 pub(crate) const SECOND_US: u64 = 1_000_000;
 /// Requests per second that a cold server of the catalog can take.
-const COLD_RATE: f64 = 36.0;
+pub(crate) const COLD_RATE: f64 = 36.0;
 
 fn catalog(version: u64, kind: RouteKind) -> Box<RouteCatalog> {
     let service: alderbay::units::ServiceName = "s".parse().unwrap();
@@ -75,6 +75,7 @@
     RoutingSettings {
         address: address(0),
         failure_domain: "a".parse().unwrap(),
+        failure_domains: BTreeSet::new(),
         budget,
         admission: alderbay::routing::AdmissionSettings::default(),
         default_timeout: Duration::from_secs(8),
