Leave out the entries of a manifest that cannot be read

Callers saw: a manifest with one account whose name has a space was refused as a whole, with all later ones; a revoked key went on working, and an added one got 401.

Cause: one decoder for the whole manifest. Class: a bad entry that costs more than itself.

Change: accounts, routes and services are decoded one by one. The keys of an unreadable account are unknown; the requests of an unreadable route are refused as not run, and never go to the service of a shorter prefix. A bounded line in the log names what is left out, catalog.unreadable_entries counts it, and catalog.refused is 1 while the newest manifest cannot be read at all.

--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -171,12 +171,28 @@
     Ok(StoreRead { kind: ReadKind::Snapshot, records, position })
 }
 
-fn decode_operator_change(record: KeyedRecord) -> Option<(LogOffset, OperatorChange)> {
+fn decode_operator_change(
+    shell: &GatewayShell,
+    record: KeyedRecord,
+) -> Option<(LogOffset, OperatorChange)> {
     let KeyedRecord { key, value, offset } = record;
     let change = match OperatorKey::parse(&key) {
         OperatorKey::Catalog => match decode_catalog(&value?) {
-            Ok(catalog) => OperatorChange::Catalog(Box::new(catalog)),
+            Ok(catalog) => {
+                let problems = catalog.problems();
+                shell.metrics.gauge("catalog.refused", 0);
+                shell.metrics.gauge("catalog.unreadable_entries", problems.count);
+                if problems.count > 0 {
+                    log::error!(
+                        version:% = catalog.version(), count = problems.count,
+                        first = problems.first.join("; ");
+                        "catalog has unreadable entries, left out"
+                    );
+                }
+                OperatorChange::Catalog(Box::new(catalog))
+            }
             Err(error) => {
+                shell.metrics.gauge("catalog.refused", 1);
                 log::error!(error:% = error; "invalid catalog, keeping the current one");
                 return None;
             }
@@ -197,7 +213,8 @@
 /// Applies records of the operator's stream that were read from the store.
 fn apply_operator_read(shell: &GatewayShell, read: StoreRead) {
     let StoreRead { kind, records, position } = read;
-    let changes = records.into_iter().filter_map(decode_operator_change).collect();
+    let decode = |it| decode_operator_change(shell, it);
+    let changes = records.into_iter().filter_map(decode).collect();
     let now = shell.clock.now();
     {
         let mut view = shell.view();
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -1,15 +1,19 @@
 //! Decoding of the operator's manifest into the route catalog.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, fmt, marker::PhantomData, time::Duration};
 
-use serde::{Deserialize, Deserializer};
+use serde::{
+    Deserialize, Deserializer,
+    de::{DeserializeOwned, SeqAccess, Visitor},
+};
+use serde_json::Value;
 use smol_str::SmolStr;
 
 use super::PlatformError;
 use crate::{
     routing::{
-        AccountRecord, CallerLimits, CatalogVersion, EngineModel, ExpertLayout, RouteCatalog,
-        RouteKind, RouteRecord, RouteTarget, ServiceRecord,
+        AccountRecord, CallerLimits, CatalogProblems, CatalogVersion, EngineModel, ExpertLayout,
+        RouteCatalog, RouteKind, RouteRecord, RouteTarget, ServiceRecord,
     },
     units::{ByteCount, ClientAccount, RouteName, ServiceName, UrgencyRank},
 };
@@ -53,26 +57,109 @@
 struct WireManifest {
     version: u64,
     #[serde(default)]
-    routes: Vec<WireRoute>,
+    routes: EntryList<WireRoute>,
     #[serde(default)]
-    services: Vec<WireService>,
+    services: EntryList<WireService>,
     // Requests need a key if the manifest contains the field, whatever it holds.
     #[serde(default, deserialize_with = "decode_present")]
-    tenants: Option<Vec<WireTenant>>,
+    tenants: Option<EntryList<WireTenant>>,
     #[serde(default)]
     limits: WireLimits,
 }
 
 /// Decodes a list that is there; `null` counts as empty.
-fn decode_present<'de, D, T>(deserializer: D) -> Result<Option<Vec<T>>, D::Error>
+fn decode_present<'de, D, T>(deserializer: D) -> Result<Option<EntryList<T>>, D::Error>
 where
     D: Deserializer<'de>,
-    T: Deserialize<'de>,
+    T: DeserializeOwned,
 {
-    let list: Option<Vec<T>> = Deserialize::deserialize(deserializer)?;
+    let list: Option<EntryList<T>> = Deserialize::deserialize(deserializer)?;
     Ok(Some(list.unwrap_or_default()))
 }
 
+/// A list of which each entry can be unreadable by itself.
+struct EntryList<T> {
+    entries: Vec<T>,
+    /// The unreadable entries, with the reasons.
+    unreadable: Vec<(Value, serde_json::Error)>,
+}
+
+impl<T> Default for EntryList<T> {
+    fn default() -> Self {
+        Self { entries: Vec::new(), unreadable: Vec::new() }
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for EntryList<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(EntryVisitor(PhantomData))
+    }
+}
+
+struct EntryVisitor<T>(PhantomData<T>);
+
+impl<'de, T: DeserializeOwned> Visitor<'de> for EntryVisitor<T> {
+    type Value = EntryList<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<EntryList<T>, A::Error> {
+        let mut decoded = EntryList::default();
+        while let Some(entry) = list.next_element::<Value>()? {
+            match T::deserialize(&entry) {
+                Ok(entry) => decoded.entries.push(entry),
+                Err(error) => decoded.unreadable.push((entry, error)),
+            }
+        }
+        Ok(decoded)
+    }
+}
+
+/// Records the unreadable entries of a list.
+fn note_unreadable(
+    problems: &mut CatalogProblems,
+    kind: &str,
+    unreadable: &[(Value, serde_json::Error)],
+) {
+    for (entry, error) in unreadable {
+        let name = entry.get("name").and_then(Value::as_str).unwrap_or("without a name");
+        problems.record(&format!("{kind} {name:?}: {error}"));
+    }
+}
+
+/// What an unreadable route says about the requests that it matches.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireScope {
+    #[serde(default)]
+    hostname: SmolStr,
+    path_prefix: SmolStr,
+}
+
+/// Name of an unreadable route in logs.
+const UNREADABLE_ROUTE: &str = "unreadable";
+
+/// Returns a route without targets for the requests of an unreadable one, which must not go to the
+/// services of a route with a shorter prefix.
+fn blocking_route(entry: &Value) -> Option<RouteRecord> {
+    let scope = WireScope::deserialize(entry).ok()?;
+    Some(RouteRecord {
+        name: UNREADABLE_ROUTE.parse().ok()?,
+        host: scope.hostname,
+        path_prefix: scope.path_prefix,
+        kind: RouteKind::Single,
+        timeout: Duration::from_millis(default_timeout_ms()),
+        latency_objective: None,
+        gap_objective: None,
+        rank: None,
+        targets: Vec::new(),
+        max_attempts: default_attempts(),
+        is_public: true,
+    })
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireRoute {
@@ -212,7 +299,9 @@
     1
 }
 
-/// Decodes the operator's manifest from JSON. Unknown fields are ignored.
+/// Decodes the operator's manifest from JSON. Unknown fields are ignored. An account, route or service
+/// that cannot be read is left out and named in the catalog's problems: its keys are unknown, requests
+/// that it matches are refused.
 ///
 /// ```
 /// let catalog = alderbay::platform::decode_catalog(br#"{"version": 7}"#)?;
@@ -222,15 +311,25 @@
 ///
 /// # Errors
 ///
-/// The text is not JSON, or a required field is missing or has the wrong type.
+/// The text is not JSON, the version is missing, or a top-level field has the wrong type.
 pub fn decode_catalog(text: &[u8]) -> Result<RouteCatalog, PlatformError> {
     let manifest: WireManifest = serde_json::from_slice(text)?;
-    let accounts = manifest.tenants.map(|it| it.into_iter().map(decode_account).collect());
+    let mut problems = CatalogProblems::default();
+    let accounts = manifest.tenants.map(|it| {
+        note_unreadable(&mut problems, "account", &it.unreadable);
+        it.entries.into_iter().map(decode_account).collect()
+    });
+    note_unreadable(&mut problems, "service", &manifest.services.unreadable);
+    note_unreadable(&mut problems, "route", &manifest.routes.unreadable);
+    let services = manifest.services.entries.into_iter();
     let services: BTreeMap<ServiceName, ServiceRecord> =
-        manifest.services.into_iter().map(|it| (it.name.clone(), decode_service(it))).collect();
-    let routes = manifest.routes.into_iter().map(decode_route).collect();
+        services.map(|it| (it.name.clone(), decode_service(it))).collect();
+    let blocking = manifest.routes.unreadable.iter().filter_map(|it| blocking_route(&it.0));
+    let routes = manifest.routes.entries.into_iter().map(decode_route).chain(blocking).collect();
     let limits = CallerLimits { max_body: ByteCount(manifest.limits.max_body_bytes) };
-    Ok(RouteCatalog::new(CatalogVersion(manifest.version), routes, services, accounts, limits))
+    let version = CatalogVersion(manifest.version);
+    let catalog = RouteCatalog::new(version, routes, services, accounts, limits);
+    Ok(catalog.with_problems(problems))
 }
 
 fn decode_account(tenant: WireTenant) -> AccountRecord {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -37,8 +37,8 @@
 pub use admission::{AdmissionSettings, RetryReason, ShareScope, retry_after};
 pub use budget::{AttemptBudget, BudgetSettings, ColdLimiter};
 pub use catalog::{
-    AccountRecord, CallerLimits, CatalogVersion, EngineModel, ExpertLayout, RouteCatalog,
-    RouteKind, RouteRecord, RouteTarget, ServiceRecord,
+    AccountRecord, CallerLimits, CatalogProblems, CatalogVersion, EngineModel, ExpertLayout,
+    RouteCatalog, RouteKind, RouteRecord, RouteTarget, ServiceRecord,
 };
 pub use demand::{AccountDemand, DemandMeter, DemandNews, NewsTable};
 pub(crate) use event::join_parts;
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -189,6 +189,38 @@
     pub max_body: ByteCount,
 }
 
+/// Number of problems of a catalog that are described.
+const MAX_PROBLEMS: usize = 10;
+/// Maximum number of characters of the description of a problem: it may quote the entry.
+const MAX_PROBLEM_CHARS: usize = 200;
+
+/// The entries of a catalog that cannot be read.
+///
+/// ```
+/// use alderbay::routing::CatalogProblems;
+/// let mut problems = CatalogProblems::default();
+/// problems.record("route \"r\": missing field");
+/// assert_eq!(problems.count, 1);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CatalogProblems {
+    /// Number of entries.
+    pub count: u64,
+    /// Descriptions of the first ones.
+    pub first: Vec<SmolStr>,
+}
+
+impl CatalogProblems {
+    /// Records one entry with the reason.
+    pub fn record(&mut self, text: &str) {
+        self.count += 1;
+        if self.first.len() < MAX_PROBLEMS {
+            self.first.push(text.chars().take(MAX_PROBLEM_CHARS).collect());
+        }
+    }
+}
+
 /// One version of the catalog, indexed for lookups.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -209,6 +241,7 @@
     /// Shortest of the gap objectives of the routes to each service.
     gap_objectives: BTreeMap<ServiceName, Duration>,
     limits: CallerLimits,
+    problems: CatalogProblems,
 }
 
 /// Serialized form of a catalog, as gateways send it to each other.
@@ -225,6 +258,8 @@
     #[serde(default)]
     account_ranks: BTreeMap<ClientAccount, UrgencyRank>,
     limits: CallerLimits,
+    #[serde(default)]
+    problems: CatalogProblems,
 }
 
 impl From<CatalogText> for RouteCatalog {
@@ -237,6 +272,7 @@
             accounts,
             account_ranks,
             limits,
+            problems,
         } = text;
         let requires_key = requires_key.unwrap_or(!accounts.is_empty());
         let ranked_services = ranked_services(&routes, &account_ranks);
@@ -252,6 +288,7 @@
             ranked_services,
             gap_objectives,
             limits,
+            problems,
         }
     }
 }
@@ -266,11 +303,12 @@
             accounts,
             account_ranks,
             limits,
+            problems,
             ..
         } = catalog;
         let requires_key = Some(requires_key);
         let routes = routes.into_values().flatten().collect();
-        Self { version, routes, services, requires_key, accounts, account_ranks, limits }
+        Self { version, routes, services, requires_key, accounts, account_ranks, limits, problems }
     }
 }
 
@@ -307,9 +345,21 @@
             ranked_services,
             gap_objectives,
             limits,
+            problems: CatalogProblems::default(),
         }
     }
 
+    /// Adds what could not be read.
+    #[must_use]
+    pub fn with_problems(self, problems: CatalogProblems) -> Self {
+        Self { problems, ..self }
+    }
+
+    /// Returns the entries that could not be read and are left out.
+    pub fn problems(&self) -> &CatalogProblems {
+        &self.problems
+    }
+
     /// Returns the version of the catalog.
     pub fn version(&self) -> CatalogVersion {
         self.version
--- a/tests/revoked_keys.rs
+++ b/tests/revoked_keys.rs
@@ -13,7 +13,7 @@
 use crate::{
     launcher,
     support::{
-        gateway::{GatewayProcess, READY_TIMEOUT, connect, read},
+        gateway::{GatewayProcess, READY_TIMEOUT, connect, get, read},
         platform_store::FakeStore,
         ports::free_address,
         scripted_server::{self, ServerLog},
@@ -116,3 +116,45 @@
     expect_that!(after.account_of("k1").map(ToString::to_string), some(eq("new")));
     expect_that!(after.account_of("k2"), none());
 }
+
+/// Guards against a revoked key that stays valid because another entry of the manifest cannot be read.
+#[gtest]
+#[tokio::test]
+async fn unreadable_account_keeps_no_revoked_key() {
+    let account = |name: &str, key: &str| json!({"name": name, "api-keys": [key]});
+    let (store, _) = start_store(&json!([account("acc", "k1"), account("other", "k2")])).await;
+    let gateway = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
+    gateway.wait_ready().await;
+    expect_that!(status(gateway.listen, Some("k1")).await, some(eq(StatusCode::OK)));
+    let odd = json!([account("a b", "k3"), account("other", "k2"), account("new", "k4"), 7]);
+    let mut next = manifest(7, &odd);
+    next["services"].as_array_mut().unwrap().push(json!({"name": 7}));
+    store.put("keyed.op", "config", Some(&next));
+    wait_for_status(&gateway, "k1", StatusCode::UNAUTHORIZED).await;
+    for (key, expected) in
+        [("k2", StatusCode::OK), ("k3", StatusCode::UNAUTHORIZED), ("k4", StatusCode::OK)]
+    {
+        expect_that!(status(gateway.listen, Some(key)).await, some(eq(expected)), "{key}");
+    }
+    expect_that!(gateway.log_text(), contains_substring("catalog has unreadable entries"));
+    let metrics = get(gateway.admin, "/metrics").await.unwrap().1;
+    expect_that!(metrics, contains_substring("alderbay_catalog_unreadable_entries 3"));
+    store.put_raw("keyed.op", "config", b"{");
+    let deadline = Instant::now() + READY_TIMEOUT;
+    while !get(gateway.admin, "/metrics").await.unwrap().1.contains("alderbay_catalog_refused 1") {
+        assert!(Instant::now() < deadline, "{}", gateway.log_text());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// The requests of an unreadable route must not go to the service of a shorter prefix.
+#[gtest]
+fn unreadable_route_is_not_replaced_by_a_shorter_prefix() {
+    let text = br#"{"version":1,"routes":[
+        {"name":"r","hostname":"h","path-prefix":"/","kind":"safe","service":"s"},
+        {"name":"q q","hostname":"h","path-prefix":"/a/","kind":"safe","service":"t"}]}"#;
+    let catalog = decode_catalog(text).unwrap();
+    expect_that!(catalog.route("h", "/b").unwrap().targets, len(eq(1)));
+    expect_that!(catalog.route("h", "/a/x").unwrap().targets, is_empty());
+    expect_that!(catalog.problems().count, eq(1));
+}
