--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -391,7 +391,7 @@
     let mut calls = Vec::new();
     // Delays keep a distance from the times at which the treatment changes.
     let started = tokio::time::Instant::now() + Duration::from_millis(500);
-    for delay in [100, 500, 1_000, 2_000, 2_700, 3_000, 3_900, 5_000, 7_000] {
+    for delay in [100, 500, 1_000, 2_000, 2_200, 2_700, 3_000, 3_900, 5_000, 7_000] {
         for kind in kinds {
             for run_ms in [200, 3_000, 5_500] {
                 for is_kept in [false, true] {
