Tell a slow store by its first answer

Cause: whether the store is slow was judged from the start of the second request, so that an answer to the first one looked quick.

Change: an answer over the first connection after the time-out shows that it was not silent: the store is slow. Only answers to the second request are measured from its start.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -227,18 +227,18 @@
         if let Ok(result) = timeout(silence_timeout, first.as_mut()).await {
             return result;
         }
-        let (client, started) = (self.replace_client()?, Instant::now());
+        let (client, second_started) = (self.replace_client()?, Instant::now());
         let second = pin!(fetch(client.get(second_uri), STORE_TIMEOUT));
-        let result = match select(first, second).await {
-            Either::Left((Ok(response), _)) => Ok(response),
-            Either::Left((Err(_), second)) => second.await,
+        let (was_silent, result) = match select(first, second).await {
+            Either::Left((Ok(response), _)) => (false, Ok(response)),
+            Either::Left((Err(_), second)) => (true, second.await),
             Either::Right((Ok(response), _)) => {
                 log::info!("connection to the store was silent, using a new one");
-                Ok(response)
+                (true, Ok(response))
             }
-            Either::Right((Err(_), first)) => first.await,
+            Either::Right((Err(_), first)) => (false, first.await),
         };
-        let is_slow = started.elapsed() >= SILENCE_TIMEOUT;
+        let is_slow = !was_silent || second_started.elapsed() >= SILENCE_TIMEOUT;
         self.connections.is_slow.store(is_slow, Relaxed);
         result
     }
--- a/tests/silent_store.rs
+++ b/tests/silent_store.rs
@@ -40,23 +40,26 @@
     address: SocketAddr,
     /// Number of silences so far; a connection relays until the next one.
     silences: Arc<AtomicU64>,
+    /// Time by which answers are late, in milliseconds.
+    delay_ms: Arc<AtomicU64>,
 }
 
 impl SilencingProxy {
     async fn start(server: SocketAddr) -> Self {
         let (address, silences) = (free_address(), Arc::new(AtomicU64::new(0)));
         let listener = TcpListener::bind(address).await.unwrap();
-        let shared = silences.clone();
+        let (no_delay, delay_ms) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
+        let (shared, answer_delay) = (silences.clone(), delay_ms.clone());
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 let Ok(server) = TcpStream::connect(server).await else { continue };
                 let (client_in, client_out) = client.into_split();
                 let (server_in, server_out) = server.into_split();
-                tokio::spawn(relay(client_in, server_out, shared.clone()));
-                tokio::spawn(relay(server_in, client_out, shared.clone()));
+                tokio::spawn(relay(client_in, server_out, (shared.clone(), no_delay.clone())));
+                tokio::spawn(relay(server_in, client_out, (shared.clone(), answer_delay.clone())));
             }
         });
-        Self { address, silences }
+        Self { address, silences, delay_ms }
     }
 
     fn silence_open_connections(&self) {
@@ -64,10 +67,15 @@
     }
 }
 
-async fn relay(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, silences: Arc<AtomicU64>) {
+async fn relay(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    (silences, delay_ms): (Arc<AtomicU64>, Arc<AtomicU64>),
+) {
     let opened = silences.load(Ordering::SeqCst);
     let mut buffer = vec![0; 16 << 10];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        sleep(Duration::from_millis(delay_ms.load(Ordering::SeqCst))).await;
         if silences.load(Ordering::SeqCst) == opened
             && to.write_all(&buffer[..length]).await.is_err()
         {
@@ -183,3 +191,17 @@
     // Four reads within the time in which a server must be left.
     expect_that!(store.reads_of("keyed.servers") - before, le(2 * 4 + 1));
 }
+
+/// Guards against reads that are all sent twice, and connections that are all given up, while the
+/// store is only slow.
+#[gtest]
+#[tokio::test]
+async fn slow_store_is_asked_once() {
+    let log = ServerLog::default();
+    let (store, proxy, _gateway) = start(&log).await;
+    proxy.delay_ms.store(450, Ordering::SeqCst);
+    sleep(Duration::from_millis(2_000)).await;
+    let before = store.reads_of("keyed.servers");
+    sleep(2 * LEAVE_TIME).await;
+    expect_that!(store.reads_of("keyed.servers") - before, le(2 * 4 + 1));
+}
