Add a soak of planned stops

Four gateway processes are stopped and started again in series that overlap, with second signals, reloads, new catalogs and leaving servers, while 40 callers keep their connections until these end, send bodies in slow chunks, and ask for calls and streams of all kinds. No request may end without an answer but those that the platform's rule excuses; none that may run only once may run twice, or be refused after it ran.

--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -56,6 +56,7 @@
 mod stale_refusals;
 mod start_estimate;
 mod step_timer;
+mod stop_soak;
 mod stop_answers;
 mod store_rewind;
 mod whole_answer;
