--- a/tests/budget_exploration.rs
+++ b/tests/budget_exploration.rs
@@ -58,6 +58,8 @@
     NoAgents,
     /// Agents say that there are far more gateways.
     LargeCounts,
+    /// Servers stand still for seconds, and receive everything as they go on.
+    Pauses,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -89,6 +91,7 @@
     ReachesServer {
         key: CallKey,
         attempt: u32,
+        server: usize,
     },
     Ends {
         key: CallKey,
@@ -117,6 +120,10 @@
     CutEnds,
     AllStart,
     GatewayStarts,
+    ServersPause,
+    ServersGoOn {
+        group: usize,
+    },
 }
 
 struct SimulatedGateway {
@@ -150,6 +157,9 @@
     disturbance: Disturbance,
     is_rush: bool,
     is_cut: bool,
+    /// Groups of servers that stand still.
+    paused: [bool; 3],
+    held: Vec<(CallKey, u32, usize)>,
     calls: BTreeMap<CallKey, OpenCall>,
     arrivals: BTreeMap<CallKey, u32>,
     sent: Vec<u64>,
@@ -179,6 +189,8 @@
             disturbance,
             is_rush: false,
             is_cut: false,
+            paused: [false; 3],
+            held: Vec::new(),
             calls: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             sent: Vec::new(),
@@ -209,6 +221,7 @@
             }
             Disturbance::StartsAtOnce => simulation.schedule(7 * SECOND_US, Action::AllStart),
             Disturbance::Restarts => simulation.schedule(7 * SECOND_US, Action::GatewayStarts),
+            Disturbance::Pauses => simulation.schedule(7 * SECOND_US, Action::ServersPause),
         }
         simulation
     }
@@ -300,14 +313,15 @@
             | Disturbance::StartsAtOnce
             | Disturbance::Restarts
             | Disturbance::NoAgents
-            | Disturbance::LargeCounts => true,
+            | Disturbance::LargeCounts
+            | Disturbance::Pauses => true,
         }
     }
 
     fn act(&mut self, action: Action) {
         match action {
             Action::CallerSends => self.send(),
-            Action::ReachesServer { key, attempt } => self.reach(key, attempt),
+            Action::ReachesServer { key, attempt, server } => self.reach(key, attempt, server),
             Action::Ends { key, attempt, result } => {
                 if self.is_current(key, attempt) {
                     let effect = self.gateway(key.gateway).end_attempt(key.number, result);
@@ -388,6 +402,21 @@
                 let delay = self.rng.random_range(0..SECOND_US);
                 self.schedule(delay, Action::GatewayStarts);
             }
+            Action::ServersPause => {
+                let group = self.rng.random_range(0..3);
+                self.paused[group] = true;
+                let length = self.rng.random_range(1..20) * SECOND_US;
+                self.schedule(length, Action::ServersGoOn { group });
+                let delay = self.rng.random_range(5..25) * SECOND_US;
+                self.schedule(delay, Action::ServersPause);
+            }
+            Action::ServersGoOn { group } => {
+                self.paused[group] = false;
+                let (now, later) = self.held.drain(..).partition(|it| it.2 % 3 == group);
+                self.held = later;
+                let now: Vec<_> = now;
+                now.into_iter().for_each(|(key, attempt, server)| self.reach(key, attempt, server));
+            }
         }
     }
 
@@ -461,7 +490,7 @@
                 return;
             }
             let delay = self.rng.random_range(0..20) * MILLISECOND;
-            self.schedule(delay, Action::ReachesServer { key, attempt });
+            self.schedule(delay, Action::ReachesServer { key, attempt, server });
             self.schedule(SILENCE, Action::FallsSilent { key, attempt });
             return;
         }
@@ -479,7 +508,11 @@
         }
     }
 
-    fn reach(&mut self, key: CallKey, attempt: u32) {
+    fn reach(&mut self, key: CallKey, attempt: u32, server: usize) {
+        if self.paused[server % 3] {
+            self.held.push((key, attempt, server));
+            return;
+        }
         let arrivals = self.arrivals.entry(key).or_default();
         *arrivals += 1;
         if *arrivals > 1 {
@@ -581,6 +614,11 @@
     explore(Disturbance::LargeCounts, 60 * SECOND_US);
 }
 
+#[gtest]
+fn requests_that_paused_servers_receive_late_keep_the_common_bound() {
+    explore(Disturbance::Pauses, 120 * SECOND_US);
+}
+
 /// Parts of less than one retry, saved up by each of many gateways.
 #[gtest]
 fn small_parts_of_many_gateways_make_no_rush() {
