Keep the port of a fake server that has ended

crashing_prompts::answer_that_breaks_off_is_evidence failed once in each of two suite runs, while several suites ran on the machine: AddrInUse, where a fake server that had ended binds its port again 0.3 s later. Between the two the port was free for any process. Who took it was not traced.

Change: a socket is bound to the port as soon as the listener is closed, so connections are refused as before and nobody can take it.

--- a/tests/support/fragile_servers.rs
+++ b/tests/support/fragile_servers.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     time::Instant,
 };
@@ -26,6 +26,7 @@
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 /// Time until a server that has ended starts again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+const LISTEN_BACKLOG: u32 = 1_024;
 /// Time that a request without a prompt takes.
 const WORK_TIME: Duration = Duration::from_millis(60);
 /// Pause between the events of an answer.
@@ -145,9 +146,13 @@
                 }
             }
             drop(listener);
+            // A socket that is bound refuses connections, and nobody else can take its port.
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_reuseaddr(true).unwrap();
+            socket.bind(address).unwrap();
             tokio::time::sleep(RESTART_DELAY).await;
             store.put("keyed.servers", &id, None);
-            listener = TcpListener::bind(address).await.unwrap();
+            listener = socket.listen(LISTEN_BACKLOG).unwrap();
         }
     }
 
