Review: a partitioned reader keeps its zone on an old directory

The reader of a zone that cannot read the store takes the view of its followers for fresh, and they take its copy for fresh. Servers that leave get work until they end.

--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,38 @@
+//! Runs one case: `review-standins CASE RECORD`, in the root of the repository. Exits with 1 if the
+//! rule was broken, 0 if it held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
+
+#[allow(dead_code)]
+mod fleet;
+mod leaving;
+mod reader;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use fleet::Record;
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(path)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: review-standins CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").is_ok_and(|it| it == "0") == false;
+    let record = Record::new();
+    let outcome = match case.as_str() {
+        "reader" => reader::run(&record, has_trouble),
+        "leaving" => leaving::run(&record, has_trouble),
+        _ => Err(format!("no case {case}")),
+    };
+    let code = match outcome {
+        Ok(broken) => {
+            record.add(if broken { "RULE BROKEN" } else { "rule held" });
+            u8::from(broken)
+        }
+        Err(reason) => {
+            record.add(format!("cannot run: {reason}"));
+            2
+        }
+    };
+    record.write(&PathBuf::from(path));
+    ExitCode::from(code)
+}
