--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -433,7 +433,15 @@
         let at = self.record.add(format!("store acknowledges that {} is draining", self.id));
         let server = self.clone();
         thread::spawn(move || {
-            thread::sleep(Duration::from_millis(DRAIN_MS) + linger);
+            let end = Instant::now() + Duration::from_millis(DRAIN_MS) + linger;
+            loop {
+                let left = end.saturating_duration_since(Instant::now());
+                thread::sleep(left.min(HEARTBEAT));
+                if left <= HEARTBEAT {
+                    break;
+                }
+                server.check_in("draining");
+            }
             server.has_ended.store(true, Ordering::SeqCst);
             server.store.put("keyed.servers", &server.id, None);
             server.record.add(format!("{} ends", server.id));
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod fleet;
 mod leaving;
+mod partial;
 mod reader;
 
 use std::{path::PathBuf, process::ExitCode};
@@ -19,6 +20,7 @@
     let has_trouble = std::env::var("TROUBLE").is_ok_and(|it| it == "0") == false;
     let record = Record::new();
     let outcome = match case.as_str() {
+        "partial" => partial::run(&record, has_trouble),
         "reader" => reader::run(&record, has_trouble),
         "leaving" => leaving::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
