--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 #[allow(dead_code)]
 mod fleet;
+mod harmful;
 mod leaving;
 mod partial;
 mod reader;
@@ -22,6 +23,7 @@
     let outcome = match case.as_str() {
         "partial" => partial::run(&record, has_trouble),
         "reader" => reader::run(&record, has_trouble),
+        "harmful" => harmful::run(&record, has_trouble),
         "leaving" => leaving::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
