--- a/review/standins-2/harmful.rs
+++ b/review/standins-2/harmful.rs
@@ -1,5 +1,6 @@
-//! A part of prompts ends each server that begins to write an answer on it, and the prompts are long: the
-//! first event comes later than the gateway waits before it looks for another server.
+//! A part of prompts ends each server that begins to write an answer on it. Either the prompts are long,
+//! so that the first event comes later than the gateway waits before it looks for another server, or they
+//! have many parts.
 
 use std::{
     io::{BufRead, BufReader, ErrorKind, Write},
@@ -24,6 +25,8 @@
 /// A prompt that an engine reads in 1.75 s. Clients wait two seconds for the first event.
 const LONG_PROMPT: u64 = 131_000;
 const SHORT_PROMPT: u64 = 700;
+/// Parts that sound requests and harmful ones share, where prompts have many.
+const SHARED_PARTS: u64 = 34;
 /// Time after which a server that ended is back: "some seconds".
 const DOWN_TIME: Duration = Duration::from_millis(2_500);
 const CONTACT_MS: u64 = 3_000;
@@ -255,12 +258,40 @@
     }
 }
 
+/// What the prompts look like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromptShape {
+    /// Those with the harmful part are long.
+    Long,
+    /// All have many parts.
+    ManyParts,
+}
+
+/// Returns the number of tokens of a prompt and its parts. The last part is the request's own.
+fn prompt(shape: PromptShape, id: &str, is_harmful: bool) -> (u64, String) {
+    match (shape, is_harmful) {
+        (PromptShape::Long, true) => {
+            (LONG_PROMPT, format!("5c1e07a2:40,{HARMFUL_PART}:800,{id}:130160"))
+        }
+        (PromptShape::Long, false) => (SHORT_PROMPT, format!("5c1e07a2:40,{id}:660")),
+        (PromptShape::ManyParts, is_harmful) => {
+            let shared: String =
+                (0..SHARED_PARTS).map(|it| format!(",{:08x}:20", 0x91bd_3f00 + it)).collect();
+            let harmful =
+                if is_harmful { format!(",{HARMFUL_PART}:300") } else { String::new() };
+            let tokens = 40 + 20 * SHARED_PARTS + 140 + if is_harmful { 300 } else { 0 };
+            (tokens, format!("5c1e07a2:40{harmful}{shared},{id}:140"))
+        }
+    }
+}
+
 /// Sends a request and reads its answer. Returns whether it was whole.
-fn ask(record: &Record, gateway: GatewayAddresses, id: &str, is_harmful: bool) -> bool {
-    let (tokens, parts) = match is_harmful {
-        true => (LONG_PROMPT, format!("5c1e07a2:40,{HARMFUL_PART}:800,{id}:130160")),
-        false => (SHORT_PROMPT, format!("5c1e07a2:40,{id}:660")),
-    };
+fn ask(
+    record: &Record,
+    gateway: GatewayAddresses,
+    id: &str,
+    (tokens, parts): (u64, String),
+) -> bool {
     let request = format!(
         "POST /draft/2f HTTP/1.1\r\nHost: dues.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Counts: {tokens},80\r\nPrompt-Prefix: {parts}\r\nTime-Budget-Ms: 8000\r\nAuthorization: Token {KEY}\r\nContent-Length: 16\r\n\r\n{id}"
     );
@@ -294,7 +325,11 @@
     false
 }
 
-pub fn run(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+pub fn run(
+    record: &Arc<Record>,
+    has_trouble: bool,
+    shape: PromptShape,
+) -> Result<bool, String> {
     let network = Network::new();
     let store = Store::start(network.machine());
     store.put("keyed.op", "config", Some(manifest()));
@@ -337,7 +372,7 @@
             let id = format!("{number:016x}");
             let (sound, whole) = (&sound, &whole);
             scope.spawn(move || {
-                let is_whole = ask(record, gateway, &id, is_harmful);
+                let is_whole = ask(record, gateway, &id, prompt(shape, &id, is_harmful));
                 if !is_harmful {
                     sound.fetch_add(1, Ordering::SeqCst);
                     whole.fetch_add(u64::from(is_whole), Ordering::SeqCst);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -11,6 +11,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use fleet::Record;
+use harmful::PromptShape;
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
@@ -23,7 +24,8 @@
     let outcome = match case.as_str() {
         "partial" => partial::run(&record, has_trouble),
         "reader" => reader::run(&record, has_trouble),
-        "harmful" => harmful::run(&record, has_trouble),
+        "harmful" => harmful::run(&record, has_trouble, PromptShape::Long),
+        "parts" => harmful::run(&record, has_trouble, PromptShape::ManyParts),
         "leaving" => leaving::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
