--- a/review/standins-2/reader.rs
+++ b/review/standins-2/reader.rs
@@ -1,4 +1,5 @@
 //! The gateway that reads the directory for its zone is partitioned from the store, and servers leave.
+//! With `ZONES=3` there are three zones with two gateways each, and the reader of each is partitioned.
 
 use std::{
     sync::{
@@ -14,10 +15,11 @@
     agent_settings, lock, send, wait_until,
 };
 
-const ZONE: &str = "zone-a";
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
-/// Length of the partition: no more than the 5.5 s of the site's own `core_cut`.
-const CUT: Duration = Duration::from_millis(5_400);
+/// Time from the start of the partition until no more callers come; it heals when they are answered,
+/// within the 5.5 s of the site's own `core_cut`.
+const CUT: Duration = Duration::from_millis(5_100);
 const ROUNDS: usize = 4;
 /// How much longer than `drain-ms` a leaving server serves: "a little longer".
 const LINGER: Duration = Duration::from_millis(250);
@@ -31,28 +33,36 @@
 }
 
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let has_zones = std::env::var("ZONES").is_ok_and(|it| it == "3");
+    let (zones, per_zone) = if has_zones { (3, 2) } else { (1, 3) };
     let network = Network::new();
     let store = Store::start(network.machine());
     store.put("keyed.op", "config", Some(manifest()));
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-    let start_server = |id: &str| {
-        Server::start((id, "ledger", ZONE), network.machine(), &store, record, &runs, WORK)
+    let start_server = |number: usize| {
+        let id = format!("i-{number}");
+        let zone = ZONES[number % zones];
+        Server::start((&id, "ledger", zone), network.machine(), &store, record, &runs, WORK)
     };
-    let mut servers: Vec<Arc<Server>> = (1..=3).map(|it| start_server(&format!("i-{it}"))).collect();
-    let engine = Engine::start(("i-engine", "drafts", ZONE), network.machine(), &store);
+    let mut servers: Vec<Arc<Server>> = (1..=3).map(start_server).collect();
+    let engine = Engine::start(("i-engine", "drafts", ZONES[0]), network.machine(), &store);
     let mut gateways: Vec<GatewayAddresses> =
-        (0..3).map(|_| GatewayAddresses::new(&network)).collect();
+        (0..zones * per_zone).map(|_| GatewayAddresses::new(&network)).collect();
     gateways.sort_by_key(|it| it.control);
-    let seeds: Vec<_> = gateways.iter().map(|it| it.control).collect();
+    // The lowest address of a zone is its reader's.
+    let zone_of = |n: usize| ZONES[n / per_zone];
+    let is_reader = |n: &usize| n % per_zone == 0;
+    let count = gateways.len();
+    let seeds: Vec<_> = gateways.iter().step_by(per_zone).map(|it| it.control).collect();
     let links: Vec<Arc<Link>> =
         gateways.iter().map(|it| Link::start(it.ip, store.address)).collect();
     let mut processes = Vec::new();
     for (n, gateway) in gateways.iter().enumerate() {
         let name = format!("front-{}", n + 1);
-        let settings = gateway.settings(&network, (&name, ZONE), &seeds, links[n].address);
+        let settings = gateway.settings(&network, (&name, zone_of(n)), &seeds, links[n].address);
         processes.push(Process::start(&network, &name, &settings));
     }
-    let settings = agent_settings(&network, ("side-1", ZONE), engine.address, "drafts");
+    let settings = agent_settings(&network, ("side-1", ZONES[0]), engine.address, "drafts");
     processes.push(Process::start(&network, "side-1", &settings));
     if !wait_until(Duration::from_secs(10), || gateways.iter().all(GatewayAddresses::is_ready)) {
         return Err("the gateways are not ready".into());
@@ -61,8 +71,7 @@
     thread::sleep(Duration::from_secs(7));
 
     let next_id = AtomicU64::new(1);
-    // The first gateway is the one that is partitioned later, so its requests are not judged.
-    let post = |n: usize| {
+    let post = &|n: usize| {
         let number = next_id.fetch_add(1, Ordering::SeqCst);
         let id = format!("{:016x}", number << 8 | n as u64 + 1);
         let request = format!(
@@ -85,32 +94,35 @@
         for n in 0..gateways.len() {
             unserved += usize::from(!post(n));
         }
-        let replacement = start_server(&format!("i-{}", round + 4));
+        let replacement = start_server(round + 4);
         thread::sleep(Duration::from_secs(3));
         let cut_at = Instant::now();
         if has_trouble {
-            links[0].cut();
-            record.add("front-1 is partitioned from the store (reset)");
+            for n in (0..count).filter(is_reader) {
+                links[n].cut();
+                record.add(format!("front-{} is partitioned from the store (reset)", n + 1));
+            }
         }
         thread::sleep(Duration::from_millis(700));
         let leaving = servers.remove(0);
         servers.push(replacement);
         let acknowledged = leaving.leave(LINGER);
         thread::sleep(Duration::from_millis(DRAIN_MS + 50));
-        // Callers come, to the two gateways that reach the store.
+        // Callers come, to the gateways that reach the store.
         let lost = thread::scope(|scope| {
             let mut callers = Vec::new();
             while cut_at.elapsed() < CUT {
-                callers.push(scope.spawn(|| post(1)));
-                callers.push(scope.spawn(|| post(2)));
+                for n in (0..count).filter(|it| !is_reader(it)) {
+                    callers.push(scope.spawn(move || post(n)));
+                }
                 thread::sleep(Duration::from_millis(40));
             }
             callers.into_iter().filter_map(|it| it.join().ok()).filter(|it| !it).count()
         });
         unserved += lost;
-        links[0].heal();
+        links.iter().for_each(|it| it.heal());
         if has_trouble {
-            record.add("front-1 reaches the store again");
+            record.add("all gateways reach the store again");
         }
         let late: Vec<Run> = lock(&runs)
             .iter()
