--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -734,7 +734,8 @@
     born: u64,
     started: Instant,
     pub is_leaving: AtomicBool,
-    pub has_ended: AtomicBool,
+    has_ended: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 /// Prompt tokens that an engine reads in a millisecond.
@@ -765,13 +766,18 @@
             started: Instant::now(),
             is_leaving: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
+            open: Mutex::default(),
         });
         let served = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                reset_on_close(&stream);
                 if served.has_ended.load(Ordering::SeqCst) {
                     return;
                 }
+                if let Ok(kept) = stream.try_clone() {
+                    lock(&served.open).push(kept);
+                }
                 let server = served.clone();
                 thread::spawn(move || server.serve(stream));
             }
@@ -786,6 +792,17 @@
         server
     }
 
+    /// Ends the server, with all requests in progress.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+        self.store.put("keyed.servers", &self.id, None);
+        for stream in lock(&self.open).drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        // Wakes the listener, which ends.
+        let _ = TcpStream::connect(self.address);
+    }
+
     fn group(&self) -> String {
         format!(r#"{{"name":"g-{}","epoch":1,"rank":0,"state":"open"}}"#, self.id)
     }
--- a/review/standins-2/leaving.rs
+++ b/review/standins-2/leaving.rs
@@ -1,10 +1,13 @@
-//! A server says in its answers that it leaves while the store is down. Its first events come later
-//! than the gateway waits before it looks for another server.
+//! A server says in its answers that it leaves while the gateway is partitioned from the store. Its first
+//! events come later than the gateway waits before it looks for another server.
 
 use std::{
     io::{BufRead, BufReader, Write},
     net::TcpStream,
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -18,8 +21,13 @@
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 /// A prompt that an engine reads in 1.75 s. Clients wait two seconds for the first event.
 const PROMPT_TOKENS: u64 = 131_000;
-/// Length of the outage of the store, as in the site's own `platform_down`.
-const OUTAGE: Duration = Duration::from_secs(8);
+/// Length of the partition, below the 5.5 s of the site's own `core_cut`.
+const CUT: Duration = Duration::from_millis(5_400);
+/// How much longer than `drain-ms` the leaving server serves: "a little longer (at times many seconds)".
+const LINGER: Duration = Duration::from_millis(3_000);
+const ROUNDS: usize = 4;
+/// Time between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(125);
 
 fn manifest() -> String {
     format!(
@@ -79,22 +87,22 @@
     let network = Network::new();
     let store = Store::start(network.machine());
     store.put("keyed.op", "config", Some(manifest()));
-    let servers: Vec<Arc<ModelServer>> = (1..=3)
-        .map(|it| {
-            let id = format!("i-{it}");
-            ModelServer::start((&id, "drafts", ZONE), network.machine(), &store, record)
-        })
-        .collect();
+    let start_server = |number: usize| {
+        let id = format!("i-{number}");
+        ModelServer::start((&id, "drafts", ZONE), network.machine(), &store, record)
+    };
+    let start_agent = |number: usize, server: &ModelServer| {
+        let name = format!("side-{number}");
+        let settings = agent_settings(&network, (&name, ZONE), server.address, "drafts");
+        Process::start(&network, &name, &settings)
+    };
+    let mut servers: Vec<Arc<ModelServer>> = (1..=3).map(start_server).collect();
     let gateway = GatewayAddresses::new(&network);
     let link = Link::start(gateway.ip, store.address);
     let settings =
         gateway.settings(&network, ("front-1", ZONE), &[gateway.control], link.address);
     let mut processes = vec![Process::start(&network, "front-1", &settings)];
-    for (n, server) in servers.iter().enumerate() {
-        let name = format!("side-{}", n + 1);
-        let settings = agent_settings(&network, (&name, ZONE), server.address, "drafts");
-        processes.push(Process::start(&network, &name, &settings));
-    }
+    processes.extend((1..).zip(&servers).map(|(number, it)| start_agent(number, it)));
     if !wait_until(Duration::from_secs(10), || gateway.is_ready()) {
         return Err("the gateway is not ready".into());
     }
@@ -102,66 +110,86 @@
     thread::sleep(Duration::from_secs(5));
 
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let started = Instant::now();
+    let has_ended = Arc::new(AtomicBool::new(false));
     let clients = {
-        let (sent, record) = (sent.clone(), record.clone());
+        let (sent, record, has_ended) = (sent.clone(), record.clone(), has_ended.clone());
         thread::spawn(move || {
             let mut clients = Vec::new();
-            for number in 1_u64..=70 {
+            for number in 1_u64.. {
+                if has_ended.load(Ordering::SeqCst) {
+                    break;
+                }
                 let (sent, record) = (sent.clone(), record.clone());
-                let id = format!("{:016x}", number);
+                let id = format!("{number:016x}");
                 clients.push(thread::spawn(move || {
                     let answered = ask(&record, gateway, id);
                     lock(&sent).push(answered);
                 }));
-                thread::sleep(Duration::from_millis(250));
+                thread::sleep(REQUEST_INTERVAL);
             }
             for client in clients {
                 let _ = client.join();
             }
         })
     };
-    thread::sleep(Duration::from_secs(3));
-    if has_trouble {
-        link.cut();
-        record.add("the store is down (reset)");
-    }
-    thread::sleep(Duration::from_millis(300));
-    let leaving = &servers[0];
-    leaving.is_leaving.store(true, Ordering::SeqCst);
-    record.add(format!("{} leaves, and says so in its answers", leaving.id));
-    if !has_trouble {
-        leaving.check_in("draining");
-        record.add("store acknowledges the report that it is draining");
-    }
-    thread::sleep(OUTAGE - Duration::from_millis(300));
-    if has_trouble {
-        link.heal();
+    let mut leavers = Vec::new();
+    for round in 0..ROUNDS {
+        let replacement = start_server(round + 4);
+        processes.push(start_agent(round + 4, &replacement));
+        thread::sleep(Duration::from_secs(4));
+        let cut_at = Instant::now();
+        if has_trouble {
+            link.cut();
+            record.add("the gateway is partitioned from the store (reset)");
+        }
+        thread::sleep(Duration::from_millis(100));
+        let leaving = servers.remove(0);
+        servers.push(replacement);
+        leaving.is_leaving.store(true, Ordering::SeqCst);
         leaving.check_in("draining");
-        record.add("the store is back, and acknowledges the report that the server is draining");
+        record.add(format!("store acknowledges that {} is draining", leaving.id));
+        let left = leaving.clone();
+        let ended = record.clone();
+        let leaver = thread::spawn(move || {
+            thread::sleep(Duration::from_millis(DRAIN_MS) + LINGER);
+            left.end();
+            ended.add(format!("{} ends", left.id));
+        });
+        thread::sleep(CUT.saturating_sub(cut_at.elapsed()));
+        if has_trouble {
+            link.heal();
+            record.add("the gateway reaches the store again");
+        }
+        let _ = leaver.join();
+        leavers.push(leaving);
+        thread::sleep(Duration::from_secs(2));
     }
+    has_ended.store(true, Ordering::SeqCst);
     let _ = clients.join();
-    record.add(format!("clients ended after {} ms", started.elapsed().as_millis()));
 
     let sent = lock(&sent).clone();
-    let told = sent.iter().filter(|it| it.server == leaving.id).filter_map(|it| it.head);
-    let told_at = told.filter(|it| it.1).map(|it| it.0).min();
-    let mut late = 0;
-    for run in lock(&leaving.runs).iter() {
-        let request = sent.iter().find(|it| it.id == run.request);
-        let (Some(told_at), Some(request)) = (told_at, request) else { continue };
-        if request.at > told_at + DRAIN_MS {
-            late += 1;
-            record.add(format!(
-                "DRAIN: {} was sent {} ms after the gateway had passed on that {} leaves, and reached it",
-                run.request,
-                request.at - told_at,
-                leaving.id
-            ));
+    let (mut late, mut lost) = (0, 0);
+    for leaving in &leavers {
+        let told = sent.iter().filter(|it| it.server == leaving.id).filter_map(|it| it.head);
+        let told_at = told.filter(|it| it.1).map(|it| it.0).min();
+        for run in lock(&leaving.runs).iter() {
+            let request = sent.iter().find(|it| it.id == run.request);
+            let (Some(told_at), Some(request)) = (told_at, request) else { continue };
+            if request.at > told_at + DRAIN_MS {
+                late += 1;
+                lost += u32::from(!request.is_whole);
+                let end = if request.is_whole { "was served" } else { "got no whole answer" };
+                record.add(format!(
+                    "DRAIN: {} was sent {} ms after the gateway had passed on that {} leaves, reached it, and {end}",
+                    run.request,
+                    request.at - told_at,
+                    leaving.id
+                ));
+            }
         }
     }
     let whole = sent.iter().filter(|it| it.is_whole).count();
-    record.add(format!("{whole} of {} answers were whole", sent.len()));
+    record.add(format!("{whole} of {} answers were whole; {lost} of {late} late ones were not", sent.len()));
     if !processes.iter_mut().all(Process::is_running) {
         return Err("a process ended by itself".into());
     }
