--- a/review/standins-2/harmful.rs
+++ b/review/standins-2/harmful.rs
@@ -22,6 +22,8 @@
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 /// The part that ends servers. It is never the last one.
 const HARMFUL_PART: &str = "0badf00d";
+/// The part in its place without the disruption.
+const SOUND_PART: &str = "600df00d";
 /// A prompt that an engine reads in 1.75 s. Clients wait two seconds for the first event.
 const LONG_PROMPT: u64 = 131_000;
 const SHORT_PROMPT: u64 = 700;
@@ -268,19 +270,18 @@
 }
 
 /// Returns the number of tokens of a prompt and its parts. The last part is the request's own.
-fn prompt(shape: PromptShape, id: &str, is_harmful: bool) -> (u64, String) {
-    match (shape, is_harmful) {
-        (PromptShape::Long, true) => {
-            (LONG_PROMPT, format!("5c1e07a2:40,{HARMFUL_PART}:800,{id}:130160"))
+fn prompt(shape: PromptShape, id: &str, part: Option<&str>) -> (u64, String) {
+    match (shape, part) {
+        (PromptShape::Long, Some(part)) => {
+            (LONG_PROMPT, format!("5c1e07a2:40,{part}:800,{id}:130160"))
         }
-        (PromptShape::Long, false) => (SHORT_PROMPT, format!("5c1e07a2:40,{id}:660")),
-        (PromptShape::ManyParts, is_harmful) => {
+        (PromptShape::Long, None) => (SHORT_PROMPT, format!("5c1e07a2:40,{id}:660")),
+        (PromptShape::ManyParts, part) => {
             let shared: String =
                 (0..SHARED_PARTS).map(|it| format!(",{:08x}:20", 0x91bd_3f00 + it)).collect();
-            let harmful =
-                if is_harmful { format!(",{HARMFUL_PART}:300") } else { String::new() };
-            let tokens = 40 + 20 * SHARED_PARTS + 140 + if is_harmful { 300 } else { 0 };
-            (tokens, format!("5c1e07a2:40{harmful}{shared},{id}:140"))
+            let tokens = 40 + 20 * SHARED_PARTS + 140 + if part.is_some() { 300 } else { 0 };
+            let part = part.map(|it| format!(",{it}:300")).unwrap_or_default();
+            (tokens, format!("5c1e07a2:40{part}{shared},{id}:140"))
         }
     }
 }
@@ -365,15 +366,13 @@
         while began.elapsed() < LENGTH {
             number += 1;
             let gateway = gateways[(number / 4 % 2) as usize];
-            let is_harmful = number % 8 == 0;
-            if is_harmful && !has_trouble {
-                continue;
-            }
+            let is_extra = number % 8 == 0;
+            let part = if has_trouble { HARMFUL_PART } else { SOUND_PART };
             let id = format!("{number:016x}");
             let (sound, whole) = (&sound, &whole);
             scope.spawn(move || {
-                let is_whole = ask(record, gateway, &id, prompt(shape, &id, is_harmful));
-                if !is_harmful {
+                let is_whole = ask(record, gateway, &id, prompt(shape, &id, is_extra.then_some(part)));
+                if !is_extra {
                     sound.fetch_add(1, Ordering::SeqCst);
                     whole.fetch_add(u64::from(is_whole), Ordering::SeqCst);
                 }
