--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -230,7 +230,8 @@
             let mut pairs = query.split('&').filter_map(|it| it.split_once('='));
             pairs.find(|it| it.0 == name).map(|it| it.1.to_owned())
         };
-        let number = |name: &str| parameter(name).and_then(|it| it.parse::<u64>().ok()).unwrap_or(0);
+        let number =
+            |name: &str| parameter(name).and_then(|it| it.parse::<u64>().ok()).unwrap_or(0);
         let topic = parameter("topic").unwrap_or_default();
         let era = [("Store-Era", "1".to_owned())];
         match path {
@@ -257,7 +258,8 @@
             }
             "/v1/log-read" => {
                 let from = number("range-start") as usize;
-                let deadline = Instant::now() + Duration::from_millis(number("wait-ms").min(30_000));
+                let deadline =
+                    Instant::now() + Duration::from_millis(number("wait-ms").min(30_000));
                 let mut topics = lock(&self.topics);
                 loop {
                     let records = topics.get(&topic).cloned().unwrap_or_default();
@@ -870,7 +872,8 @@
             last_event,
         });
         let counts = request.header("token-counts").unwrap_or("1000,80");
-        let prompt: f64 = counts.split(',').next().and_then(|it| it.parse().ok()).unwrap_or(1_000.0);
+        let prompt: f64 =
+            counts.split(',').next().and_then(|it| it.parse().ok()).unwrap_or(1_000.0);
         self.active.fetch_add(1, Ordering::SeqCst);
         thread::sleep(Duration::from_secs_f64(prompt / TOKENS_PER_MS / 1_000.0));
         let mut head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n".to_owned();
--- a/review/standins-2/harmful.rs
+++ b/review/standins-2/harmful.rs
@@ -226,7 +226,8 @@
         }
         let last_event = request.header("last-event-id").and_then(|it| it.parse::<u64>().ok());
         let counts = request.header("token-counts").unwrap_or("1000,80");
-        let prompt: f64 = counts.split(',').next().and_then(|it| it.parse().ok()).unwrap_or(1_000.0);
+        let prompt: f64 =
+            counts.split(',').next().and_then(|it| it.parse().ok()).unwrap_or(1_000.0);
         let begins_at = Instant::now() + Duration::from_secs_f64(prompt / TOKENS_PER_MS / 1_000.0);
         while Instant::now() < begins_at {
             thread::sleep(Duration::from_millis(5).min(begins_at - Instant::now()));
@@ -326,19 +327,13 @@
     false
 }
 
-pub fn run(
-    record: &Arc<Record>,
-    has_trouble: bool,
-    shape: PromptShape,
-) -> Result<bool, String> {
+pub fn run(record: &Arc<Record>, has_trouble: bool, shape: PromptShape) -> Result<bool, String> {
     let network = Network::new();
     let store = Store::start(network.machine());
     store.put("keyed.op", "config", Some(manifest()));
     let seen: Arc<Mutex<Seen>> = Arc::default();
     let servers: Vec<Arc<FragileServer>> = (1..=8)
-        .map(|it| {
-            FragileServer::start(format!("i-{it}"), network.machine(), &store, record, &seen)
-        })
+        .map(|it| FragileServer::start(format!("i-{it}"), network.machine(), &store, record, &seen))
         .collect();
     let gateways: Vec<GatewayAddresses> = (0..2).map(|_| GatewayAddresses::new(&network)).collect();
     let seeds: Vec<_> = gateways.iter().map(|it| it.control).collect();
@@ -371,7 +366,8 @@
             let id = format!("{number:016x}");
             let (sound, whole) = (&sound, &whole);
             scope.spawn(move || {
-                let is_whole = ask(record, gateway, &id, prompt(shape, &id, is_extra.then_some(part)));
+                let is_whole =
+                    ask(record, gateway, &id, prompt(shape, &id, is_extra.then_some(part)));
                 if !is_extra {
                     sound.fetch_add(1, Ordering::SeqCst);
                     whole.fetch_add(u64::from(is_whole), Ordering::SeqCst);
@@ -398,7 +394,8 @@
         return Err("a process ended by itself".into());
     }
     if let Ok(folder) = std::env::var("KEEP_LOGS") {
-        let _ = std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
+        let _ =
+            std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
     }
     let _ = std::fs::remove_dir_all(&network.folder);
     Ok(late > 3)
--- a/review/standins-2/leaving.rs
+++ b/review/standins-2/leaving.rs
@@ -68,7 +68,8 @@
     sent.server = head.header("instance-id").unwrap_or("-").to_owned();
     let is_leaving = head.header("server-leaving") == Some("1");
     let text = if is_leaving { ", Server-Leaving: 1" } else { "" };
-    let now = record.add(format!("client gets {}: {} of {}{text}", sent.id, head.status(), sent.server));
+    let now =
+        record.add(format!("client gets {}: {} of {}{text}", sent.id, head.status(), sent.server));
     sent.head = Some((now, is_leaving));
     let mut events = 0;
     let mut line = String::new();
@@ -99,8 +100,7 @@
     let mut servers: Vec<Arc<ModelServer>> = (1..=3).map(start_server).collect();
     let gateway = GatewayAddresses::new(&network);
     let link = Link::start(gateway.ip, store.address);
-    let settings =
-        gateway.settings(&network, ("front-1", ZONE), &[gateway.control], link.address);
+    let settings = gateway.settings(&network, ("front-1", ZONE), &[gateway.control], link.address);
     let mut processes = vec![Process::start(&network, "front-1", &settings)];
     processes.extend((1..).zip(&servers).map(|(number, it)| start_agent(number, it)));
     if !wait_until(Duration::from_secs(10), || gateway.is_ready()) {
@@ -189,12 +189,16 @@
         }
     }
     let whole = sent.iter().filter(|it| it.is_whole).count();
-    record.add(format!("{whole} of {} answers were whole; {lost} of {late} late ones were not", sent.len()));
+    record.add(format!(
+        "{whole} of {} answers were whole; {lost} of {late} late ones were not",
+        sent.len()
+    ));
     if !processes.iter_mut().all(Process::is_running) {
         return Err("a process ended by itself".into());
     }
     if let Ok(folder) = std::env::var("KEEP_LOGS") {
-        let _ = std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
+        let _ =
+            std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
     }
     let _ = std::fs::remove_dir_all(&network.folder);
     Ok(late > 0)
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -19,7 +19,7 @@
         eprintln!("usage: review-standins CASE RECORD");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").is_ok_and(|it| it == "0") == false;
+    let has_trouble = !std::env::var("TROUBLE").is_ok_and(|it| it == "0");
     let record = Record::new();
     let outcome = match case.as_str() {
         "partial" => partial::run(&record, has_trouble),
--- a/review/standins-2/partial.rs
+++ b/review/standins-2/partial.rs
@@ -37,7 +37,8 @@
     let start_server = |id: &str| {
         Server::start((id, "ledger", ZONE), network.machine(), &store, record, &runs, WORK)
     };
-    let mut servers: Vec<Arc<Server>> = (1..=3).map(|it| start_server(&format!("i-{it}"))).collect();
+    let mut servers: Vec<Arc<Server>> =
+        (1..=3).map(|it| start_server(&format!("i-{it}"))).collect();
     let engine = Engine::start(("i-engine", "drafts", ZONE), network.machine(), &store);
     let gateways: Vec<GatewayAddresses> = (0..2).map(|_| GatewayAddresses::new(&network)).collect();
     let seeds: Vec<_> = gateways.iter().map(|it| it.control).collect();
@@ -85,7 +86,8 @@
             let mut callers = Vec::new();
             let mut is_written = false;
             while began.elapsed() < Duration::from_millis(3_200) {
-                if has_trouble && !is_written && began.elapsed() >= Duration::from_millis(DRAIN_MS) {
+                if has_trouble && !is_written && began.elapsed() >= Duration::from_millis(DRAIN_MS)
+                {
                     is_written = true;
                     // Without `version` and `warmup-left-ms`.
                     let entry = format!(
@@ -124,7 +126,8 @@
         return Err("a process ended by itself".into());
     }
     if let Ok(folder) = std::env::var("KEEP_LOGS") {
-        let _ = std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
+        let _ =
+            std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
     }
     let _ = std::fs::remove_dir_all(&network.folder);
     Ok(is_broken)
--- a/review/standins-2/reader.rs
+++ b/review/standins-2/reader.rs
@@ -146,7 +146,8 @@
         return Err("a process ended by itself".into());
     }
     if let Ok(folder) = std::env::var("KEEP_LOGS") {
-        let _ = std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
+        let _ =
+            std::process::Command::new("cp").args(["-r"]).arg(&network.folder).arg(folder).status();
     }
     let _ = std::fs::remove_dir_all(&network.folder);
     Ok(is_broken)
