--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,7 +8,11 @@
 mod partial;
 mod reader;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    panic::{AssertUnwindSafe, catch_unwind},
+    path::PathBuf,
+    process::ExitCode,
+};
 
 use fleet::Record;
 use harmful::PromptShape;
@@ -21,14 +25,16 @@
     };
     let has_trouble = !std::env::var("TROUBLE").is_ok_and(|it| it == "0");
     let record = Record::new();
-    let outcome = match case.as_str() {
+    // What cannot be set up ends in a panic.
+    let outcome = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "partial" => partial::run(&record, has_trouble),
         "reader" => reader::run(&record, has_trouble),
         "harmful" => harmful::run(&record, has_trouble, PromptShape::Long),
         "parts" => harmful::run(&record, has_trouble, PromptShape::ManyParts),
         "leaving" => leaving::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
-    };
+    }))
+    .unwrap_or_else(|_| Err("a stand-in or a process could not be started".into()));
     let code = match outcome {
         Ok(broken) => {
             record.add(if broken { "RULE BROKEN" } else { "rule held" });
