Let the age of a directory travel with it

Cause: a gateway that got its directory from a random gateway set the time of the read to that of the receipt. The reader and its followers took each other's old copy for fresh, and no one read the store.

Change: DirectoryCopy holds the directory and its age; the receiver counts from the moment at which it asked. An unknown age, or one beyond the start of the process, confirms nothing. The mark of the operators' stream is counted in the same way. Stale and failed readers are counted and logged with both ages.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -21,7 +21,10 @@
 use crate::{
     http::{json_response, text_response},
     platform::{PlatformError, get_json},
-    routing::{DirectoryView, GatewayLocation, OperatorView, ReaderMark, ServerRecord},
+    routing::{
+        DirectoryCopy, DirectoryView, GatewayLocation, OperatorView, ReaderMark, ServerRecord,
+        read_time,
+    },
     units::{ServerId, StorePosition},
 };
 
@@ -46,7 +49,7 @@
 #[derive(Serialize, Deserialize)]
 struct ViewMessage {
     operator: Option<OperatorView>,
-    directory: Option<DirectoryView>,
+    directory: Option<DirectoryCopy>,
     gateways: Vec<GatewayLocation>,
 }
 
@@ -102,6 +105,7 @@
     let operator = shell.view().operator.view();
     let has_directory = query != Some(CATALOG_QUERY);
     let directory = shell.view().directory.view().filter(|_| has_directory).cloned();
+    let directory = directory.map(|it| DirectoryCopy::new(it, shell.clock.now()));
     let gateways = shell.peers().locations();
     let message = ViewMessage { operator, directory, gateways };
     json_response(StatusCode::OK, &message)
@@ -116,10 +120,12 @@
     let digest = directory_digest(&directory.servers);
     let has_same = query == Some(digest.to_string().as_str());
     let age_ms = |at| u64::try_from(shell.clock.now().since(at).as_millis()).unwrap_or(u64::MAX);
+    // The largest number stands for an unknown age, which no gateway relies on.
+    let directory_age_ms = directory.read_at.map_or(u64::MAX, age_ms);
     let operator_mark = shell.operator_mark();
     let reply = DirectoryReply {
         position: directory.position,
-        age_ms: age_ms(directory.read_at),
+        age_ms: directory_age_ms,
         operator: operator_mark
             .map(|it| OperatorMark { position: it.position, age_ms: age_ms(it.read_at) }),
         servers: (!has_same).then_some(directory.servers),
@@ -144,6 +150,7 @@
     let known = shell.view().directory.view().cloned();
     let digest = known.as_ref().map_or(0, |it| directory_digest(&it.servers));
     let uri = format!("http://{reader}{DIRECTORY_PATH}?{digest}");
+    let asked_at = shell.clock.now();
     let reply: Result<DirectoryReply, PlatformError> = get_json(client, uri, READER_TIMEOUT).await;
     let now = shell.clock.now();
     match reply {
@@ -152,24 +159,32 @@
                 <= shell.leave_time.mul_f64(MAX_READER_AGE_FRACTION) =>
         {
             let servers = reply.servers.or(known.map(|it| it.servers)).unwrap_or_default();
-            let read_at = now.before(Duration::from_millis(reply.age_ms));
+            let read_at = read_time(asked_at, reply.age_ms);
             let view = DirectoryView { position: reply.position, servers, read_at };
             apply_directory_view(shell, view);
-            let mark = |it: OperatorMark| ReaderMark {
-                position: it.position,
-                read_at: now.before(Duration::from_millis(it.age_ms)),
+            let mark = |it: OperatorMark| {
+                let read_at = read_time(asked_at, it.age_ms)?;
+                Some(ReaderMark { position: it.position, read_at })
             };
-            shell.record_reader_mark(reply.operator.map(mark));
+            shell.record_reader_mark(reply.operator.and_then(mark));
             true
         }
         Ok(reply) => {
-            log::info!(reader:% = reader, age_ms = reply.age_ms; "directory of reader is stale");
+            shell.metrics.count("directory.reader_stale");
+            log::info!(
+                reader:% = reader, age_ms = reply.age_ms, own_age_ms = shell.directory_age_ms();
+                "directory of reader is stale"
+            );
             shell.record_reader_mark(None);
             shell.peers().pause_reader(reader, now);
             false
         }
         Err(error) => {
-            log::info!(reader:% = reader, error:% = error; "cannot fetch directory from reader");
+            shell.metrics.count("directory.reader_failed");
+            log::info!(
+                reader:% = reader, error:% = error, own_age_ms = shell.directory_age_ms();
+                "cannot fetch directory from reader"
+            );
             shell.record_reader_mark(None);
             shell.peers().pause_reader(reader, now);
             false
@@ -191,14 +206,16 @@
 async fn poll_view(shell: &GatewayShell, path: String) {
     let peer = shell.peers().addresses().choose(&mut rand::rng());
     let Some(peer) = peer else { return };
+    let asked_at = shell.clock.now();
     match fetch_view(peer, &path).await {
         Ok(message) => {
             shell.record_peers(message.gateways);
             if let Some(view) = message.operator {
                 apply_operator_view(shell, view);
             }
-            if let Some(view) = message.directory {
-                apply_directory_view(shell, DirectoryView { read_at: shell.clock.now(), ..view });
+            if let Some(copy) = message.directory {
+                let view = copy.received(asked_at);
+                apply_directory_view(shell, view);
             }
         }
         Err(error) => {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -251,10 +251,10 @@
         lock(&self.view)
     }
 
-    /// Returns the age of the directory in milliseconds for log lines, or `None` before the first
-    /// read.
+    /// Returns the age of the directory in milliseconds, or `None` before the first read and if the age
+    /// is not known.
     pub(super) fn directory_age_ms(&self) -> Option<u64> {
-        let read_at = self.view().directory.view()?.read_at;
+        let read_at = self.view().directory.view()?.read_at?;
         u64::try_from(self.clock.now().since(read_at).as_millis()).ok()
     }
 
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -275,7 +275,7 @@
             }
         }
     }
-    DirectoryView { position: read.position, servers, read_at: shell.clock.now() }
+    DirectoryView { position: read.position, servers, read_at: Some(shell.clock.now()) }
 }
 
 /// Applies a view of the directory, unless the current one is newer.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -67,7 +67,7 @@
 pub use subset::choose_subset;
 pub use urgency::{RankTraffic, ServiceCapacity, start_wait};
 pub use views::{
-    DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange, OperatorTable, OperatorView,
-    ReadKind,
+    DirectoryCopy, DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange, OperatorTable,
+    OperatorView, ReadKind, read_time,
 };
 pub use weights::WeightTable;
--- a/src/routing/views.rs
+++ b/src/routing/views.rs
@@ -57,9 +57,61 @@
     pub position: StorePosition,
     /// All servers that the directory lists.
     pub servers: BTreeMap<ServerId, ServerRecord>,
-    /// Time of the read from the store, or of its receipt from another gateway that gives no age.
+    /// Time of the read from the store, by whichever gateway; `None` if that is not known or before
+    /// the start of this process. Sent as an age, see [`DirectoryCopy`].
     #[serde(skip)]
-    pub read_at: Moment,
+    pub read_at: Option<Moment>,
+}
+
+/// A gateway's directory with its age, in the form in which another gateway receives it.
+///
+/// ```
+/// use std::{collections::BTreeMap, time::Duration};
+/// use alderbay::{routing::{DirectoryCopy, DirectoryView}, units::{Moment, StorePosition}};
+/// let position = StorePosition::default();
+/// let view = DirectoryView { position, servers: BTreeMap::new(), read_at: Some(Moment(3)) };
+/// let copy = DirectoryCopy::new(view, Moment(2_003));
+/// // The receiver asked at 9 ms on its own clock.
+/// let received = copy.received(Moment(9_000));
+/// assert_eq!(received.read_at, Some(Moment(7_000)));
+/// ```
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct DirectoryCopy {
+    #[serde(flatten)]
+    view: DirectoryView,
+    /// Milliseconds since the read from the store; `None` if unknown. Gateways of earlier releases do
+    /// not send it.
+    #[serde(default)]
+    age_ms: Option<u64>,
+}
+
+impl DirectoryCopy {
+    /// Creates the copy to send at `now`.
+    pub fn new(view: DirectoryView, now: Moment) -> Self {
+        let age_ms = view.read_at.map(|it| now.since(it).as_micros().div_ceil(1_000));
+        let age_ms = age_ms.map(|it| u64::try_from(it).unwrap_or(u64::MAX));
+        Self { view, age_ms }
+    }
+
+    /// Returns the directory as this gateway knows it that asked for the copy at `asked_at`. Passing a
+    /// directory on never makes it younger.
+    pub fn received(self, asked_at: Moment) -> DirectoryView {
+        let read_at = self.age_ms.and_then(|it| read_time(asked_at, it));
+        DirectoryView { read_at, ..self.view }
+    }
+}
+
+/// Returns the time of a read from the store that was `age_ms` old when another gateway, asked at
+/// `asked_at`, sent it; `None` if that is before the start of this process.
+///
+/// ```
+/// use alderbay::{routing::read_time, units::Moment};
+/// assert_eq!(read_time(Moment(5_000), 2), Some(Moment(3_000)));
+/// assert_eq!(read_time(Moment(5_000), u64::MAX), None);
+/// ```
+pub fn read_time(asked_at: Moment, age_ms: u64) -> Option<Moment> {
+    asked_at.checked_before(Duration::from_millis(age_ms))
 }
 
 /// A change that operators have written.
@@ -330,7 +382,8 @@
         self.view.as_ref()
     }
 
-    /// Replaces the view unless the present one is newer.
+    /// Replaces the view unless the present one is newer. Of two reads in an era, the later one holds
+    /// for the view that is kept: neither is older than the earlier one's.
     pub fn apply(&mut self, view: DirectoryView) -> DirectoryUpdate {
         let Some(known) = &self.view else {
             self.view = Some(view);
@@ -340,7 +393,8 @@
             return DirectoryUpdate::Outdated;
         }
         let is_rewind = known.position.era < view.position.era;
-        self.view = Some(view);
+        let known_read_at = known.read_at.filter(|_| !is_rewind);
+        self.view = Some(DirectoryView { read_at: view.read_at.max(known_read_at), ..view });
         if is_rewind { DirectoryUpdate::Rewound } else { DirectoryUpdate::Applied }
     }
 }
--- a/src/units/quantities.rs
+++ b/src/units/quantities.rs
@@ -143,6 +143,19 @@
         Self(self.0.saturating_sub(micros))
     }
 
+    /// Returns the moment that is `span` earlier, or `None` if that is before the process start.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use alderbay::units::Moment;
+    /// assert_eq!(Moment(5).checked_before(Duration::from_micros(2)), Some(Moment(3)));
+    /// assert_eq!(Moment(5).checked_before(Duration::from_micros(7)), None);
+    /// ```
+    pub fn checked_before(self, span: Duration) -> Option<Self> {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        self.0.checked_sub(micros).map(Self)
+    }
+
     /// Returns the duration from `earlier` to this moment; zero if `earlier` is later.
     ///
     /// ```
--- a/tests/store_rewind.rs
+++ b/tests/store_rewind.rs
@@ -338,7 +338,7 @@
         let offset = LogOffset(self.store.servers.len() as u64);
         let position = StorePosition { era: StoreEra(self.era), offset };
         self.gateways[n].servers.mark_store_recovered(at);
-        self.apply_directory(n, DirectoryView { position, servers, read_at: at });
+        self.apply_directory(n, DirectoryView { position, servers, read_at: Some(at) });
     }
 
     fn apply_directory(&mut self, n: usize, view: DirectoryView) {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -14,6 +14,7 @@
 mod config_race;
 mod crashing_prompts;
 mod crashing_requests;
+mod directory_age;
 mod directory_reader;
 mod domain_cut;
 mod domain_drain;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -17,6 +17,8 @@
 pub mod fragile_servers;
 #[path = "support/gateway.rs"]
 pub mod gateway;
+#[path = "support/gateway_lists.rs"]
+pub mod gateway_lists;
 #[path = "support/ledger_service.rs"]
 pub mod ledger_service;
 #[path = "support/limited_servers.rs"]
