Keep what the end of a silent server shows

No server was probed, and no record of the end was made.

Change: the reducer is told how a call that was set aside ended. What an end shows (a server that may have ended under the request, another server at the address, other weights) is kept in one place for current calls and for those set aside. The log and attempt.set_aside.RESULT show these ends.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -211,7 +211,7 @@
                 self.request.open.set_stage(RequestStage::Running);
                 return self.follow(call, Some(news), disconnected).await;
             }
-            if let Some(effect) = self.drop_silent(&call) {
+            if let Some(effect) = self.drop_silent(&call, &news) {
                 return Some(effect);
             }
         }
@@ -284,8 +284,8 @@
                     (call, piece) = (*other, Some(news));
                     open_attempt = shell.attempts.register((self.number, call.spec.attempt));
                 }
-                CallStep::Silent(other, _) => {
-                    self.drop_silent(&other);
+                CallStep::Silent(other, news) => {
+                    self.drop_silent(&other, &news);
                 }
             }
         }
@@ -407,19 +407,43 @@
         self.shell.dispatch(RoutingEvent::AttemptRevived { number, attempt });
     }
 
-    /// Forgets a call that was set aside and has failed. Returns the reducer's next effect if the
-    /// request relied on it.
-    fn drop_silent(&mut self, call: &AttemptCall) -> Option<RoutingEffect> {
-        let (number, attempt) = (self.number, call.spec.attempt);
-        self.shell.dispatch(RoutingEvent::SilentAttemptEnded { number, attempt })
+    /// Forgets a call that was set aside and has sent nothing of use, and reports how it ended. Returns
+    /// the reducer's next effect if the request relied on it.
+    fn drop_silent(&mut self, call: &AttemptCall, news: &CallPiece) -> Option<RoutingEffect> {
+        let request = &self.request.head.headers;
+        let result = match news {
+            CallPiece::Failed(AttemptResult::Lost) => lost_after(call.held_back),
+            CallPiece::Failed(result) => *result,
+            // What the response says is of no use to the caller.
+            CallPiece::Head => call.refusal(request).unwrap_or(AttemptResult::Abandoned),
+            CallPiece::Event(_) | CallPiece::End => AttemptResult::Abandoned,
+        };
+        let (number, attempt, progress) = (self.number, call.spec.attempt, call.progress);
+        self.shell.metrics.count(&format!("attempt.set_aside.{result}"));
+        self.log_end(call, result, "attempt that was set aside ended");
+        self.shell.dispatch(RoutingEvent::SilentAttemptEnded { number, attempt, result, progress })
     }
 
     /// Reports the end of an attempt. The call stays open if only its server is silent.
     fn end_attempt(&mut self, call: AttemptCall, result: AttemptResult) -> Option<RoutingEffect> {
-        let AttemptCall { spec, started, progress, first_event_at, server_limit, .. } = &call;
-        let (number, progress) = (self.number, *progress);
-        let elapsed = started.elapsed();
-        self.shell.metrics.time(&format!("attempt.{result}"), elapsed);
+        self.shell.metrics.time(&format!("attempt.{result}"), call.started.elapsed());
+        self.log_end(&call, result, "attempt ended");
+        let (number, progress) = (self.number, call.progress);
+        let deadline = self.shell.clock.instant(call.spec.deadline);
+        if result == AttemptResult::Stalled {
+            self.silent.push(call);
+        }
+        let effect = self.shell.dispatch(RoutingEvent::AttemptEnded { number, result, progress });
+        if result == AttemptResult::Abandoned && Instant::now() >= deadline {
+            let code = RefusalCode::DeadlineDuringRun;
+            return Some(RoutingEffect::Refuse(number, Refusal::unknown(code)));
+        }
+        effect
+    }
+
+    /// Logs how an attempt ended.
+    fn log_end(&self, call: &AttemptCall, result: AttemptResult, message: &str) {
+        let AttemptCall { spec, started, progress, first_event_at, server_limit, .. } = call;
         let first_event = first_event_at.map(|it| it - *started);
         let estimate_error = first_event.zip(spec.first_event).map(|(actual, expected)| {
             self.shell.metrics.time("estimate.error", actual.abs_diff(expected));
@@ -431,23 +455,13 @@
         let content = is_failure.then(|| spec.content.to_string());
         log::info!(
             request:% = self.request.request_id, server:% = spec.server, result:% = result,
-            progress:% = progress, elapsed_ms = millis(elapsed),
+            progress:% = progress, elapsed_ms = millis(started.elapsed()),
             last_event:% = self.last_event.as_deref().unwrap_or(""),
             parts:% = join_parts(suspect_parts), content = content.as_deref(),
             server_limit:% = server_limit, first_event_ms = first_event.map(millis),
             estimate_error_s = estimate_error;
-            "attempt ended"
+            "{message}"
         );
-        let deadline = self.shell.clock.instant(spec.deadline);
-        if result == AttemptResult::Stalled {
-            self.silent.push(call);
-        }
-        let effect = self.shell.dispatch(RoutingEvent::AttemptEnded { number, result, progress });
-        if result == AttemptResult::Abandoned && Instant::now() >= deadline {
-            let code = RefusalCode::DeadlineDuringRun;
-            return Some(RoutingEffect::Refuse(number, Refusal::unknown(code)));
-        }
-        effect
     }
 
     fn log_attempt(&self, spec: &AttemptSpec) {
--- a/src/gateway/requests/call.rs
+++ b/src/gateway/requests/call.rs
@@ -129,6 +129,21 @@
         })
     }
 
+    /// Returns how an attempt ends whose response begins with this head, or `None` if that is a
+    /// response of this server that is no failure of it.
+    pub(super) fn refusal(&self, request: &HeaderMap) -> Option<AttemptResult> {
+        let head = self.head()?;
+        match classify_response(head.status, &head.headers, request, &self.spec.server) {
+            ResponseKind::NotRun => Some(AttemptResult::NotRun),
+            ResponseKind::WrongServer => Some(AttemptResult::WrongServer),
+            ResponseKind::OtherWeights => Some(AttemptResult::OtherWeights),
+            ResponseKind::Foreign => Some(AttemptResult::Lost),
+            ResponseKind::Genuine => {
+                head.status.is_server_error().then_some(AttemptResult::ServerError)
+            }
+        }
+    }
+
     /// Sets the time after which the server counts as silent, if that matters.
     pub(super) fn expect_news_within(&mut self, time: Duration) {
         self.silent_at = self.silent_at.map(|_| Instant::now() + time);
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -192,6 +192,10 @@
         number: RequestNumber,
         /// Number of the attempt.
         attempt: u32,
+        /// How it failed.
+        result: AttemptResult,
+        /// How far the response came.
+        progress: AnswerProgress,
     },
     /// The server of a request's attempt said something about itself.
     ServerNoticed {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -342,8 +342,8 @@
         RoutingEvent::AttemptRevived { number, attempt } => {
             attempt_revived(state, number, attempt, now)
         }
-        RoutingEvent::SilentAttemptEnded { number, attempt } => {
-            silent_ended(state, number, attempt, now)
+        RoutingEvent::SilentAttemptEnded { number, attempt, result, progress } => {
+            silent_ended(state, (number, attempt), (result, progress), now)
         }
         RoutingEvent::ServerProbed { server, has_ended } => {
             server_probed(state, &server, has_ended, now)
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -75,13 +75,8 @@
     if result == AttemptResult::Stalled {
         request.silent.push(attempt.clone());
     }
-    let CurrentAttempt { incarnation, address, began_at, timing, .. } = attempt;
+    let CurrentAttempt { ref incarnation, address, began_at, timing, .. } = attempt;
     let id = incarnation.0.clone();
-    if result == AttemptResult::OtherWeights
-        && let Some(version) = request.weight_version
-    {
-        state.weights.record_refusal(incarnation.clone(), version, now);
-    }
     // Failures are often quick.
     if result == AttemptResult::Answered && progress == AnswerProgress::Whole {
         state.run_times.record(&request.route.name, now.since(request.received_at));
@@ -104,11 +99,10 @@
         | AttemptResult::OtherWeights
         | AttemptResult::Abandoned => request.attempts_sent += 1,
     }
-    let mut effects: Vec<RoutingEffect> = update_health(state, &incarnation, address, result, now)
-        .map(RoutingEffect::StateChanged)
-        .into_iter()
-        .collect();
-    effects.extend(record_suspect(state, number, (&id, address), (result, progress), now));
+    let change = update_health(state, incarnation, address, result, now);
+    let mut effects: Vec<RoutingEffect> =
+        change.map(RoutingEffect::StateChanged).into_iter().collect();
+    effects.extend(learn_from_end(state, number, &attempt, (result, progress), now));
     if result == AttemptResult::Answered {
         let service = state.requests.get(&number).map(|it| it.service.clone());
         if let (Some(service), Some(timing)) = (service, timing) {
@@ -120,6 +114,33 @@
     effects
 }
 
+/// Records what the end of an attempt shows, whether it is the request's current one or was set aside:
+/// that another server has the address or the weights, or that the request may have ended the server.
+pub(super) fn learn_from_end(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    attempt: &CurrentAttempt,
+    (result, progress): (AttemptResult, AnswerProgress),
+    now: Moment,
+) -> Vec<RoutingEffect> {
+    let CurrentAttempt { incarnation, address, .. } = attempt;
+    let version = state.requests.get(&number).and_then(|it| it.weight_version);
+    if result == AttemptResult::OtherWeights
+        && let Some(version) = version
+    {
+        state.weights.record_refusal(incarnation.clone(), version, now);
+    }
+    let replaced = match result {
+        AttemptResult::WrongServer => state.servers.mark_replaced(incarnation, now),
+        _ => None,
+    };
+    let mut effects: Vec<RoutingEffect> =
+        replaced.map(RoutingEffect::StateChanged).into_iter().collect();
+    let server = (&incarnation.0, *address);
+    effects.extend(record_suspect(state, number, server, (result, progress), now));
+    effects
+}
+
 /// Records an attempt's result in the server's health. Returns a change if the server is paused.
 fn update_health(
     state: &mut RoutingState,
@@ -143,8 +164,9 @@
         AttemptResult::Lost | AttemptResult::Stalled => load.record_outcome(true, now),
         AttemptResult::ServerError | AttemptResult::NotRun => load.record_outcome(true, now),
         AttemptResult::Answered => load.record_outcome(false, now),
-        AttemptResult::WrongServer => return state.servers.mark_replaced(incarnation, now),
-        AttemptResult::OtherWeights | AttemptResult::Abandoned => false,
+        AttemptResult::WrongServer | AttemptResult::OtherWeights | AttemptResult::Abandoned => {
+            false
+        }
     };
     is_paused.then(|| RoutingChange::ServerPaused { server: incarnation.0.clone(), result })
 }
@@ -230,23 +252,34 @@
             }
             RoutingEffect::Finished(number)
         }
-        // The request may have ended its server, and another one would end too.
-        AttemptResult::Lost
-            if kind.is_idempotent() && must_await_probe(state, request, progress, now) =>
-        {
-            let suspicion = Suspicion::Probing { until: now.after(MAX_PROBE_WAIT) };
-            let request = state.requests.get_mut(&number);
-            request.into_iter().for_each(|it| it.suspicion = suspicion);
-            RoutingEffect::Wait(number, PROBE_POLL_INTERVAL)
-        }
-        AttemptResult::Lost | AttemptResult::Stalled => {
-            if is_suspect(result, progress) {
-                let request = state.requests.get_mut(&number);
-                request.into_iter().for_each(|it| it.was_lost = true);
-            }
-            fail_over(state, number, result, now)
-        }
+        AttemptResult::Lost => after_loss(state, number, progress, now),
+        AttemptResult::Stalled => fail_over(state, number, result, now),
+    }
+}
+
+/// Goes on with a request whose last call was lost.
+pub(super) fn after_loss(
+    state: &mut RoutingState,
+    number: RequestNumber,
+    progress: AnswerProgress,
+    now: Moment,
+) -> RoutingEffect {
+    let Some(request) = state.requests.get(&number) else {
+        return RoutingEffect::Finished(number);
+    };
+    // The request may have ended its server, and another one would end too.
+    let awaits_probe =
+        request.route.kind.is_idempotent() && must_await_probe(state, request, progress, now);
+    let request = state.requests.get_mut(&number);
+    if awaits_probe {
+        let suspicion = Suspicion::Probing { until: now.after(MAX_PROBE_WAIT) };
+        request.into_iter().for_each(|it| it.suspicion = suspicion);
+        return RoutingEffect::Wait(number, PROBE_POLL_INTERVAL);
+    }
+    if is_suspect(AttemptResult::Lost, progress) {
+        request.into_iter().for_each(|it| it.was_lost = true);
     }
+    fail_over(state, number, AttemptResult::Lost, now)
 }
 
 /// Whether a request whose attempt was lost goes on only if its server still runs.
--- a/src/routing/state/silence.rs
+++ b/src/routing/state/silence.rs
@@ -4,9 +4,15 @@
 
 use std::time::Duration;
 
-use super::{CurrentAttempt, RoutingState, attempts::fail_over, choose_server, stopping::is_over};
+use super::{
+    CurrentAttempt, RoutingState,
+    attempts::{after_loss, fail_over, learn_from_end},
+    choose_server,
+    stopping::is_over,
+    suspects::is_suspect,
+};
 use crate::{
-    routing::{AttemptResult, PlacementChoice, RequestNumber, RoutingEffect},
+    routing::{AnswerProgress, AttemptResult, PlacementChoice, RequestNumber, RoutingEffect},
     units::Moment,
 };
 
@@ -98,18 +104,27 @@
     Vec::new()
 }
 
-/// Forgets a silent attempt that has failed. Returns how the request goes on if it relied on it.
+/// Forgets a silent attempt that has failed. What its end shows about the server and about the request
+/// is kept as for any other attempt. Returns how the request goes on if it relied on it.
 pub(super) fn silent_ended(
     state: &mut RoutingState,
-    number: RequestNumber,
-    attempt: u32,
+    (number, attempt): (RequestNumber, u32),
+    (result, progress): (AttemptResult, AnswerProgress),
     now: Moment,
 ) -> Vec<RoutingEffect> {
     let Some(request) = state.requests.get_mut(&number) else { return Vec::new() };
-    request.silent.take(attempt);
-    if !request.silent.is_relied_on || !request.silent.attempts.is_empty() {
-        return Vec::new();
+    let Some(attempt) = request.silent.take(attempt) else { return Vec::new() };
+    let is_last = request.silent.is_relied_on && request.silent.attempts.is_empty();
+    request.silent.is_relied_on &= !is_last;
+    let mut effects = learn_from_end(state, number, &attempt, (result, progress), now);
+    if is_last {
+        effects.push(match result {
+            AttemptResult::Lost => after_loss(state, number, progress, now),
+            _ => fail_over(state, number, AttemptResult::Stalled, now),
+        });
+    } else if is_suspect(result, progress) {
+        let request = state.requests.get_mut(&number);
+        request.into_iter().for_each(|it| it.was_lost = true);
     }
-    request.silent.is_relied_on = false;
-    vec![fail_over(state, number, AttemptResult::Stalled, now)]
+    effects
 }
--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -72,11 +72,18 @@
 async fn start_fleet(
     crash_point: CrashPoint,
     gateway_count: usize,
+) -> (FragileServers, Vec<GatewayProcess>) {
+    start_reading_fleet((crash_point, Duration::ZERO), gateway_count).await
+}
+
+/// Starts gateways and the servers, which read harmful prompts for a while before they end.
+async fn start_reading_fleet(
+    end: (CrashPoint, Duration),
+    gateway_count: usize,
 ) -> (FragileServers, Vec<GatewayProcess>) {
     let store = start_store().await;
     let addresses = [(); SERVER_COUNT].map(|()| free_address());
-    let harmful = [HARMFUL_PART];
-    let servers = FragileServers::start_with(&store, &addresses, &harmful, crash_point).await;
+    let servers = FragileServers::start_reading(&store, &addresses, &[HARMFUL_PART], end).await;
     let gateways = start_gateways(gateway_count, &launcher(), store.fake_server.address).await;
     (servers, gateways)
 }
@@ -225,6 +232,49 @@
     .await;
 }
 
+/// Guards against a harmful part that is never blocked since the prompts are long: their servers end
+/// after the gateway has set the call aside as silent and asked another server.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn end_of_silent_server_is_evidence() {
+    // Callers leave after two seconds.
+    const PATIENCE: Duration = Duration::from_secs(2);
+    const READ_TIME: Duration = Duration::from_millis(1_750);
+    join_all([CrashPoint::Nothing, CrashPoint::Head].map(|point| async move {
+        let (servers, gateways) = start_reading_fleet((point, READ_TIME), 2).await;
+        let started = Instant::now();
+        let mut calls = Vec::new();
+        for n in 0_usize.. {
+            if started.elapsed() > 2 * RUN_TIME {
+                break;
+            }
+            let gateway = gateways[n % 2].listen;
+            let request = draft(&format!("q-{n}"), &format!("5a:40,{n:x}:600"));
+            calls.push((true, tokio::spawn(send(gateway, request))));
+            if n.is_multiple_of(4) {
+                let parts = format!("5a:40,{HARMFUL_PART}:800,f{n:x}:130160");
+                let call = send(gateways[n / 4 % 2].listen, draft(&format!("b-{n}"), &parts));
+                let call = async { tokio::time::timeout(PATIENCE, call).await.ok().flatten() };
+                calls.push((false, tokio::spawn(call)));
+            }
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+        let (end_count, later_sends) = later_sends(&servers);
+        println!("{point:?}: {end_count} servers ended, {later_sends} sent later");
+        expect_that!(end_count, ge(1), "{point:?}: no server ended");
+        expect_that!(later_sends, le(MAX_LATER_SENDS), "{point:?}: {end_count} servers ended");
+        let (mut complete, mut sound_count) = (0, 0);
+        for (is_sound, call) in calls {
+            let answer = call.await.unwrap();
+            sound_count += usize::from(is_sound);
+            let is_whole = answer.is_some_and(|it| it.text.contains("id: 10\n"));
+            complete += usize::from(is_sound && is_whole);
+        }
+        expect_that!(complete * 2, ge(sound_count), "{point:?}");
+    }))
+    .await;
+}
+
 async fn send_harmful_prompts(crash_point: CrashPoint) {
     let (servers, gateways) = start_fleet(crash_point, 2).await;
     let [first, second] = &gateways[..] else { panic!("not two gateways") };
--- a/tests/silent_servers.rs
+++ b/tests/silent_servers.rs
@@ -211,7 +211,12 @@
     gateway.dispatch_for_effect(RoutingEvent::RequestArrived(request(NUMBER)));
     let effect = stall(&mut gateway);
     wait(&mut gateway, &effect);
-    let lost = RoutingEvent::SilentAttemptEnded { number: NUMBER, attempt: 1 };
+    let lost = RoutingEvent::SilentAttemptEnded {
+        number: NUMBER,
+        attempt: 1,
+        result: AttemptResult::Lost,
+        progress: AnswerProgress::Events(8),
+    };
     let effect = gateway.dispatch_for_effect(lost);
     expect_that!(refusal_of(&effect).map(|it| it.0), some(eq(RefusalCode::OutcomeUnknown)));
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -50,6 +50,7 @@
 mod server_notices;
 mod shift_rollout;
 mod server_pace;
+mod set_aside_calls;
 mod silent_servers;
 mod silent_store;
 mod slow_caller;
--- a/tests/support/fragile_servers.rs
+++ b/tests/support/fragile_servers.rs
@@ -77,6 +77,8 @@
     log: Arc<Mutex<CrashLog>>,
     harmful: Arc<BTreeSet<String>>,
     crash_point: CrashPoint,
+    /// Time for which a server reads a harmful prompt before it begins to answer.
+    read_time: Duration,
     /// Counts the times at which all servers ended at once.
     outages: watch::Sender<u32>,
 }
@@ -94,12 +96,23 @@
         addresses: &[SocketAddr],
         harmful: &[&str],
         crash_point: CrashPoint,
+    ) -> Self {
+        Self::start_reading(store, addresses, harmful, (crash_point, Duration::ZERO)).await
+    }
+
+    /// Starts servers that read harmful prompts for `read_time`.
+    pub async fn start_reading(
+        store: &Arc<FakeStore>,
+        addresses: &[SocketAddr],
+        harmful: &[&str],
+        (crash_point, read_time): (CrashPoint, Duration),
     ) -> Self {
         let harmful = harmful.iter().map(|it| (*it).to_owned()).collect();
         let servers = Self {
             log: Arc::default(),
             harmful: Arc::new(harmful),
             crash_point,
+            read_time,
             outages: watch::Sender::new(0),
         };
         for address in addresses {
@@ -195,6 +208,11 @@
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         if is_harmful {
+            tokio::select! {
+                () = tokio::time::sleep(self.read_time) => {}
+                // The gateway has closed the connection.
+                _ = stream.read_u8() => return,
+            }
             let written = self.crash_point.written(&answer_head);
             let _ = stream.write_all(written.as_bytes()).await;
             self.crash(end).await;
