Hear what silent servers say about themselves

Cause: the head of a stream that had been set aside as silent was swallowed, as the head alone takes no caller further, and a head that refuses was dropped unread. Notices were read from current calls only.

Change: one function hears the head of every call, and the notice names the attempt, which the reducer finds among those that were set aside, too.

--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -32,8 +32,8 @@
         decode_server_notice,
     },
     routing::{
-        AnswerProgress, AttemptResult, AttemptSpec, LimitNotice, RequestNumber, RouteKind,
-        RoutingEffect, RoutingEvent, ServerNotice, join_parts,
+        AnswerProgress, AttemptResult, AttemptSpec, RequestNumber, RouteKind, RoutingEffect,
+        RoutingEvent, ServerNotice, join_parts,
     },
 };
 
@@ -196,22 +196,21 @@
         let wait_end = Instant::now() + delay;
         self.request.open.set_stage(RequestStage::Waiting);
         loop {
-            let Self { shell, state, silent, last_event, request, .. } = &mut *self;
-            let headers = &request.head.headers;
+            let Self { shell, state, silent, last_event, .. } = &mut *self;
             let (call, news) = tokio::select! {
                 () = sleep_until(wait_end) => break,
                 () = wake.notified() => break,
                 () = shell.grace_ended.cancelled() => break,
                 () = disconnected.as_mut() => return None,
                 () = state.closed() => return None,
-                news = silent.next_news(last_event.as_deref(), headers) => news,
+                news = silent.next_news(last_event.as_deref()) => news,
             };
             if self.is_usable(&call, &news) {
                 self.revive(&call);
                 self.request.open.set_stage(RequestStage::Running);
                 return self.follow(call, Some(news), disconnected).await;
             }
-            if let Some(effect) = self.drop_silent(&call, &news) {
+            if let Some(effect) = self.hear_silent(call, &news) {
                 return Some(effect);
             }
         }
@@ -285,7 +284,7 @@
                     open_attempt = shell.attempts.register((self.number, call.spec.attempt));
                 }
                 CallStep::Silent(other, news) => {
-                    self.drop_silent(&other, &news);
+                    self.hear_silent(*other, &news);
                 }
             }
         }
@@ -298,8 +297,7 @@
         open_attempt: &mut OpenAttempt<'_>,
         disconnected: Pin<&mut impl Future<Output = ()>>,
     ) -> CallStep {
-        let Self { shell, state, silent, last_event, request, .. } = self;
-        let headers = &request.head.headers;
+        let Self { shell, state, silent, last_event, .. } = self;
         let deadline = shell.clock.instant(call.spec.deadline);
         // A run that may happen only once is not cancelled, since its effects cannot be undone.
         let may_cancel = call.spec.kind != RouteKind::Single;
@@ -320,7 +318,7 @@
             () = state.closed(), if may_cancel => CallStep::Ended(AttemptResult::Abandoned),
             () = open_attempt.ended() => CallStep::Ended(AttemptResult::Stalled),
             piece = call.next_piece(last_event.as_deref()) => CallStep::Piece(piece),
-            (other, news) = silent.next_news(last_event.as_deref(), headers) => {
+            (other, news) = silent.next_news(last_event.as_deref()) => {
                 CallStep::Silent(Box::new(other), news)
             }
             () = silence => CallStep::Ended(AttemptResult::Stalled),
@@ -343,18 +341,10 @@
 
     /// Checks the head of a response, and passes on the whole response if it is no stream.
     async fn accept_head(&mut self, call: &mut AttemptCall) -> Option<AttemptResult> {
+        let kind = self.record_notice(call)?;
         let head = call.head()?;
-        let request = &self.request.head.headers;
-        let kind = classify_response(head.status, &head.headers, request, &call.spec.server);
         let is_stream = call.spec.kind.is_stream() && head.status == StatusCode::OK;
         let continues = self.continues_stream(head);
-        match kind {
-            ResponseKind::NotRun | ResponseKind::Genuine => {
-                call.server_limit = self.record_notice(head);
-            }
-            // Another server's word, or nobody's, says nothing about this one.
-            ResponseKind::WrongServer | ResponseKind::OtherWeights | ResponseKind::Foreign => {}
-        }
         match kind {
             ResponseKind::NotRun => Some(AttemptResult::NotRun),
             ResponseKind::WrongServer => Some(AttemptResult::WrongServer),
@@ -385,6 +375,8 @@
     /// Whether what a call that was set aside has sent serves the caller.
     fn is_usable(&self, call: &AttemptCall, news: &CallPiece) -> bool {
         match news {
+            // The head alone of a stream takes no caller further.
+            CallPiece::Head if call.spec.kind.is_stream() => false,
             CallPiece::Head => call.has_usable_head(&self.request.head.headers),
             CallPiece::Event(_) | CallPiece::End => {
                 call.head().is_none_or(|it| self.continues_stream(it))
@@ -407,9 +399,17 @@
         self.shell.dispatch(RoutingEvent::AttemptRevived { number, attempt });
     }
 
-    /// Forgets a call that was set aside and has sent nothing of use, and reports how it ended. Returns
-    /// the reducer's next effect if the request relied on it.
-    fn drop_silent(&mut self, call: &AttemptCall, news: &CallPiece) -> Option<RoutingEffect> {
+    /// Takes note of what a call that was set aside has sent and what is of no use to the caller. Keeps
+    /// the call if a stream may follow, else forgets it and reports how it ended. Returns the reducer's
+    /// next effect if the request relied on it.
+    fn hear_silent(&mut self, mut call: AttemptCall, news: &CallPiece) -> Option<RoutingEffect> {
+        if let CallPiece::Head = news {
+            self.record_notice(&mut call);
+            if call.spec.kind.is_stream() && call.has_usable_head(&self.request.head.headers) {
+                self.silent.push(call);
+                return None;
+            }
+        }
         let request = &self.request.head.headers;
         let result = match news {
             CallPiece::Failed(AttemptResult::Lost) => lost_after(call.held_back),
@@ -420,7 +420,7 @@
         };
         let (number, attempt, progress) = (self.number, call.spec.attempt, call.progress);
         self.shell.metrics.count(&format!("attempt.set_aside.{result}"));
-        self.log_end(call, result, "attempt that was set aside ended");
+        self.log_end(&call, result, "attempt that was set aside ended");
         self.shell.dispatch(RoutingEvent::SilentAttemptEnded { number, attempt, result, progress })
     }
 
@@ -474,16 +474,27 @@
         );
     }
 
-    /// Passes on what the server says about itself in the head of its response. Returns what it says
-    /// about its limit.
-    fn record_notice(&self, head: &Parts) -> LimitNotice {
+    /// Records what the server says about itself in the head of its response, whether the caller waits for
+    /// this call or not. Returns what the head belongs to, or `None` if it has not arrived.
+    fn record_notice(&self, call: &mut AttemptCall) -> Option<ResponseKind> {
+        let head = call.head()?;
+        let request = &self.request.head.headers;
+        let kind = classify_response(head.status, &head.headers, request, &call.spec.server);
+        match kind {
+            ResponseKind::NotRun | ResponseKind::Genuine => {}
+            // Another server's word, or nobody's, says nothing about this one.
+            ResponseKind::WrongServer | ResponseKind::OtherWeights | ResponseKind::Foreign => {
+                return Some(kind);
+            }
+        }
         let notice = decode_server_notice(head.status, &head.headers);
-        let limit = notice.limit;
+        call.server_limit = notice.limit;
         // An answer without a notice may end a limit.
         if notice != ServerNotice::default() || self.shell.read(|it| !it.limits().is_empty()) {
-            self.shell.dispatch(RoutingEvent::ServerNoticed { number: self.number, notice });
+            let (number, attempt) = (self.number, call.spec.attempt);
+            self.shell.dispatch(RoutingEvent::ServerNoticed { number, attempt, notice });
         }
-        limit
+        Some(kind)
     }
 
     /// Connects, sends the request and waits for the head of the response.
--- a/src/gateway/requests/call.rs
+++ b/src/gateway/requests/call.rs
@@ -106,17 +106,6 @@
         }
     }
 
-    /// Returns the next piece from a server that was silent. The head alone of a stream takes no
-    /// caller further.
-    async fn next_news(&mut self, last_event: Option<&str>, request: &HeaderMap) -> CallPiece {
-        loop {
-            match self.next_piece(last_event).await {
-                CallPiece::Head if self.spec.kind.is_stream() && self.has_usable_head(request) => {}
-                piece => return piece,
-            }
-        }
-    }
-
     /// Whether the head of the response begins a success of this server to this request.
     pub(super) fn has_usable_head(&self, request: &HeaderMap) -> bool {
         self.head().is_some_and(|head| {
@@ -221,15 +210,11 @@
 
     /// Returns the first call whose server sends something again, with the piece. Never resolves if
     /// there is no call.
-    pub(super) async fn next_news(
-        &mut self,
-        last_event: Option<&str>,
-        request: &HeaderMap,
-    ) -> (AttemptCall, CallPiece) {
+    pub(super) async fn next_news(&mut self, last_event: Option<&str>) -> (AttemptCall, CallPiece) {
         if self.0.is_empty() {
             return std::future::pending().await;
         }
-        let calls = self.0.iter_mut().map(|it| Box::pin(it.next_news(last_event, request)));
+        let calls = self.0.iter_mut().map(|it| Box::pin(it.next_piece(last_event)));
         let (piece, index, _) = select_all(calls).await;
         (self.0.swap_remove(index), piece)
     }
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -201,6 +201,8 @@
     ServerNoticed {
         /// Request that the attempt belongs to.
         number: RequestNumber,
+        /// Number of the attempt, which may have been set aside.
+        attempt: u32,
         /// What the server said.
         notice: ServerNotice,
     },
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -141,6 +141,14 @@
     silent: SilentAttempts,
 }
 
+impl RequestState {
+    /// Returns the attempt with this number, in progress or set aside.
+    fn open_attempt(&self, attempt: u32) -> Option<&CurrentAttempt> {
+        let current = self.current_attempt.as_ref().filter(|it| it.attempt == attempt);
+        current.or_else(|| self.silent.find(attempt))
+    }
+}
+
 /// State of the reducer: catalog, servers, their load, and the requests in progress.
 #[derive(Clone, Debug)]
 pub struct RoutingState {
@@ -348,8 +356,8 @@
         RoutingEvent::ServerProbed { server, has_ended } => {
             server_probed(state, &server, has_ended, now)
         }
-        RoutingEvent::ServerNoticed { number, notice } => {
-            server_noticed(state, number, notice, now)
+        RoutingEvent::ServerNoticed { number, attempt, notice } => {
+            server_noticed(state, (number, attempt), notice, now)
         }
         RoutingEvent::AnswerSettled(number) => {
             answer_progressed(state, number, AnswerProgress::Events(SETTLED_EVENTS), now)
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -171,14 +171,15 @@
     is_paused.then(|| RoutingChange::ServerPaused { server: incarnation.0.clone(), result })
 }
 
-/// Records what a server said about itself with a response.
+/// Records what a server said about itself with a response, to the request's current attempt or to one
+/// that was set aside.
 pub(super) fn server_noticed(
     state: &mut RoutingState,
-    number: RequestNumber,
+    (number, attempt): (RequestNumber, u32),
     notice: ServerNotice,
     now: Moment,
 ) -> Vec<RoutingEffect> {
-    let attempt = state.requests.get(&number).and_then(|it| it.current_attempt.clone());
+    let attempt = state.requests.get(&number).and_then(|it| it.open_attempt(attempt)).cloned();
     let Some(CurrentAttempt { incarnation, began_at, .. }) = attempt else { return Vec::new() };
     let server = incarnation.0.clone();
     let domain = state.servers.server(&server).map(|it| &it.record.failure_domain);
--- a/src/routing/state/silence.rs
+++ b/src/routing/state/silence.rs
@@ -46,6 +46,11 @@
         self.is_relied_on = false;
     }
 
+    /// Returns a silent attempt by its number.
+    pub(super) fn find(&self, attempt: u32) -> Option<&CurrentAttempt> {
+        self.attempts.iter().find(|it| it.attempt == attempt)
+    }
+
     fn take(&mut self, attempt: u32) -> Option<CurrentAttempt> {
         let index = self.attempts.iter().position(|it| it.attempt == attempt)?;
         Some(self.attempts.swap_remove(index))
--- a/tests/limit_exploration.rs
+++ b/tests/limit_exploration.rs
@@ -277,7 +277,7 @@
                     return;
                 }
                 let notice = ServerNotice { limit: notice, ..ServerNotice::default() };
-                self.dispatch(gateway, RoutingEvent::ServerNoticed { number, notice });
+                self.dispatch(gateway, RoutingEvent::ServerNoticed { number, attempt: 1, notice });
                 self.gateways[gateway].end_attempt(number, AttemptResult::Answered);
                 self.dispatch(gateway, RoutingEvent::RequestEnded(number));
             }
@@ -489,7 +489,7 @@
     let notice = ServerNotice { limit, ..ServerNotice::default() };
     let (number, effect) = gateway.arrive();
     expect_that!(server_of(&effect), some(eq("i-1")));
-    gateway.dispatch(RoutingEvent::ServerNoticed { number, notice });
+    gateway.dispatch(RoutingEvent::ServerNoticed { number, attempt: 1, notice });
     gateway.end_attempt(number, AttemptResult::Answered);
     let (_, effect) = gateway.arrive();
     let RoutingEffect::Refuse(_, refusal) = effect else { panic!("not refused") };
@@ -507,7 +507,7 @@
     let mut answer = |number, limit| {
         gateway.now += MILLISECOND;
         let notice = ServerNotice { limit, ..ServerNotice::default() };
-        gateway.dispatch(RoutingEvent::ServerNoticed { number, notice });
+        gateway.dispatch(RoutingEvent::ServerNoticed { number, attempt: 1, notice });
         gateway.state.limits().limit(&("i-1".parse().unwrap(), Some(1)))
     };
     expect_that!(answer(late, named(3.0)), some(eq(3.0.try_into().unwrap())));
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -32,7 +32,7 @@
     for _ in 0..200 {
         let (number, effect) = gateway.arrive();
         if server_of(&effect).as_deref() == Some(id) {
-            gateway.dispatch(RoutingEvent::ServerNoticed { number, notice });
+            gateway.dispatch(RoutingEvent::ServerNoticed { number, attempt: 1, notice });
         }
         end(gateway, number);
         if server_of(&effect).as_deref() == Some(id) {
@@ -166,7 +166,7 @@
                         promises[n].rest = Some((started_ms, end));
                         resting(rest)
                     };
-                    gateway.dispatch(RoutingEvent::ServerNoticed { number, notice });
+                    gateway.dispatch(RoutingEvent::ServerNoticed { number, attempt: 1, notice });
                 }
                 5..=6 if !open.is_empty() => {
                     let (number, ..) = open.remove(rng.random_range(0..open.len()));
--- a/tests/support/paced_server.rs
+++ b/tests/support/paced_server.rs
@@ -28,6 +28,12 @@
     pub cut_after: Option<u32>,
     /// Whether it sends nothing to a request that resumes a stream, until its connection is closed.
     pub holds_resumed: bool,
+    /// Time until it answers a request that does not resume a stream.
+    pub head_delay: Duration,
+    /// Headers that it adds then.
+    pub notice: String,
+    /// Whether it then refuses the request as not run.
+    pub refuses: bool,
     /// What it answers to a request that resumes a stream, in place of the stream.
     pub resume_answer: Option<String>,
 }
@@ -40,6 +46,9 @@
             pause: None,
             cut_after: None,
             holds_resumed: false,
+            head_delay: Duration::ZERO,
+            notice: String::new(),
+            refuses: false,
             resume_answer: None,
         }
     }
@@ -106,8 +115,21 @@
         stream.write_all(text.replace("{id}", &request).as_bytes()).await.ok()?;
         return stream.shutdown().await.ok();
     }
+    let is_new = resume_after == 0;
+    if is_new {
+        tokio::time::sleep(pace.head_delay).await;
+    }
+    let notice = if is_new { pace.notice.as_str() } else { "" };
+    if is_new && pace.refuses {
+        let refusal = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request}\r\nNot-Run: 1\r\n\
+             {notice}Content-Length: 0\r\n\r\n"
+        );
+        stream.write_all(refusal.as_bytes()).await.ok()?;
+        return stream.shutdown().await.ok();
+    }
     let head = format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n\
+        "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\n{notice}\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await.ok()?;
