Keep evidence on every part of a prompt

Cause: of the shared parts of a prompt only the last 32 were read, and of a record of another gateway only the first 32 were kept, both without a trace.

Change: all parts are read; the size of the head bounds them. The bound is where evidence is stored: records of prompts with more than 32 parts leave out what answers have shown to be harmless, and hold 1,024 parts at most. What has no room is logged and counted, and each record samples others. Findings keep a set of all suspects, and records are judged with one sort. Records sent at once hold 4,096 digests at most.

--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -227,6 +227,9 @@
         if let RoutingChange::AccountShare { is_beyond: true, .. } = change {
             self.metrics.count("shares.beyond");
         }
+        if let RoutingChange::EvidenceDropped { .. } = change {
+            self.metrics.count("quarantine.parts_dropped");
+        }
         let age_ms = self.directory_age_ms();
         log::info!(change:% = change, directory_age_ms = age_ms; "routing state changed");
     }
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -478,6 +478,13 @@
         /// What a request must have to be refused, and the evidence.
         blocked: BlockedInput,
     },
+    /// The record of a request that may have ended its server has no room for so many parts of its prompt.
+    EvidenceDropped {
+        /// The request.
+        request: RequestId,
+        /// Number of parts that are left out.
+        parts: usize,
+    },
     /// A part of prompts, or a whole request, is no longer blocked.
     InputUnblocked(InputDigest),
     /// Many servers ended at once as they ran requests with a part or copies of a request: few
@@ -581,6 +588,9 @@
                     combination.iter().copied().filter(|it| it != input).collect();
                 if others.is_empty() { Ok(()) } else { write!(f, ", with {}", join_parts(&others)) }
             }
+            Self::EvidenceDropped { request, parts } => {
+                write!(f, "record of request {request} has no room for {parts} parts of its prompt")
+            }
             Self::InputUnblocked(input) => write!(f, "input {input} is no longer blocked"),
             Self::TrialBegan(input) => {
                 write!(f, "input {input} is on trial: many servers ended at once as they ran it")
@@ -609,7 +619,16 @@
     }
 }
 
-/// Writes digests separated by spaces, for logs.
+/// Maximum number of digests in a line of the log.
+const MAX_LOGGED_PARTS: usize = 48;
+
+/// Writes digests separated by spaces, for logs; of many the first ones, and how many there are.
 pub(crate) fn join_parts(parts: &[InputDigest]) -> String {
-    parts.iter().map(InputDigest::to_string).collect::<Vec<_>>().join(" ")
+    let listed = parts.iter().take(MAX_LOGGED_PARTS).map(InputDigest::to_string);
+    let text = listed.collect::<Vec<_>>().join(" ");
+    if parts.len() <= MAX_LOGGED_PARTS {
+        text
+    } else {
+        format!("{text} and others, {} in all", parts.len())
+    }
 }
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -38,6 +38,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
 };
 
@@ -59,8 +60,13 @@
 const MIN_EXCUSED_REPORTS: usize = 8;
 /// Time for which records that block nothing are exchanged.
 const EXCHANGE_TTL: Duration = Duration::from_secs(60);
-/// Maximum number of parts of a record of another gateway.
-const MAX_RECORD_PARTS: usize = 32;
+/// Number of parts up to which a record holds all parts of its prompt. Of longer prompts it leaves out
+/// those that are known to be harmless.
+const WHOLE_RECORD_PARTS: usize = 32;
+/// Maximum number of parts of a record.
+const MAX_RECORD_PARTS: usize = 1_024;
+/// Maximum number of digests in all records that are sent to another gateway at once.
+const MAX_REPORT_DIGESTS: usize = 4_096;
 
 /// Point in time on this process's clock, which may lie before its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -116,10 +122,6 @@
         self.parts.iter().copied().filter(|it| !self.excused.contains(it))
     }
 
-    fn is_suspect(&self, part: InputDigest) -> bool {
-        self.parts.contains(&part) && !self.excused.contains(&part)
-    }
-
     fn suspect_content(&self) -> Option<InputDigest> {
         self.content.filter(|it| !self.excused.contains(it))
     }
@@ -197,7 +199,7 @@
 pub struct QuarantineUpdate {
     /// Whether there is something that other gateways may not know.
     pub has_news: bool,
-    /// Parts that are blocked now or no longer.
+    /// Parts that are blocked now or no longer, and parts that a record has no room for.
     pub changes: Vec<RoutingChange>,
 }
 
@@ -243,7 +245,7 @@
 
     /// Whether a server has ended as it ran a request with one of these parts, and nothing excuses it.
     pub fn has_ended_server_with(&self, parts: &[InputDigest]) -> bool {
-        self.records.values().any(|record| parts.iter().any(|it| record.is_suspect(*it)))
+        parts.iter().any(|it| self.findings.suspects.contains(it))
     }
 
     /// Whether nothing is recorded.
@@ -309,10 +311,13 @@
         applies: impl Fn(&CrashRecord) -> bool,
     ) -> QuarantineUpdate {
         let mut has_news = false;
+        // Most requests hold nothing that is suspected.
+        let suspects = &self.findings.suspects;
+        let inputs: Vec<InputDigest> =
+            inputs.iter().copied().filter(|it| suspects.contains(it)).collect();
         for record in self.records.values_mut().filter(|it| applies(it)) {
-            let held: Vec<InputDigest> =
-                inputs.iter().copied().filter(|it| record.holds(it)).collect();
-            for input in held {
+            let held = inputs.iter().copied().filter(|it| record.holds(it));
+            for input in held.collect::<Vec<_>>() {
                 has_news |= record.excused.insert(input);
             }
         }
@@ -323,14 +328,17 @@
     /// Merges the records of another gateway.
     pub fn merge(&mut self, reports: Vec<CrashReport>, now: Moment) -> QuarantineUpdate {
         let mut has_news = false;
+        let mut changes = Vec::new();
         for report in reports {
-            has_news |= self.merge_report(report, now);
+            let (is_news, change) = self.merge_report(report, now);
+            has_news |= is_news;
+            changes.extend(change);
         }
         if !has_news {
             return QuarantineUpdate::default();
         }
         self.excuse_earlier_records();
-        let changes = self.update_findings();
+        changes.extend(self.update_findings());
         self.evict();
         QuarantineUpdate { has_news, changes }
     }
@@ -346,20 +354,26 @@
             }
         }
         for record in self.records.values_mut() {
-            let held = excused_until.iter().filter(|it| record.holds(it.0) && record.at <= *it.1);
-            let held: Vec<InputDigest> = held.map(|it| *it.0).collect();
+            let is_excused =
+                |it: &InputDigest| excused_until.get(it).is_some_and(|until| record.at <= *until);
+            let held = record.parts.iter().copied().chain(record.content).filter(is_excused);
+            let held: Vec<InputDigest> = held.collect();
             record.excused.extend(held);
         }
     }
 
-    /// Merges one report. Returns whether it added anything.
-    fn merge_report(&mut self, report: CrashReport, now: Moment) -> bool {
+    /// Merges one report. Returns whether it added anything, and the change if parts are left out.
+    fn merge_report(&mut self, report: CrashReport, now: Moment) -> (bool, Option<RoutingChange>) {
         let CrashReport { server, request, parts, unconfirmed_parts, content, excused, age_ms } =
             report;
         let is_confirmed = !parts.is_empty();
-        let mut parts = if is_confirmed { parts } else { unconfirmed_parts };
-        parts.truncate(MAX_RECORD_PARTS);
+        let parts = if is_confirmed { parts } else { unconfirmed_parts };
         let at = EvidenceTime::at(now, Duration::from_millis(age_ms));
+        let is_known = self.records.contains_key(&(server.clone(), request.clone()));
+        let (parts, dropped) =
+            if is_known { (Vec::new(), 0) } else { self.select_parts(parts, &request, at) };
+        let change = (dropped > 0)
+            .then(|| RoutingChange::EvidenceDropped { request: request.clone(), parts: dropped });
         let (harmless_parts, harmless_requests) = (&self.harmless_parts, &self.harmless_requests);
         let known = self.records.entry((server, request));
         let mut is_new = false;
@@ -375,7 +389,41 @@
         let known_count = record.excused.len();
         let held: Vec<InputDigest> = excused.into_iter().filter(|it| record.holds(it)).collect();
         record.excused.extend(held);
-        is_new || record.excused.len() > known_count
+        (is_new || record.excused.len() > known_count, change)
+    }
+
+    /// Returns the parts of a prompt that a new record holds, in order, and the number of suspicious ones
+    /// that it has no room for. The first part is always among them, as its place matters.
+    fn select_parts(
+        &self,
+        parts: Vec<InputDigest>,
+        request: &RequestId,
+        at: EvidenceTime,
+    ) -> (Vec<InputDigest>, usize) {
+        if parts.len() <= WHOLE_RECORD_PARTS {
+            return (parts, 0);
+        }
+        let mut seen = BTreeSet::new();
+        let parts: Vec<InputDigest> = parts.into_iter().filter(|it| seen.insert(*it)).collect();
+        let first = parts.first().copied();
+        let is_harmless = |it: &InputDigest| self.harmless_parts.excuses(*it, at);
+        let (harmless, mut suspicious): (Vec<_>, Vec<_>) =
+            parts.iter().copied().partition(|it| is_harmless(it) && first != Some(*it));
+        // Parts of other records count most. Of the others each record holds a different sample, so that
+        // each part is in some of them.
+        let order = |it: &InputDigest| {
+            let is_elsewhere = self.findings.suspects.contains(it);
+            (first != Some(*it), !is_elsewhere, sample_order(request, *it))
+        };
+        let dropped = suspicious.len().saturating_sub(MAX_RECORD_PARTS);
+        if dropped > 0 {
+            suspicious.sort_by_cached_key(order);
+            suspicious.truncate(MAX_RECORD_PARTS);
+        }
+        let room = WHOLE_RECORD_PARTS.saturating_sub(suspicious.len());
+        let kept: BTreeSet<InputDigest> =
+            suspicious.into_iter().chain(harmless.into_iter().rev().take(room)).collect();
+        (parts.into_iter().filter(|it| kept.contains(it)).collect(), dropped)
     }
 
     /// Returns the records in the form for other gateways, those that block something and then the
@@ -400,7 +448,14 @@
         let (excused, mut suspects): (Vec<_>, Vec<_>) =
             records.into_iter().partition(|it| is_excused(it.1));
         suspects.truncate(MAX_REPORTS - excused.len().min(MIN_EXCUSED_REPORTS));
-        suspects.into_iter().chain(excused).take(MAX_REPORTS).map(report).collect()
+        let mut room = MAX_REPORT_DIGESTS;
+        let mut has_room = |it: &CrashRecord| {
+            let left = room.checked_sub(it.parts.len() + it.excused.len());
+            room = left.unwrap_or(room);
+            left.is_some()
+        };
+        let records = suspects.into_iter().chain(excused).take(MAX_REPORTS);
+        records.filter(|it| has_room(it.1)).map(report).collect()
     }
 
     /// How much depends on a record.
@@ -421,7 +476,7 @@
     /// Decides again which inputs are blocked or on trial. Returns the changes.
     fn update_findings(&mut self) -> Vec<RoutingChange> {
         let previous = std::mem::replace(&mut self.findings, find_inputs(&self.records));
-        let Findings { blocked, trials } = &self.findings;
+        let Findings { blocked, trials, .. } = &self.findings;
         let is_changed = |part: &InputDigest, it: &BlockedInput| {
             previous.blocked.get(part).is_none_or(|known| known.combination != it.combination)
         };
@@ -449,6 +504,13 @@
     }
 }
 
+/// Orders the parts of a request's record in another way for each request.
+fn sample_order(request: &RequestId, part: InputDigest) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (request.as_str(), part).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the parts of a report: those that are confirmed, and those that are not.
 fn split_parts(
     parts: Vec<InputDigest>,
--- a/src/routing/quarantine/evidence.rs
+++ b/src/routing/quarantine/evidence.rs
@@ -1,7 +1,7 @@
 //! What the records of servers that ended say together.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     time::Duration,
 };
 
@@ -20,6 +20,8 @@
 const MIN_REQUEST_BATCH: usize = 3;
 /// Time after which all gateways know that an input is on trial.
 const TRIAL_DELAY: Duration = Duration::from_secs(1);
+/// Number of parts in the same records up to which each is listed as blocked.
+const MAX_LISTED_PARTS: usize = 32;
 /// Time in which records about one server are about the same end.
 const SAME_END_WINDOW: Duration = Duration::from_secs(2);
 
@@ -30,6 +32,8 @@
     pub(super) blocked: BTreeMap<InputDigest, BlockedInput>,
     /// Inputs that many servers had in progress when they ended at the same time, with that time.
     pub(super) trials: BTreeMap<InputDigest, EvidenceTime>,
+    /// All inputs of records that nothing excuses.
+    pub(super) suspects: HashSet<InputDigest>,
 }
 
 impl Findings {
@@ -37,6 +41,15 @@
         self.blocked.is_empty() && self.trials.is_empty()
     }
 
+    /// Adds the verdict on parts that are in the same records. Requests are refused for all of them
+    /// together, so of many parts one stands for the others.
+    fn add_group(&mut self, parts: &[InputDigest], verdict: InputVerdict) {
+        let listed = if parts.len() > MAX_LISTED_PARTS { &parts[..1] } else { parts };
+        for part in listed {
+            self.add(*part, verdict.clone());
+        }
+    }
+
     fn add(&mut self, input: InputDigest, verdict: InputVerdict) {
         match verdict {
             InputVerdict::Unknown => {}
@@ -51,6 +64,7 @@
 }
 
 /// What the records with an input in common say about it.
+#[derive(Clone)]
 enum InputVerdict {
     Unknown,
     OnTrial(EvidenceTime),
@@ -65,24 +79,46 @@
 /// count only in records that no later part explains.
 pub(super) fn find_inputs(records: &BTreeMap<(ServerId, RequestId), CrashRecord>) -> Findings {
     let mut findings = Findings::default();
-    let (mut first, mut later) = (BTreeSet::new(), BTreeSet::new());
-    for record in records.values() {
-        let is_first = |it: &InputDigest| record.parts.first() == Some(it);
-        let (firsts, laters): (Vec<_>, Vec<_>) = record.suspects().partition(is_first);
-        first.extend(firsts);
-        later.extend(laters);
+    let entries: Vec<RecordEntry<'_>> = records.iter().collect();
+    let mut later = BTreeSet::new();
+    // Prompts may have hundreds of parts, most of which are in one record only: sorted, so that each
+    // record is looked at once.
+    let mut held: Vec<(InputDigest, usize)> = Vec::new();
+    for (n, (_, record)) in entries.iter().enumerate() {
+        for part in record.suspects() {
+            held.push((part, n));
+            if record.parts.first() != Some(&part) {
+                later.insert(part);
+            }
+        }
+        findings.suspects.extend(record.suspects().chain(record.suspect_content()));
+    }
+    held.sort_unstable();
+    held.dedup();
+    // Parts that are in the same records.
+    let mut groups: BTreeMap<(bool, Vec<usize>), Vec<InputDigest>> = BTreeMap::new();
+    for same_part in held.chunk_by(|one, other| one.0 == other.0) {
+        let [(part, _), _, ..] = same_part else {
+            // One end explains nothing.
+            continue;
+        };
+        let holders = same_part.iter().map(|it| it.1).collect();
+        groups.entry((!later.contains(part), holders)).or_default().push(*part);
     }
-    for part in &later {
-        let with_part: Vec<_> = records.iter().filter(|it| it.1.is_suspect(*part)).collect();
-        findings.add(*part, judge_part(&with_part, PartPlace::Later));
+    let (laters, firsts): (Vec<_>, Vec<_>) = groups.into_iter().partition(|it| !it.0.0);
+    for ((_, holders), parts) in laters {
+        let with_part: Vec<_> = holders.iter().map(|it| entries[*it]).collect();
+        let verdict = judge_part(&with_part, PartPlace::Later);
+        findings.add_group(&parts, verdict);
     }
     let explained: BTreeSet<InputDigest> =
         findings.blocked.keys().chain(findings.trials.keys()).copied().collect();
-    for part in first.difference(&later) {
-        let is_unexplained = |it: &CrashRecord| !it.suspects().any(|it| explained.contains(&it));
+    let is_unexplained = |it: &RecordEntry<'_>| !it.1.suspects().any(|it| explained.contains(&it));
+    for ((_, holders), parts) in firsts {
         let with_part: Vec<_> =
-            records.iter().filter(|it| it.1.is_suspect(*part) && is_unexplained(it.1)).collect();
-        findings.add(*part, judge_part(&with_part, PartPlace::First));
+            holders.iter().map(|it| entries[*it]).filter(is_unexplained).collect();
+        let verdict = judge_part(&with_part, PartPlace::First);
+        findings.add_group(&parts, verdict);
     }
     let mut by_content: BTreeMap<InputDigest, Vec<_>> = BTreeMap::new();
     for (key, record) in records {
--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -275,6 +275,52 @@
     .await;
 }
 
+/// Returns a prompt of `count` shared parts with the harmful one, if any, at this place, and a part of
+/// its own.
+fn long_prompt(count: usize, harmful_at: Option<usize>, own: &str) -> String {
+    let mut parts: Vec<String> = (0..count).map(|it| format!("{it:x}5a:20")).collect();
+    if let Some(place) = harmful_at {
+        parts.insert(place, format!("{HARMFUL_PART}:30"));
+    }
+    parts.join(",") + &format!(",{own}:140")
+}
+
+/// Guards against a harmful part that is never blocked since many other parts follow it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn harmful_part_among_hundreds_is_blocked() {
+    let cases = [(36, 1), (36, 35), (300, 1), (300, 150), (300, 299), (900, 2)];
+    join_all(cases.map(|(count, place)| async move {
+        let case = format!("{count} parts, harmful at {place}");
+        let (servers, gateways) = start_fleet(CrashPoint::Head, 2).await;
+        let started = Instant::now();
+        let (mut sound, mut harmful) = (Vec::new(), Vec::new());
+        for n in 0_usize.. {
+            if started.elapsed() > RUN_TIME {
+                break;
+            }
+            let gateway = gateways[n % 2].listen;
+            let parts = long_prompt(count, None, &format!("f{n:x}"));
+            sound.push(tokio::spawn(send(gateway, draft(&format!("q-{n}"), &parts))));
+            if n.is_multiple_of(3) {
+                let parts = long_prompt(count, Some(place), &format!("e{n:x}"));
+                harmful.push(tokio::spawn(send(gateway, draft(&format!("b-{n}"), &parts))));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let (end_count, later_sends) = later_sends(&servers);
+        println!("{case}: {end_count} servers ended, {later_sends} sent later");
+        expect_that!(end_count, ge(1), "{case}");
+        expect_that!(later_sends, le(MAX_LATER_SENDS), "{case}: {end_count} servers ended");
+        let sound_count = sound.len();
+        let answers = join_all(sound).await.into_iter().filter_map(|it| it.unwrap());
+        let complete = answers.filter(|it| it.text.contains("id: 10\n")).count();
+        expect_that!(complete * 2, ge(sound_count), "{case}");
+        join_all(harmful).await;
+    }))
+    .await;
+}
+
 async fn send_harmful_prompts(crash_point: CrashPoint) {
     let (servers, gateways) = start_fleet(crash_point, 2).await;
     let [first, second] = &gateways[..] else { panic!("not two gateways") };
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -37,6 +37,7 @@
 mod plan_limits;
 mod planned_stop;
 mod popularity_shift;
+mod prompt_parts;
 mod prompt_quarantine;
 mod reducer_replay;
 mod request_quarantine;
