Take no entry for a server that lacks a field

What callers saw: an entry of another writer without version and warmup-left-ms, state ready, under the id of a leaving server put it back into use; requests reached it over 2 s after the acknowledgement, some were lost.

Cause: the decoder asked only for the fields that it uses, and an entry without a start time was taken for a new incarnation, for which what was known of the leaving server does not hold.

Change: all fields that servers always write must be there. An entry without a start time under the id of a server that has stated one, listed now or lately, is ignored.

--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -16,7 +16,8 @@
     },
     routing::{
         CatalogSource, DirectoryTable, DirectoryUpdate, DirectoryView, OperatorChange,
-        OperatorStep, OperatorTable, OperatorView, ReadKind, RoutingEvent, next_operator_step,
+        OperatorStep, OperatorTable, OperatorView, ReadKind, RoutingEvent, ServerRecord,
+        next_operator_step,
     },
     units::{FailureDomain, LogOffset, Moment, ServerId, StorePosition},
 };
@@ -262,6 +263,7 @@
     let mut servers = previous.map_or_else(BTreeMap::new, |it| it.servers);
     for KeyedRecord { key, value, .. } in read.records {
         let record = value.and_then(|text| decode_server(&key, &text));
+        let record = record.filter(|it| is_own_entry(shell, it));
         match (key.parse::<ServerId>(), record) {
             (Ok(id), Some(record)) => {
                 servers.insert(id, record);
@@ -278,6 +280,17 @@
     DirectoryView { position: read.position, servers, read_at: Some(shell.clock.now()) }
 }
 
+/// Whether an entry is the server's own. A server always states when it started or never does, so that an
+/// entry without it under the id of one that has stated it is another writer's.
+fn is_own_entry(shell: &GatewayShell, record: &ServerRecord) -> bool {
+    let states_start = shell.read(|it| it.servers().states_start(&record.id));
+    let is_own = record.started_ms.is_some() || !states_start;
+    if !is_own {
+        log::warn!(server:% = record.id; "directory entry lacks the server's start, ignored");
+    }
+    is_own
+}
+
 /// Applies a view of the directory, unless the current one is newer.
 pub(super) fn apply_directory_view(shell: &GatewayShell, view: DirectoryView) {
     let list = view.servers.values().cloned().collect();
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -1,11 +1,12 @@
 //! Decoding of entries of the platform's directory, in which backend servers register.
 
 use std::{
+    borrow::Cow,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use smol_str::SmolStr;
 use thiserror::Error;
 
@@ -32,6 +33,7 @@
     Slots(u32),
 }
 
+// A server writes all fields that have no default: an entry that lacks one is another writer's.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireServer {
@@ -39,15 +41,16 @@
     address: SocketAddr,
     // The platform's name for the failure domain.
     zone: FailureDomain,
-    // Requests that the server runs at the same time; 1 if absent.
-    #[serde(default)]
-    slots: Option<u32>,
+    // Version of the server's software, validated but not used.
+    #[serde(rename = "version")]
+    _version: IgnoredText,
+    // Requests that the server runs at the same time.
+    slots: u32,
     state: WireState,
     // Heartbeat counter, validated but not used: an entry that differs only in it is unchanged.
     #[serde(rename = "sequence")]
     _sequence: u64,
     // Remaining warm-up time of the server.
-    #[serde(default)]
     warmup_left_ms: f64,
     // Start time of the server process in Unix milliseconds.
     #[serde(default)]
@@ -59,6 +62,15 @@
     size: u16,
 }
 
+/// A text of any length that is not kept.
+struct IgnoredText;
+
+impl<'de> Deserialize<'de> for IgnoredText {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Cow::<str>::deserialize(deserializer).map(|_| Self)
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum WireState {
@@ -107,7 +119,7 @@
         service: wire.service,
         address: wire.address,
         failure_domain: wire.zone,
-        slots: wire.slots.unwrap_or(1).max(1),
+        slots: wire.slots.max(1),
         is_draining: matches!(wire.state, WireState::Draining),
         warm_up_left: Duration::from_secs_f64(warm_up_left),
         started_ms: wire.born,
@@ -123,10 +135,7 @@
     if port == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
         return Err(EntryError::Address(wire.address));
     }
-    match wire.slots {
-        Some(slots) if slots > MAX_SLOTS => Err(EntryError::Slots(slots)),
-        Some(_) | None => Ok(wire),
-    }
+    if wire.slots > MAX_SLOTS { Err(EntryError::Slots(wire.slots)) } else { Ok(wire) }
 }
 
 #[cfg(test)]
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -138,6 +138,12 @@
         self.servers.get(id)
     }
 
+    /// Whether a server with this id, listed now or lately, has stated when it started.
+    pub fn states_start(&self, id: &ServerId) -> bool {
+        let is_listed = self.servers.get(id).is_some_and(|it| it.record.started_ms.is_some());
+        is_listed || self.removed.keys().any(|(removed, start)| removed == id && start.is_some())
+    }
+
     /// Whether no server is known.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -150,6 +150,68 @@
     }
 }
 
+/// Fields that a server always writes.
+const FIELDS: [&str; 8] =
+    ["service", "address", "zone", "version", "slots", "state", "warmup-left-ms", "sequence"];
+
+/// Guards against an entry with fields missing that passes for a server.
+#[gtest]
+fn entry_without_a_field_names_no_server() {
+    let sound = entry(SocketAddr::from(([127, 0, 0, 1], 80)));
+    assert_that!(decode_server("i-1", sound.to_string().as_bytes()), some(anything()));
+    for field in FIELDS {
+        let mut entry = sound.clone();
+        entry.as_object_mut().unwrap().remove(field);
+        expect_that!(decode_server("i-1", entry.to_string().as_bytes()), none(), "{field}");
+        entry[field] = json!([]);
+        expect_that!(decode_server("i-1", entry.to_string().as_bytes()), none(), "{field}");
+    }
+}
+
+/// Guards against requests to a server that leaves, after another writer has left an entry that calls
+/// it ready, with fields missing.
+#[gtest]
+#[tokio::test]
+async fn odd_entry_ends_no_leave() {
+    let (store, log) = (start_store().await, ServerLog::default());
+    add_server(&store, "i-1", &log).await;
+    let gateway = GatewayProcess::start(&launcher(), store.fake_server.address, &[]);
+    gateway.wait_ready().await;
+    let cases: [&[&str]; 5] = [
+        &["version", "warmup-left-ms", "born"],
+        &["born"],
+        &["slots", "born"],
+        &["version"],
+        &["warmup-left-ms", "sequence"],
+    ];
+    for (n, missing) in cases.into_iter().enumerate() {
+        let id = format!("i-{}", n + 2);
+        let address = add_server(&store, &id, &log).await;
+        tokio::time::sleep(FOLLOW_TIME).await;
+        let mut leaving = entry(address);
+        leaving["state"] = json!("draining");
+        store.put("keyed.servers", &id, Some(&leaving));
+        tokio::time::sleep(FOLLOW_TIME).await;
+        let runs = || log.runs("/a/x").iter().filter(|it| it.server == id).count();
+        let before = runs();
+        // Twice: the first one may have changed what is known of the server.
+        for _ in 0..2 {
+            let mut odd = entry(address);
+            missing.iter().for_each(|it| {
+                odd.as_object_mut().unwrap().remove(*it);
+            });
+            store.put("keyed.servers", &id, Some(&odd));
+            tokio::time::sleep(FOLLOW_TIME / 2).await;
+            for _ in 0..8 {
+                let answer = send(&gateway).await;
+                expect_that!(answer.map(|it| it.0), some(eq(StatusCode::OK)), "{missing:?}");
+            }
+        }
+        expect_that!(runs(), eq(before), "{missing:?}");
+        store.put("keyed.servers", &id, None);
+    }
+}
+
 /// Guards against an entry that takes the server out of use whose address it names, also after it is
 /// gone.
 #[gtest]
