Refuse answers whose status is above 599

What callers saw: an answer of a faulty server with status 600, 777 or 999, with its body, as if it were one. The users report it for 000, which the HTTP library refuses already, as it does 001, 099, 1000, -1 and text.

Cause: the library allows statuses from 100 to 999; RFC 9110, section 15, calls those above 599 invalid.

Change: the client of all calls to servers refuses such a head like one that cannot be read.

--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -34,6 +34,9 @@
 /// Maximum size of the head of a response. A server may send one without end.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Largest status of a response.
+const MAX_STATUS: u16 = 599;
+
 /// Call whose response head has arrived. Dropping it closes the connection and cancels the call.
 #[derive(Debug)]
 pub struct OpenCall {
@@ -66,6 +69,9 @@
     /// The server switched to another protocol.
     #[error("the server switched to a protocol that it was not asked for")]
     ProtocolSwitch,
+    /// The status is outside of the range that HTTP defines (RFC 9110, section 15).
+    #[error("the response has the invalid status {0}")]
+    InvalidStatus(u16),
     /// The body has a transfer coding other than chunks.
     #[error("the response has an unknown transfer coding")]
     UnknownCoding,
@@ -181,6 +187,10 @@
     if head.status.is_informational() {
         return Err(CallBreak::ProtocolSwitch);
     }
+    // The HTTP library itself refuses what has no three digits or is below 100.
+    if head.status.as_u16() > MAX_STATUS {
+        return Err(CallBreak::InvalidStatus(head.status.as_u16()));
+    }
     let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
     let is_known = |it: &HeaderValue| is_coding(it, "chunked") || is_coding(it, "identity");
     if !codings.all(is_known) {
--- a/tests/broken_heads.rs
+++ b/tests/broken_heads.rs
@@ -383,6 +383,42 @@
     println!("{count} cases");
 }
 
+/// Guards against an answer whose status is none, which reached its caller. One that may be repeated
+/// is answered by the next server.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_with_invalid_status_reaches_no_caller() {
+    let site = start_site().await;
+    let mut cases = Vec::new();
+    let invalid = ["000", "001", "099", "600", "777", "999", "1000", "0", "20", "-1", "2x0", "OK"];
+    for status in invalid {
+        for framing in
+            ["Content-Length: 20\r\n\r\n", "\r\n", "Not-Run: 1\r\nContent-Length: 20\r\n\r\n"]
+        {
+            for typed in ["", STREAM] {
+                let text = format!("HTTP/1.1 {status} Odd\r\n{OWN}{typed}{framing}{BODY}");
+                let odd = CutScript::new(text.clone(), CutEnd::Close);
+                for route in ["safe", "unsafe", "stream", "single"] {
+                    let script = site.scripts.add(vec![odd.clone()]);
+                    cases.push(((route, script, CutEnd::Close), (route, text.clone(), false)));
+                }
+                let sound = format!("HTTP/1.1 200 OK\r\n{OWN}Content-Length: 20\r\n\r\n{BODY}");
+                let sound = CutScript::new(sound, CutEnd::Close);
+                let script = site.scripts.add(vec![odd, sound]);
+                cases.push((("safe", script, CutEnd::Close), ("safe", text, true)));
+            }
+        }
+    }
+    let count = play(&site, cases, |case, answer| {
+        let Some(answer) = answer else { panic!("{case:?}: no answer") };
+        let is_own_failure = (500..=599).contains(&answer.status) && !answer.text.contains(BODY);
+        let is_next_answer = case.2 && answer.status == 200 && answer.text == BODY;
+        expect_that!(is_own_failure || is_next_answer, eq(true), "{case:?}: {answer:?}");
+    })
+    .await;
+    println!("{count} cases");
+}
+
 /// Guards against a stream that breaks off and looks complete to a caller that reads to the end of its
 /// connection.
 #[gtest]
