Bound what a server sends before the head of its response

What callers saw: interim responses without end from a faulty server held a call until its caller's time was over, and the gateway read and parsed them all the while. Its memory stayed flat.

Cause: the HTTP library skips any number of interim responses, and only the size of each is bounded.

Change: more than 256 kB before the head is complete end the attempt as lost; the log names the cause.

--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -11,7 +11,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -34,6 +34,9 @@
 /// Maximum size of the head of a response. A server may send one without end.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of bytes that a server may send until the head of its response is complete, interim
+/// responses and what is read ahead of the body included.
+const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
 /// Largest status of a response.
 const MAX_STATUS: u16 = 599;
 
@@ -66,6 +69,10 @@
     /// The connection broke, or what was received is no HTTP/1.
     #[error("{0}")]
     Connection(#[from] hyper::Error),
+    /// The server sent more than it may before the head of its response, such as interim responses
+    /// without end.
+    #[error("more than {MAX_BYTES_BEFORE_HEAD} bytes came before the head of the response")]
+    EndlessHead,
     /// The server switched to another protocol.
     #[error("the server switched to a protocol that it was not asked for")]
     ProtocolSwitch,
@@ -162,11 +169,14 @@
     stream: TcpStream,
     request: http::Request<Full<Bytes>>,
 ) -> Result<OpenCall, CallFailure> {
-    let has_received = Arc::new(AtomicBool::new(false));
-    let stream = ObservedStream { stream, has_received: has_received.clone() };
-    send_request(stream, request).await.map_err(|cause| {
-        let has_begun = has_received.load(Ordering::Relaxed);
-        CallFailure { cause, has_begun }
+    let progress = Arc::new(HeadProgress::default());
+    let stream = ObservedStream { stream, progress: progress.clone() };
+    let result = send_request(stream, request).await;
+    progress.is_complete.store(true, Ordering::Relaxed);
+    result.map_err(|cause| {
+        let received = progress.received.load(Ordering::Relaxed);
+        let cause = if received > MAX_BYTES_BEFORE_HEAD { CallBreak::EndlessHead } else { cause };
+        CallFailure { cause, has_begun: received > 0 }
     })
 }
 
@@ -200,12 +210,21 @@
     Ok(OpenCall { head, body, guard })
 }
 
-/// A connection that records whether anything was received. The HTTP library does not tell a head
-/// that breaks off from none at all.
+/// What has arrived on a connection.
+#[derive(Debug, Default)]
+struct HeadProgress {
+    /// Number of bytes received until the head was complete.
+    received: AtomicUsize,
+    /// Whether the head of the response is complete.
+    is_complete: AtomicBool,
+}
+
+/// A connection that records how much was received before the head of the response. The HTTP library
+/// does not tell a head that breaks off from none at all, and skips any number of interim responses.
 #[derive(Debug)]
 struct ObservedStream {
     stream: TcpStream,
-    has_received: Arc<AtomicBool>,
+    progress: Arc<HeadProgress>,
 }
 
 impl AsyncRead for ObservedStream {
@@ -216,8 +235,13 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > filled {
-            self.has_received.store(true, Ordering::Relaxed);
+        let count = buffer.filled().len() - filled;
+        let HeadProgress { received, is_complete } = &*self.progress;
+        if count == 0 || is_complete.load(Ordering::Relaxed) {
+            return polled;
+        }
+        if received.fetch_add(count, Ordering::Relaxed) + count > MAX_BYTES_BEFORE_HEAD {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         polled
     }
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -77,6 +77,9 @@
         let line = "x".repeat(0x4000);
         let (start, piece) = match request.path.as_str() {
             "/a/head" => (head("200 OK", "X-Endless: "), line),
+            "/a/interim" | "/st/interim" => {
+                (String::new(), "HTTP/1.1 102 Processing\r\n\r\n".repeat(600))
+            }
             "/a/headers" => (head("200 OK", ""), "X-Endless: x\r\n".repeat(1_000)),
             "/a/body" | "/st/event" => (head("200 OK", chunked), chunk),
             "/a/unframed" => (head("200 OK", "\r\n"), line),
@@ -119,7 +122,8 @@
     store
 }
 
-async fn check_endless_answers(path: &'static str, status: StatusCode) {
+/// Returns the time until all callers had their answers.
+async fn check_endless_answers(path: &'static str, status: StatusCode) -> Duration {
     let store = start_store().await;
     let servers =
         [EndlessServer::start(&store, "i-1").await, EndlessServer::start(&store, "i-2").await];
@@ -145,6 +149,7 @@
     println!("{path}: {} MB at most, answered within {} ms", peak >> 20, elapsed.as_millis());
     expect_that!(peak, lt(VM_MEMORY), "{path}");
     expect_that!(gateway.log_text().contains("\"result\":\"lost\"") || path == "/a/shed", eq(true));
+    elapsed
 }
 
 const FAILED: StatusCode = StatusCode::BAD_GATEWAY;
@@ -156,6 +161,17 @@
     check_endless_answers("/a/headers", FAILED).await;
 }
 
+/// Guards against interim responses that hold a call, and the gateway's processor, until the caller's
+/// time is over.
+#[gtest]
+#[tokio::test]
+async fn endless_interim_responses_end_the_attempt() {
+    for path in ["/a/interim", "/st/interim"] {
+        let elapsed = check_endless_answers(path, FAILED).await;
+        expect_that!(elapsed, lt(CALLER_TIMEOUT / 2), "{path}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn endless_body_ends_the_attempt() {
