Let the age of a sighting travel with it

What operators would see: in an outage of the store a gateway that is gone stays in the lists of all others, which poll it as their reader in vain and divide limits by it.

A gateway that gets the list of another set the time at which each gateway was seen to that of the receipt, so that those that are left confirm to each other one that is gone.

Change: gateways send sightings, a location and the time since it was seen. A sighting of unknown age adds no gateway; those that the settings name stay.

Result: gateway_that_is_gone_is_forgotten (3, 9 and 99 gateways that poll each other) passes; with the receipt as the time of the sighting it fails with 3 gateways 5.2 s after the end, as a reader.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,7 +22,7 @@
     http::{json_response, text_response},
     platform::{PlatformError, get_json},
     routing::{
-        DirectoryCopy, DirectoryView, GatewayLocation, OperatorView, ReaderMark, ServerRecord,
+        DirectoryCopy, DirectoryView, GatewaySighting, OperatorView, ReaderMark, ServerRecord,
         read_time,
     },
     units::{ServerId, StorePosition},
@@ -50,7 +50,7 @@
 struct ViewMessage {
     operator: Option<OperatorView>,
     directory: Option<DirectoryCopy>,
-    gateways: Vec<GatewayLocation>,
+    gateways: Vec<GatewaySighting>,
 }
 
 /// Body of a response to `GET /v1/directory`.
@@ -106,7 +106,7 @@
     let has_directory = query != Some(CATALOG_QUERY);
     let directory = shell.view().directory.view().filter(|_| has_directory).cloned();
     let directory = directory.map(|it| DirectoryCopy::new(it, shell.clock.now()));
-    let gateways = shell.peers().locations();
+    let gateways = shell.peers().sightings(shell.clock.now());
     let message = ViewMessage { operator, directory, gateways };
     json_response(StatusCode::OK, &message)
 }
@@ -209,7 +209,7 @@
     let asked_at = shell.clock.now();
     match fetch_view(peer, &path).await {
         Ok(message) => {
-            shell.record_peers(message.gateways);
+            shell.record_sightings(message.gateways, asked_at);
             if let Some(view) = message.operator {
                 apply_operator_view(shell, view);
             }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -20,8 +20,9 @@
     options::{DirectSettings, GatewaySettings, HttpLimits},
     routing::{
         AdmissionNote, AdmissionOutcome, AdmissionSettings, CatalogVersion, GatewayLocation,
-        PeerTable, ReaderMark, RequestNumber, RetryNote, RetryReason, RouteCatalog, RoutingChange,
-        RoutingEffect, RoutingEvent, RoutingSettings, RoutingState, reduce, retry_after,
+        GatewaySighting, PeerTable, ReaderMark, RequestNumber, RetryNote, RetryReason,
+        RouteCatalog, RoutingChange, RoutingEffect, RoutingEvent, RoutingSettings, RoutingState,
+        reduce, retry_after,
     },
     telemetry::MetricSink,
     units::Moment,
@@ -284,13 +285,25 @@
         self.read(RoutingState::in_progress)
     }
 
-    /// Records gateways that an agent or another gateway reports.
+    /// Records gateways that an agent reports or that speak for themselves.
     pub(super) fn record_peers(&self, gateways: Vec<GatewayLocation>) {
         if gateways.is_empty() {
             return;
         }
         let now = self.clock.now();
         self.peers().record_seen(gateways, now);
+        self.tell_gateways(now);
+    }
+
+    /// Records gateways that another gateway, asked at `asked_at`, has seen.
+    pub(super) fn record_sightings(&self, gateways: Vec<GatewaySighting>, asked_at: Moment) {
+        let now = self.clock.now();
+        self.peers().record_sightings(gateways, asked_at, now);
+        self.tell_gateways(now);
+    }
+
+    /// Tells the reducer which gateways were seen lately, if it is due.
+    fn tell_gateways(&self, now: Moment) {
         let is_due = {
             let mut told_at = lock(&self.gateways_told_at);
             let is_due = told_at.is_none_or(|at| now.since(at) >= GATEWAYS_INTERVAL);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -53,7 +53,7 @@
 pub use memory::{EndedHolder, HoldKind, HoldOutcome, HoldStage, MemoryLedger};
 pub use outcome::{AnswerProgress, AttemptResult, SETTLED_EVENTS};
 pub use pace::{PaceLimit, StepPace, pace_factor};
-pub use peers::{GatewayLocation, PeerTable};
+pub use peers::{GatewayLocation, GatewaySighting, PeerTable};
 pub use placement::{Candidate, PlacementChoice, choose_candidate};
 pub use quarantine::{
     BlockedInput, CrashReport, InputTrial, QuarantineTable, QuarantineUpdate, SuspectInput,
--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::read_time;
 use crate::units::{FailureDomain, Moment};
 
 /// Time after which a gateway that is no longer reported is dropped.
@@ -32,6 +33,19 @@
     pub failure_domain: FailureDomain,
 }
 
+/// A gateway and the time since it was last reported, in the form in which gateways send it to each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct GatewaySighting {
+    /// The gateway.
+    #[serde(flatten)]
+    pub location: GatewayLocation,
+    /// Milliseconds since the latest report about it; `None` if there was none. Gateways of earlier
+    /// releases do not send it.
+    #[serde(default)]
+    pub age_ms: Option<u64>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct PeerRecord {
     failure_domain: Option<FailureDomain>,
@@ -64,13 +78,44 @@
         &self.own
     }
 
-    /// Records gateways that agents or other gateways report, and drops those not seen for a while.
+    /// Records gateways that agents report or that speak for themselves, and drops those not seen for a
+    /// while.
     pub fn record_seen(&mut self, gateways: Vec<GatewayLocation>, now: Moment) {
-        for location in gateways.into_iter().filter(|it| it.address != self.own.address) {
-            let record = self.peers.entry(location.address).or_default();
-            record.failure_domain = Some(location.failure_domain);
-            record.last_seen = Some(now);
+        for location in gateways {
+            self.record(location, Some(now));
         }
+        self.drop_unseen(now);
+    }
+
+    /// Records gateways that another gateway, asked at `asked_at`, has seen. That it passes them on does
+    /// not mean that they still run: their ages go on. One of unknown age is only added to those that
+    /// the settings name.
+    pub fn record_sightings(
+        &mut self,
+        sightings: Vec<GatewaySighting>,
+        asked_at: Moment,
+        now: Moment,
+    ) {
+        for GatewaySighting { location, age_ms } in sightings {
+            let seen_at = age_ms.and_then(|it| read_time(asked_at, it));
+            let is_known = self.peers.contains_key(&location.address);
+            if is_known || seen_at.is_some() {
+                self.record(location, seen_at);
+            }
+        }
+        self.drop_unseen(now);
+    }
+
+    fn record(&mut self, location: GatewayLocation, seen_at: Option<Moment>) {
+        if location.address == self.own.address {
+            return;
+        }
+        let record = self.peers.entry(location.address).or_default();
+        record.failure_domain = Some(location.failure_domain);
+        record.last_seen = record.last_seen.max(seen_at);
+    }
+
+    fn drop_unseen(&mut self, now: Moment) {
         let is_alive = |at: Moment| now.since(at) < PEER_TTL;
         self.peers.retain(|_, it| it.is_configured || it.last_seen.is_some_and(is_alive));
     }
@@ -90,13 +135,19 @@
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
-    /// Returns the locations of all gateways whose failure domain is known, this one included.
-    pub fn locations(&self) -> Vec<GatewayLocation> {
-        let location = |(address, it): (&SocketAddr, &PeerRecord)| {
+    /// Returns all gateways whose failure domain is known, this one included, with the times since they
+    /// were seen.
+    pub fn sightings(&self, now: Moment) -> Vec<GatewaySighting> {
+        let age_ms = |at: Moment| {
+            u64::try_from(now.since(at).as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+        };
+        let sighting = |(address, it): (&SocketAddr, &PeerRecord)| {
             let failure_domain = it.failure_domain.clone()?;
-            Some(GatewayLocation { address: *address, failure_domain })
+            let location = GatewayLocation { address: *address, failure_domain };
+            Some(GatewaySighting { location, age_ms: it.last_seen.map(age_ms) })
         };
-        self.peers.iter().filter_map(location).chain([self.own.clone()]).collect()
+        let own = GatewaySighting { location: self.own.clone(), age_ms: Some(0) };
+        self.peers.iter().filter_map(sighting).chain([own]).collect()
     }
 
     /// Returns the gateways that were reported recently, this one included.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -24,6 +24,7 @@
 mod gateway_herding;
 mod gateway_path;
 mod gateway_routing;
+mod gateway_sightings;
 mod graceful_stop;
 mod held_memory;
 mod limit_exploration;
