Count an outage of the store from the last read

What callers would see: refusals for up to two seconds as a short outage of the store ends, since a gateway drops living servers whose entries lapsed in it.

An outage was counted from the receipt of the last directory, which may have been read 0.8 s before, so that outages of 2.0 to 2.8 s seemed too short for entries to lapse.

Change: the event says when the known directory was read from the store, by whichever gateway.

--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -129,7 +129,8 @@
             Err(error) => {
                 if !std::mem::replace(&mut is_unavailable, true) {
                     log::warn!(stream = "directory", error:% = error; "cannot read store");
-                    shell.dispatch(RoutingEvent::StoreUnavailable);
+                    let read_at = shell.view().directory.view().and_then(|it| it.read_at);
+                    shell.dispatch(RoutingEvent::StoreUnavailable { read_at });
                 }
                 tokio::time::sleep(RETRY_DELAY).await;
             }
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -140,7 +140,11 @@
     /// The full directory of backend servers was read.
     DirectoryRead(Vec<ServerRecord>),
     /// A read of the platform's store failed.
-    StoreUnavailable,
+    StoreUnavailable {
+        /// Time at which the known directory was read from the store, by whichever gateway; `None` if that
+        /// is not known.
+        read_at: Option<Moment>,
+    },
     /// The platform's store can be read again.
     StoreRecovered,
     /// The platform's store came back from an older copy of itself; the directory read from it
--- a/src/routing/servers.rs
+++ b/src/routing/servers.rs
@@ -106,9 +106,6 @@
 pub struct ServerTable {
     servers: BTreeMap<ServerId, KnownServer>,
     evacuated: BTreeSet<FailureDomain>,
-    /// Time of the latest directory that was read while the store was readable.
-    #[serde(default)]
-    read_at: Option<Moment>,
     /// Time of the last directory before the current outage of the store; `None` while the store is
     /// readable.
     outage_since: Option<Moment>,
@@ -165,9 +162,10 @@
         changes
     }
 
-    /// Records that an outage of the store began; repeated calls keep the first time.
-    pub fn mark_store_unavailable(&mut self, now: Moment) {
-        self.outage_since.get_or_insert(self.read_at.unwrap_or(now));
+    /// Records that an outage of the store has begun since the known directory was read from it, at
+    /// `read_at`; repeated calls keep the first time.
+    pub fn mark_store_unavailable(&mut self, read_at: Option<Moment>, now: Moment) {
+        self.outage_since.get_or_insert(read_at.unwrap_or(now));
     }
 
     /// Records the end of an outage of the store.
@@ -196,9 +194,6 @@
     /// Replaces the table by a full directory. Entries that disappear because of an outage of the
     /// store stay for a while (see `removal_time`).
     pub fn apply_directory(&mut self, list: Vec<ServerRecord>, now: Moment) -> Vec<RoutingChange> {
-        if self.outage_since.is_none() {
-            self.read_at = Some(now);
-        }
         let mut changes = Vec::new();
         let mut previous = std::mem::take(&mut self.servers);
         let is_recovering_copy = self.is_recovering_copy(now);
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -317,8 +317,8 @@
             update_subset(state);
             change_effects(changes)
         }
-        RoutingEvent::StoreUnavailable => {
-            state.servers.mark_store_unavailable(now);
+        RoutingEvent::StoreUnavailable { read_at } => {
+            state.servers.mark_store_unavailable(read_at, now);
             change_effects(vec![RoutingChange::StoreUnavailable])
         }
         RoutingEvent::StoreRecovered => {
--- a/src/routing/state/waiting.rs
+++ b/src/routing/state/waiting.rs
@@ -102,7 +102,7 @@
         | RoutingEvent::CatalogRead { .. }
         | RoutingEvent::EvacuationsRead(_)
         | RoutingEvent::DirectoryRead(_) => RoomScope::Everywhere,
-        RoutingEvent::StoreUnavailable
+        RoutingEvent::StoreUnavailable { .. }
         | RoutingEvent::StoreRecovered
         | RoutingEvent::StoreRewound
         | RoutingEvent::AttemptRevived { .. }
