List all parts on trial that are in the same records

Found while reading the diff: of more than 32 parts in the same records one stood for the others, also while they were on trial, so that a request with another of them would have been sent on by any gateway.

Result: all_parts_on_trial_are_listed passes; it was not run on the code before.

--- a/src/routing/quarantine/evidence.rs
+++ b/src/routing/quarantine/evidence.rs
@@ -41,11 +41,16 @@
         self.blocked.is_empty() && self.trials.is_empty()
     }
 
-    /// Adds the verdict on parts that are in the same records. Requests are refused for all of them
-    /// together, so of many parts one stands for the others.
-    fn add_group(&mut self, parts: &[InputDigest], verdict: InputVerdict) {
-        let listed = if parts.len() > MAX_LISTED_PARTS { &parts[..1] } else { parts };
-        for part in listed {
+    /// Adds the verdict on parts that are in the same records. A request is refused only if it has all
+    /// that are blocked, so of many one stands for the others.
+    fn add_group(&mut self, parts: &[InputDigest], verdict: &InputVerdict) {
+        let max_listed = match verdict {
+            InputVerdict::Blocked(_) if parts.len() > MAX_LISTED_PARTS => 1,
+            InputVerdict::Blocked(_) | InputVerdict::OnTrial(_) | InputVerdict::Unknown => {
+                parts.len()
+            }
+        };
+        for part in &parts[..max_listed] {
             self.add(*part, verdict.clone());
         }
     }
@@ -109,7 +114,7 @@
     for ((_, holders), parts) in laters {
         let with_part: Vec<_> = holders.iter().map(|it| entries[*it]).collect();
         let verdict = judge_part(&with_part, PartPlace::Later);
-        findings.add_group(&parts, verdict);
+        findings.add_group(&parts, &verdict);
     }
     let explained: BTreeSet<InputDigest> =
         findings.blocked.keys().chain(findings.trials.keys()).copied().collect();
@@ -118,7 +123,7 @@
         let with_part: Vec<_> =
             holders.iter().map(|it| entries[*it]).filter(is_unexplained).collect();
         let verdict = judge_part(&with_part, PartPlace::First);
-        findings.add_group(&parts, verdict);
+        findings.add_group(&parts, &verdict);
     }
     let mut by_content: BTreeMap<InputDigest, Vec<_>> = BTreeMap::new();
     for (key, record) in records {
--- a/src/routing/state/attempts.rs
+++ b/src/routing/state/attempts.rs
@@ -130,12 +130,11 @@
     {
         state.weights.record_refusal(incarnation.clone(), version, now);
     }
-    let replaced = match result {
-        AttemptResult::WrongServer => state.servers.mark_replaced(incarnation, now),
-        _ => None,
-    };
-    let mut effects: Vec<RoutingEffect> =
-        replaced.map(RoutingEffect::StateChanged).into_iter().collect();
+    let mut effects = Vec::new();
+    if result == AttemptResult::WrongServer {
+        let change = state.servers.mark_replaced(incarnation, now);
+        effects.extend(change.map(RoutingEffect::StateChanged));
+    }
     let server = (&incarnation.0, *address);
     effects.extend(record_suspect(state, number, server, (result, progress), now));
     effects
--- a/src/routing/state/silence.rs
+++ b/src/routing/state/silence.rs
@@ -123,9 +123,10 @@
     request.silent.is_relied_on &= !is_last;
     let mut effects = learn_from_end(state, number, &attempt, (result, progress), now);
     if is_last {
-        effects.push(match result {
-            AttemptResult::Lost => after_loss(state, number, progress, now),
-            _ => fail_over(state, number, AttemptResult::Stalled, now),
+        effects.push(if result == AttemptResult::Lost {
+            after_loss(state, number, progress, now)
+        } else {
+            fail_over(state, number, AttemptResult::Stalled, now)
         });
     } else if is_suspect(result, progress) {
         let request = state.requests.get_mut(&number);
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -131,3 +131,21 @@
     // A request with only some of them goes on.
     expect_that!(table.blocked_part(&prompt[..800]), none());
 }
+
+/// Guards against a part on trial that is sent on, since only another part of the same prompts is listed.
+#[gtest]
+fn all_parts_on_trial_are_listed() {
+    let mut table = QuarantineTable::default();
+    let prompt = invented(0, 60, 30);
+    for n in 1..=5 {
+        let server = format!("i-{n}").parse().unwrap();
+        let request = format!("q-{n}").parse().unwrap();
+        let input = SuspectInput { parts: prompt.clone(), is_confirmed: false, content: None };
+        table.record_end(server, request, input, Moment(SECOND + n));
+    }
+    let content = InputDigest::of_part(&"s".parse().unwrap(), "another request");
+    let now = Moment(2 * SECOND);
+    for part in &prompt[1..] {
+        expect_that!(table.trials_of(content, &[*part], now), len(eq(1)), "{part}");
+    }
+}
