Test the sample of parts with a sound first part

parts_beyond_the_bound_are_found_later passed with the sample switched off: all prompts of the test shared a first part, which was blocked in place of the harmful one. An answer now excuses that part, and the test requires that it is not blocked; nothing else in it changes.

Result: passes; with every record holding the first 1,024 parts it fails.

--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -60,11 +60,16 @@
 #[gtest]
 fn parts_beyond_the_bound_are_found_later() {
     let mut table = QuarantineTable::default();
+    // Sound prompts share the first part, so that only the harmful one explains the ends.
+    let first = parts(["first".to_owned()]);
+    let sound = SuspectInput { parts: first.clone(), ..SuspectInput::default() };
+    table.record_harmless(&sound, Moment(SECOND));
     for n in 1..=24 {
         let changes = end(&mut table, n, invented(n, 3_000, 1_700));
         let is_dropped = |it: &RoutingChange| matches!(it, RoutingChange::EvidenceDropped { .. });
         expect_that!(changes.iter().any(is_dropped), eq(true));
     }
+    expect_that!(table.blocked_part(&first), none());
     expect_that!(table.blocked_part(&harmful()), some(anything()));
 }
 
