--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -88,8 +88,8 @@
     }
 
     /// Records gateways that another gateway, asked at `asked_at`, has seen. That it passes them on does
-    /// not mean that they still run: their ages go on. One of unknown age is only added to those that
-    /// the settings name.
+    /// not mean that they still run: their ages go on. A sighting of unknown age adds no gateway, and only
+    /// tells the failure domain of a known one.
     pub fn record_sightings(
         &mut self,
         sightings: Vec<GatewaySighting>,
--- a/src/routing/quarantine/evidence.rs
+++ b/src/routing/quarantine/evidence.rs
@@ -104,7 +104,7 @@
     let mut groups: BTreeMap<(bool, Vec<usize>), Vec<InputDigest>> = BTreeMap::new();
     for same_part in held.chunk_by(|one, other| one.0 == other.0) {
         let [(part, _), _, ..] = same_part else {
-            // One end explains nothing.
+            // A part of a single record: one end is no evidence.
             continue;
         };
         let holders = same_part.iter().map(|it| it.1).collect();
--- a/src/routing/views.rs
+++ b/src/routing/views.rs
@@ -382,8 +382,8 @@
         self.view.as_ref()
     }
 
-    /// Replaces the view unless the present one is newer. Of two reads in an era, the later one holds
-    /// for the view that is kept: neither is older than the earlier one's.
+    /// Replaces the view unless the present one is newer. Within an era a view contains all that those
+    /// of lower positions do, so the later of the two reads confirms the one that is kept.
     pub fn apply(&mut self, view: DirectoryView) -> DirectoryUpdate {
         let Some(known) = &self.view else {
             self.view = Some(view);
