--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -11,6 +11,7 @@
 mod server;
 mod setup;
 mod store;
+mod turned;
 
 use std::{path::PathBuf, time::Duration};
 
@@ -25,6 +26,7 @@
     fleet::start_watchdog(Duration::from_secs(110));
     let result = match case.as_str() {
         "gone" => gone::run(&root, &folder, has_trouble),
+        "turned" => turned::run(&root, &folder, has_trouble),
         "relearn" => relearn::run(&root, &folder, has_trouble),
         _ => Err(format!("unknown case {case}").into()),
     };
--- a/review/standins-3/relearn.rs
+++ b/review/standins-3/relearn.rs
@@ -7,14 +7,14 @@
     setup::{Deployment, HOST, KEY},
 };
 
-const HARMFUL: &str = "/balances/17";
-const CONTACT: Duration = Duration::from_millis(3_000);
+pub const HARMFUL: &str = "/balances/17";
+pub const CONTACT: Duration = Duration::from_millis(3_000);
 /// More retries than this break the rule.
-const MAX_RETRIES: usize = 3;
+pub const MAX_RETRIES: usize = 3;
 /// Copies that one client sends at once: its request and three repeats.
 const COPIES: usize = 4;
 /// Crashes from which on the rule binds.
-const CRASHES: usize = 3;
+pub const CRASHES: usize = 3;
 /// Pause between two copies.
 const COPY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -86,7 +86,7 @@
 }
 
 /// Sends sound requests of the same caller.
-fn read_balances(deployment: &Deployment) {
+pub fn read_balances(deployment: &Deployment) {
     let sound = |n| send(deployment, n, format!("/balances/{}", 100 + n));
     let clients: Vec<_> = (0..12).map(sound).collect();
     for client in clients {
@@ -94,7 +94,7 @@
     }
 }
 
-fn send(deployment: &Deployment, n: usize, path: String) -> thread::JoinHandle<()> {
+pub fn send(deployment: &Deployment, n: usize, path: String) -> thread::JoinHandle<()> {
     let (address, record) = (deployment.front(n), deployment.record.clone());
     thread::spawn(move || {
         let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
--- a/review/standins-3/server.rs
+++ b/review/standins-3/server.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -34,7 +37,9 @@
     /// When a rank of each group crashed.
     broken: Arc<Mutex<HashMap<String, Instant>>>,
     /// Path of the request that crashes the servers that begin to run it.
-    pub harmful: Option<String>,
+    harmful: Option<String>,
+    /// Whether it does so already.
+    is_harmful: Arc<AtomicBool>,
 }
 
 /// A request that reached a server and was meant for it.
@@ -48,7 +53,17 @@
 
 impl World {
     pub fn new(record: Record, store: Store, harmful: Option<String>) -> Self {
-        Self { record, store, arrivals: Arc::default(), broken: Arc::default(), harmful }
+        let is_harmful = Arc::new(AtomicBool::new(true));
+        Self { record, store, arrivals: Arc::default(), broken: Arc::default(), harmful, is_harmful }
+    }
+
+    /// Sets whether the harmful request crashes the servers that begin to run it from now on.
+    pub fn set_harmful(&self, is_harmful: bool) {
+        self.is_harmful.store(is_harmful, Ordering::SeqCst);
+    }
+
+    fn crashes_servers(&self, path: &str) -> bool {
+        self.harmful.as_deref() == Some(path) && self.is_harmful.load(Ordering::SeqCst)
     }
 
     pub fn arrivals(&self) -> Vec<Arrival> {
@@ -251,7 +266,7 @@
             request: request_id.clone(),
             path: path.clone(),
         });
-        if self.world.harmful.as_ref() == Some(&path) {
+        if self.world.crashes_servers(&path) {
             self.world.record.line(&format!("request {request_id} {path} begins to run at {id}"));
             if self.crash(id) {
                 let server = self.clone();
