--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -15,6 +15,8 @@
 
 use std::{path::PathBuf, time::Duration};
 
+use relearn::Trouble;
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, root, folder] = &arguments[..] else {
@@ -27,7 +29,8 @@
     let result = match case.as_str() {
         "gone" => gone::run(&root, &folder, has_trouble),
         "turned" => turned::run(&root, &folder, has_trouble),
-        "relearn" => relearn::run(&root, &folder, has_trouble),
+        "relearn" => relearn::run(&root, &folder, Trouble::Kill, has_trouble),
+        "moved" => relearn::run(&root, &folder, Trouble::Move, has_trouble),
         _ => Err(format!("unknown case {case}").into()),
     };
     match result {
--- a/review/standins-3/relearn.rs
+++ b/review/standins-3/relearn.rs
@@ -1,10 +1,11 @@
-//! BUDGET: a request that crashes its servers reaches them again after all gateways were killed.
+//! BUDGET: a request that crashes its servers reaches servers again after all gateways were killed, or
+//! after its route was moved.
 
 use std::{error::Error, path::Path, sync::atomic::{AtomicU64, Ordering}, thread, time::Duration};
 
 use crate::{
     client::Client,
-    setup::{Deployment, HOST, KEY},
+    setup::{Deployment, HOST, KEY, LEDGER_TWO, manifest},
 };
 
 pub const HARMFUL: &str = "/balances/17";
@@ -20,13 +21,23 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
-pub fn run(root: &Path, folder: &Path, has_trouble: bool) -> Result<bool, Box<dyn Error>> {
+/// What makes the gateways learn anew.
+pub enum Trouble {
+    /// All gateways are killed and start again.
+    Kill,
+    /// A new manifest moves the route to another service.
+    Move,
+}
+
+pub fn run(
+    root: &Path,
+    folder: &Path,
+    trouble: Trouble,
+    has_trouble: bool,
+) -> Result<bool, Box<dyn Error>> {
     let mut deployment = Deployment::start(root, folder, Some(HARMFUL), 4)?;
     thread::sleep(Duration::from_secs(3));
     read_balances(&deployment);
-    let count = |deployment: &Deployment| {
-        deployment.world.arrivals().iter().filter(|it| it.path == HARMFUL).count()
-    };
     for _ in 0..8 {
         send_copies(&deployment, COPIES);
         thread::sleep(Duration::from_millis(700));
@@ -55,11 +66,20 @@
     deployment.record.line(&text);
     println!("{text}");
     if has_trouble {
-        deployment.record.line("all gateways are killed");
-        deployment.gateways.iter_mut().for_each(|it| it.kill());
-        thread::sleep(Duration::from_millis(500));
-        for gateway in &mut deployment.gateways {
-            gateway.start()?;
+        match trouble {
+            Trouble::Kill => {
+                deployment.record.line("all gateways are killed");
+                deployment.gateways.iter_mut().for_each(|it| it.kill());
+                thread::sleep(Duration::from_millis(500));
+                for gateway in &mut deployment.gateways {
+                    gateway.start()?;
+                }
+            }
+            Trouble::Move => {
+                let manifest = manifest(9, LEDGER_TWO);
+                deployment.world.store.put("keyed.op", "config", Some(manifest));
+                deployment.record.line("version 9 moves the route to another service");
+            }
         }
     }
     deployment.wait_ready()?;
@@ -77,6 +97,11 @@
     Ok(retries <= MAX_RETRIES)
 }
 
+/// Number of times that the harmful request has reached a server.
+fn count(deployment: &Deployment) -> usize {
+    deployment.world.arrivals().iter().filter(|it| it.path == HARMFUL).count()
+}
+
 /// Sends copies of the harmful request at once, each to the next gateway.
 fn send_copies(deployment: &Deployment, copies: usize) {
     let clients: Vec<_> = (0..copies).map(|n| send(deployment, n, HARMFUL.to_owned())).collect();
--- a/review/standins-3/setup.rs
+++ b/review/standins-3/setup.rs
@@ -18,6 +18,8 @@
 pub const KEY: &str = "Token n2ctnfzs989anu6wsjnb";
 pub const MODEL: &str = "drafting-llm";
 pub const LEDGER: &str = "ledger-app";
+/// A second plain service, to which no route leads at first.
+pub const LEDGER_TWO: &str = "ledger-app-two";
 const ZONES: [&str; 3] = ["south-a", "south-b", "south-c"];
 
 pub struct Deployment {
@@ -58,14 +60,14 @@
         let mut ips = gateway_ips.clone();
         for zone in 1..=3 {
             ips.extend((0..2).map(|rank| rank_ip(zone, rank)));
-            ips.extend((0..ledger_per_zone).map(|n| ip([zone, 21 + n])));
+            ips.extend((0..ledger_per_zone).flat_map(|n| [ip([zone, 21 + n]), ip([zone, 41 + n])]));
         }
         let store_ip = ip([9, 1]);
         ips.push(store_ip);
         let ports = Ports::choose(&ips)?;
         let store_address = SocketAddr::new(store_ip, ports.app);
         let store = Store::start(store_address)?;
-        store.put("keyed.op", "config", Some(manifest()));
+        store.put("keyed.op", "config", Some(manifest(7, LEDGER)));
         let world = World::new(record.clone(), store, harmful.map(str::to_owned));
         let mut model_servers = Vec::new();
         let mut agents = Vec::new();
@@ -85,16 +87,18 @@
             }
         }
         let mut ledger_servers = Vec::new();
-        for zone in 1..=3 {
-            for n in 0..ledger_per_zone {
-                let place = Place {
-                    service: LEDGER,
-                    address: SocketAddr::new(ip([zone, 21 + n]), ports.app),
-                    zone: ZONES[usize::from(zone) - 1],
-                    slots: 6,
-                    group: None,
-                };
-                ledger_servers.push(Server::start(&world, place)?);
+        for (service, first_ip) in [(LEDGER, 21), (LEDGER_TWO, 41)] {
+            for zone in 1..=3 {
+                for n in 0..ledger_per_zone {
+                    let place = Place {
+                        service,
+                        address: SocketAddr::new(ip([zone, first_ip + n]), ports.app),
+                        zone: ZONES[usize::from(zone) - 1],
+                        slots: 6,
+                        group: None,
+                    };
+                    ledger_servers.push(Server::start(&world, place)?);
+                }
             }
         }
         let mut gateways = Vec::new();
@@ -138,7 +142,8 @@
     }
 }
 
-fn manifest() -> String {
+/// A manifest in which this service answers reads of balances.
+pub fn manifest(version: u32, balances: &str) -> String {
     let route = |name: &str, path: &str, kind: &str, timeout: u32, service: &str| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"path-prefix\":\"{path}\",\"kind\":\"{kind}\",\
@@ -148,16 +153,18 @@
     };
     let routes = [
         route("r-orders", "/orders/", "unsafe", 8000, MODEL),
-        route("r-balances", "/balances/", "safe", 1000, LEDGER),
+        route("r-balances", "/balances/", "safe", 1000, balances),
         route("r-mandates", "/mandates/", "unsafe", 1000, LEDGER),
     ];
     let engine = "\"engine\":{\"slots\":12,\"kv-capacity-tokens\":494000,\"link-mbps\":92000.0,\"stride\":6,\
                   \"models\":[{\"name\":\"m\"}],\"step_ms\":4.84,\"per_seq_ms\":0.362,\"report_lag_ms\":200.0}";
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"services\":[\
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"{MODEL}\",\"health-check-path\":\"/healthz\",\"max-connections\":418,\"warmup-s\":0.0,\
          \"warmup-per-s\":0.0,{engine}}},\
          {{\"name\":\"{LEDGER}\",\"health-check-path\":\"/healthz\",\"max-connections\":110,\"warmup-s\":0.0,\
+         \"warmup-per-s\":0.0}},\
+         {{\"name\":\"{LEDGER_TWO}\",\"health-check-path\":\"/healthz\",\"max-connections\":110,\"warmup-s\":0.0,\
          \"warmup-per-s\":0.0}}],\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\
          \"idle-timeout-ms\":15000}},\
