--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,7 @@
 //! in the environment the case runs without its disruption.
 
 mod client;
+mod drill;
 mod fleet;
 mod gone;
 mod http;
@@ -28,6 +29,7 @@
     fleet::start_watchdog(Duration::from_secs(110));
     let result = match case.as_str() {
         "gone" => gone::run(&root, &folder, has_trouble),
+        "drill" => drill::run(&root, &folder, has_trouble),
         "turned" => turned::run(&root, &folder, has_trouble),
         "relearn" => relearn::run(&root, &folder, Trouble::Kill, has_trouble),
         "moved" => relearn::run(&root, &folder, Trouble::Move, has_trouble),
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -16,8 +16,13 @@
 #[derive(Default)]
 struct StoreState {
     topics: BTreeMap<String, Records>,
+    era: u64,
+    is_down: bool,
 }
 
+/// What a store held at some time.
+pub struct StoreCopy(BTreeMap<String, Records>);
+
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<(Mutex<StoreState>, Condvar)>,
@@ -44,18 +49,42 @@
         self.state.1.notify_all();
     }
 
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.0.lock().unwrap().topics.clone())
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.state.0.lock().unwrap().is_down = is_down;
+    }
+
+    /// Comes back from a copy, in a new era.
+    pub fn rewind(&self, copy: StoreCopy) {
+        let mut state = self.state.0.lock().unwrap();
+        state.topics = copy.0;
+        state.era += 1;
+        self.state.1.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Ok(Some(request)) = read_message(&mut stream) {
             let path = request.target().split('?').next().unwrap_or("").to_owned();
-            let era = [("Store-Era", "0")];
+            let is_down = self.state.0.lock().unwrap().is_down;
+            let body = match path.as_str() {
+                "/v1/log-newest" => Some(self.newest(&request).into_bytes()),
+                "/v1/log-read" => self.read(&request),
+                _ => None,
+            };
+            let number = self.state.0.lock().unwrap().era.to_string();
+            let era = [("Store-Era", number.as_str())];
             let written = match path.as_str() {
+                _ if is_down => respond(&mut stream, 503, &era, b""),
                 "/v1/log-newest" => {
-                    let body = self.newest(&request);
                     let headers = [era[0], ("Content-Type", "application/json")];
-                    respond(&mut stream, 200, &headers, body.as_bytes())
+                    respond(&mut stream, 200, &headers, &body.unwrap_or_default())
                 }
-                "/v1/log-read" => match self.read(&request) {
+                "/v1/log-read" => match body {
                     Some(body) => respond(&mut stream, 200, &era, &body),
                     None => respond(&mut stream, 410, &era, b"{\"first-offset\":0}"),
                 },
